--- /dev/null
+++ b/cmake/components.cmake
@@ -0,0 +1,41 @@
+# Warnings shared by every target of the project.
+add_library(foxtailcross_options INTERFACE)
+target_compile_options(foxtailcross_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wno-missing-field-initializers)
+target_include_directories(foxtailcross_options INTERFACE ${PROJECT_SOURCE_DIR})
+target_include_directories(foxtailcross_options SYSTEM INTERFACE /usr/include)
+target_compile_definitions(foxtailcross_options INTERFACE FOXTAILCROSS_VERSION="${PROJECT_VERSION}")
+target_link_libraries(foxtailcross_options INTERFACE Threads::Threads)
+
+# The seed of the property tests is fixed so that every run gives the same verdict.
+set(FOXTAILCROSS_RC_PARAMS "seed=20261204 max_success=100" CACHE STRING "rapidcheck parameters of the test run")
+
+# foxtailcross_component(name [DEPENDS target...])
+# Builds components/<name> as a static library from every .cpp beside its CMakeLists.txt;
+# files named *_test.cpp become one Criterion program, <name>_test, and files named
+# *_bench.cpp one Google Benchmark program, <name>_bench.
+function(foxtailcross_component name)
+    cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS *.cpp)
+    set(tests ${sources})
+    list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
+    set(benches ${sources})
+    list(FILTER benches INCLUDE REGEX "_bench\\.cpp$")
+    list(FILTER sources EXCLUDE REGEX "_(test|bench|fuzz)\\.cpp$")
+    if(sources)
+        add_library(${name} STATIC ${sources})
+        target_link_libraries(${name} PUBLIC foxtailcross_options ${ARG_DEPENDS})
+    else()
+        add_library(${name} INTERFACE)
+        target_link_libraries(${name} INTERFACE foxtailcross_options ${ARG_DEPENDS})
+    endif()
+    if(tests)
+        add_executable(${name}_test ${tests})
+        target_link_libraries(${name}_test PRIVATE ${name} rapidcheck criterion)
+        add_test(NAME ${name}_test COMMAND ${name}_test WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
+        set_tests_properties(${name}_test PROPERTIES ENVIRONMENT "RC_PARAMS=${FOXTAILCROSS_RC_PARAMS}" TIMEOUT 300)
+    endif()
+    if(benches AND FOXTAILCROSS_BENCHMARKS)
+        add_executable(${name}_bench ${benches})
+        target_link_libraries(${name}_bench PRIVATE ${name} benchmark benchmark_main)
+    endif()
+endfunction()
--- /dev/null
+++ b/components/fleet/job_spec.hpp
@@ -0,0 +1,44 @@
+#ifndef COMPONENTS_FLEET_JOB_SPEC_HPP
+#define COMPONENTS_FLEET_JOB_SPEC_HPP
+
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/shape.hpp"
+#include "components/fleet/time.hpp"
+#include "components/fleet/urgency.hpp"
+
+#include <string>
+
+namespace fleet
+{
+
+/// A job as its caller declared it. Sizes and run times are claims and may be far off.
+struct JobSpec
+{
+    JobId m_id;
+    AccountId m_account;
+    /// Name of the kind of work; run-time estimates are learned by account and kind.
+    std::string m_kind;
+    Shape m_shape;
+    Urgency m_urgency = Urgency::Normal;
+    Duration m_declaredRunTime {0};
+    /// True where a stopped task can resume from its last checkpoint.
+    bool m_checkpointable = false;
+    /// Empty where the job may run in any availability zone.
+    ZoneId m_zone;
+    TimePoint m_submittedAt;
+
+    bool operator==(const JobSpec &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_id, m_account, m_kind, m_shape, m_urgency);
+        serializeDuration(archive, m_declaredRunTime);
+        archive(m_checkpointable, m_zone);
+        serializeTime(archive, m_submittedAt);
+    }
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/scheduler/actions.hpp
@@ -0,0 +1,47 @@
+#ifndef COMPONENTS_SCHEDULER_ACTIONS_HPP
+#define COMPONENTS_SCHEDULER_ACTIONS_HPP
+
+#include "components/fleet/identifiers.hpp"
+#include "components/scheduler/job_outcome.hpp"
+#include "components/scheduler/worker_command.hpp"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace scheduler
+{
+
+/// The attempt's tasks all hold reservations and are about to start. Recorded before the Start commands are sent
+/// while the log is reachable.
+struct AttemptStarted
+{
+    fleet::JobId m_job;
+    int m_attempt = 0;
+    /// Worker of each task, by task number.
+    std::vector<fleet::WorkerId> m_workers;
+};
+
+/// The attempt is certainly over on every worker and the job waits again.
+struct AttemptEnded
+{
+    fleet::JobId m_job;
+    int m_attempt = 0;
+    /// Run time kept by checkpoint.
+    fleet::Duration m_checkpointed {0};
+    std::string m_reason;
+};
+
+struct JobEnded
+{
+    fleet::JobId m_job;
+    int m_attempt = 0;
+    JobOutcome m_outcome = JobOutcome::Done;
+    std::string m_reason;
+};
+
+using Action = std::variant<WorkerCommand, AttemptStarted, AttemptEnded, JobEnded>;
+
+}
+
+#endif
