Typed, checked settings, logging by part and counters

Cause: every program needs one place that reads its settings, and the parts need logs and metrics. Change: a strict TOML reader that gathers every problem with file, line, key and remedy; daemon and command-line settings; log4cxx behind a small header; counters rendered as Prometheus text.

--- /dev/null
+++ b/components/settings/daemon_settings.hpp
@@ -0,0 +1,68 @@
+#ifndef COMPONENTS_SETTINGS_DAEMON_SETTINGS_HPP
+#define COMPONENTS_SETTINGS_DAEMON_SETTINGS_HPP
+
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/time.hpp"
+#include "components/logging/level.hpp"
+#include "components/settings/endpoint.hpp"
+#include "components/settings/peer_settings.hpp"
+
+#include <string>
+#include <vector>
+
+namespace settings
+{
+
+class Reader;
+
+/// Everything a foxtailcrossd process learns from its settings file.
+struct DaemonSettings
+{
+    fleet::InstanceId m_instance;
+    fleet::ZoneId m_zone;
+    fleet::RegionId m_region;
+    /// Callers and operators, HTTP.
+    Endpoint m_httpEndpoint;
+    /// Other instances, UDP and TCP on the same port number.
+    Endpoint m_peerEndpoint;
+    Endpoint m_logEndpoint;
+    Endpoint m_listEndpoint;
+    std::vector<PeerSettings> m_peers;
+
+    std::string m_operatorToken;
+    /// Authenticates messages between instances. The first key signs; all are accepted.
+    std::vector<std::string> m_peerKeys;
+    /// Signs the request ids that this site issues; the same on every instance.
+    std::string m_requestIdKey;
+
+    int m_trafficThreads = 2;
+    std::int64_t m_maxBodyBytes = 1 << 20;
+    std::int64_t m_maxHeaderBytes = 8 << 10;
+
+    fleet::Duration m_heartbeatInterval {500};
+    /// A view of the configuration older than this permits no start.
+    fleet::Duration m_viewFreshness {3000};
+    fleet::Duration m_leaseLength {10000};
+    fleet::Duration m_renewInterval {3000};
+    /// A scheduler that reached neither the log nor a peer of its zone for this long stops starting and renewing.
+    fleet::Duration m_holderAuthority {15000};
+    fleet::Duration m_logPollInterval {500};
+    fleet::Duration m_listPollInterval {2000};
+    /// Records wait at most this long for others to share one append.
+    fleet::Duration m_groupCommitDelay {50};
+    /// How long a stopping instance still takes what the balancer sends.
+    fleet::Duration m_balancerDelay {3000};
+    /// A planned stop ends after this even when requests are still open.
+    fleet::Duration m_drainLimit {60000};
+
+    logging::Level m_logLevel = logging::Level::Info;
+
+    bool operator==(const DaemonSettings &) const = default;
+};
+
+/// Reads and checks the settings. Throws SettingsError listing every problem.
+DaemonSettings readDaemonSettings(Reader &reader);
+
+}
+
+#endif
--- /dev/null
+++ b/components/settings/reader.hpp
@@ -0,0 +1,63 @@
+#ifndef COMPONENTS_SETTINGS_READER_HPP
+#define COMPONENTS_SETTINGS_READER_HPP
+
+#include "components/fleet/time.hpp"
+#include "components/logging/level.hpp"
+#include "components/settings/endpoint.hpp"
+#include "components/settings/problem.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace settings
+{
+
+/// Reads one strict TOML file key by key and gathers problems instead of stopping at the first.
+///
+/// Keys are dotted paths from the root, array elements by number, as in "peer.0.instance". `finish` adds a problem for
+/// each key that nobody asked for.
+class Reader
+{
+public:
+    /// Reads the file. Throws SettingsError if it can't be read or isn't TOML.
+    static Reader fromFile(const std::string &path);
+    /// Reads `text` as if it stood in the file `name`.
+    static Reader fromText(const std::string &text, const std::string &name);
+
+    Reader(Reader &&) noexcept;
+    Reader &operator=(Reader &&) noexcept;
+    ~Reader();
+
+    bool has(const std::string &key) const;
+    /// Number of elements of the array of tables `key`; 0 where it is absent.
+    std::size_t arraySize(const std::string &key);
+
+    std::string requiredText(const std::string &key);
+    std::string text(const std::string &key, const std::string &fallback);
+    std::vector<std::string> requiredTexts(const std::string &key);
+    std::int64_t integer(const std::string &key, std::int64_t fallback, std::int64_t least, std::int64_t most);
+    bool boolean(const std::string &key, bool fallback);
+    /// A number with a unit: "250 ms", "10 s", "5 min" or "1 h".
+    fleet::Duration duration(const std::string &key, fleet::Duration fallback, fleet::Duration least, fleet::Duration most);
+    /// "IP number:port", IPv4 or IPv6 in brackets.
+    Endpoint requiredEndpoint(const std::string &key);
+    logging::Level level(const std::string &key, logging::Level fallback);
+
+    /// Adds a problem found by the caller at `key`.
+    void report(const std::string &key, const std::string &message, const std::string &remedy);
+
+    /// Throws SettingsError if any problem was found or any key was left unread.
+    void finish();
+
+private:
+    struct Document;
+    explicit Reader(std::unique_ptr<Document> document);
+
+    std::unique_ptr<Document> m_document;
+};
+
+}
+
+#endif
