--- a/components/settings/reader.cpp
+++ b/components/settings/reader.cpp
@@ -156,7 +156,7 @@
         report(key, "is missing", "add " + key + " = \"...\"");
         return {};
     }
-    const std::string value = text(key, {});
+    std::string value = text(key, {});
     if (value.empty()) {
         report(key, "is empty", "give it a value");
     }
