--- /dev/null
+++ b/components/configuration/configuration.hpp
@@ -0,0 +1,46 @@
+#ifndef COMPONENTS_CONFIGURATION_CONFIGURATION_HPP
+#define COMPONENTS_CONFIGURATION_CONFIGURATION_HPP
+
+#include "components/configuration/account.hpp"
+#include "components/configuration/change_result.hpp"
+#include "components/configuration/defaults.hpp"
+#include "components/configuration/exception.hpp"
+#include "components/configuration/version.hpp"
+#include "components/configuration/zone_out.hpp"
+
+#include <vector>
+
+namespace configuration
+{
+
+/// The configuration at one version.
+struct Configuration
+{
+    Version m_version;
+    Defaults m_defaults;
+    /// Sorted by identifier.
+    std::vector<Account> m_accounts;
+    /// In the order they were put; ended ones stay for the reports, up to `exceptionHistory` after their end.
+    std::vector<Exception> m_exceptions;
+    /// Sorted by zone.
+    std::vector<ZoneOut> m_zonesOut;
+    /// Results of the latest changes, oldest first, accepted and rejected; a repeated change finds its result here.
+    std::vector<ChangeResult> m_results;
+
+    bool operator==(const Configuration &) const = default;
+
+    bool isOut(const fleet::ZoneId &zone) const;
+    const Account *findAccount(const fleet::AccountId &account) const;
+    /// Null where the change has not been folded, or so long ago that its result is forgotten.
+    const ChangeResult *findResult(const ChangeId &change) const;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_version, m_defaults, m_accounts, m_exceptions, m_zonesOut, m_results);
+    }
+};
+
+}
+
+#endif
