Zone scheduler: admission, gang life cycle and placement, first version

Change: jobs queue in order, a gang reserves every task on the chosen workers, starts behind one barrier and renews all or none; a retry waits until every old lease is over.

--- /dev/null
+++ b/components/placement/pool.hpp
@@ -0,0 +1,46 @@
+#ifndef COMPONENTS_PLACEMENT_POOL_HPP
+#define COMPONENTS_PLACEMENT_POOL_HPP
+
+#include "components/fleet/resources.hpp"
+
+#include <vector>
+
+namespace placement
+{
+
+/// Capacity of one worker as placement sees it. `m_free` is negative where claims exceed what is free so far.
+struct Node
+{
+    fleet::Resources m_capacity;
+    fleet::Resources m_free;
+    int m_rack = 0;
+    /// False where no new task may be placed.
+    bool m_usable = true;
+
+    bool operator==(const Node &) const = default;
+};
+
+/// The workers of one availability zone, by index, and the racks they sit in.
+struct Pool
+{
+    std::vector<Node> m_nodes;
+    std::vector<std::vector<int>> m_racks;
+
+    bool operator==(const Pool &) const = default;
+};
+
+/// Adds an unused node and returns its index. `rack` is an index into the racks; one past the last makes a new rack.
+int addNode(Pool &pool, const fleet::Resources &capacity, int rack);
+
+void take(Pool &pool, int node, const fleet::Resources &amount);
+void give(Pool &pool, int node, const fleet::Resources &amount);
+
+/// Number of tasks of `perTask` that fit on the node, at most `limit`; 0 where it is not usable.
+int tasksThatFit(const Node &node, const fleet::Resources &perTask, int limit);
+
+/// The part-wise lower of two amounts.
+fleet::Resources lower(const fleet::Resources &a, const fleet::Resources &b);
+
+}
+
+#endif
--- /dev/null
+++ b/components/scheduler/gang_timing.cpp
@@ -0,0 +1,144 @@
+#include "components/scheduler/gang_timing.hpp"
+
+#include "components/scheduler/gangs.hpp"
+#include "components/scheduler/ledger.hpp"
+
+#include <algorithm>
+
+namespace scheduler
+{
+
+namespace
+{
+
+bool isLive(const TaskRun &task)
+{
+    return !task.m_over && task.m_worker != unknownWorker;
+}
+
+const std::string &workerName(const State &state, const TaskRun &task)
+{
+    return state.m_workers[task.m_worker].m_info.m_id.value();
+}
+
+/// A worker that sent no report since the command is not used until it does.
+void markSilent(State &state, const TaskRun &task)
+{
+    Worker &worker = state.m_workers[task.m_worker];
+    if (worker.m_askedAt < task.m_leasedAt) {
+        worker.m_silent = true;
+        refreshUsable(state, task.m_worker);
+    }
+}
+
+void giveUpUnanswered(Context &context, Job &job, TaskPhase awaited)
+{
+    const Attempt &attempt = *job.m_attempt;
+    if (context.m_now - attempt.m_phaseSince < context.m_state.m_settings.m_answerTimeout) {
+        return;
+    }
+    const TaskRun *unanswered = nullptr;
+    for (const TaskRun &task : attempt.m_tasks) {
+        if (isLive(task) && task.m_phase != awaited) {
+            unanswered = &task;
+            markSilent(context.m_state, task);
+        }
+    }
+    if (unanswered != nullptr) {
+        endAttempt(context, job, AttemptEnd::Refused, "worker " + workerName(context.m_state, *unanswered) + " did not answer in time");
+    }
+}
+
+/// Once one lease may have lapsed the rest must end too.
+bool endIfUnconfirmed(Context &context, Job &job)
+{
+    const fleet::TimePoint limit = context.m_now - context.m_state.m_settings.m_leaseLength;
+    for (const TaskRun &task : job.m_attempt->m_tasks) {
+        if (isLive(task) && task.m_confirmedAt <= limit) {
+            markSilent(context.m_state, task);
+            endAttempt(context, job, AttemptEnd::Lost, "worker " + workerName(context.m_state, task) + " went silent");
+            return true;
+        }
+    }
+    return false;
+}
+
+void renewGang(Context &context, Job &job)
+{
+    Attempt &attempt = *job.m_attempt;
+    if (context.m_now - attempt.m_renewedAt < context.m_state.m_settings.m_renewInterval) {
+        return;
+    }
+    const bool isConfirmed = std::all_of(attempt.m_tasks.begin(), attempt.m_tasks.end(), [](const TaskRun &task) {
+        return task.m_over || task.m_confirmedAt >= task.m_leasedAt;
+    });
+    if (!isConfirmed) {
+        return;
+    }
+    attempt.m_renewedAt = context.m_now;
+    for (int task = 0; task < static_cast<int>(attempt.m_tasks.size()); ++task) {
+        if (!attempt.m_tasks[task].m_over) {
+            sendCommand(context, job, task, CommandKind::Renew);
+        }
+    }
+}
+
+void tickEnding(Context &context, Job &job)
+{
+    const Settings &settings = context.m_state.m_settings;
+    Attempt &attempt = *job.m_attempt;
+    for (int task = 0; task < static_cast<int>(attempt.m_tasks.size()); ++task) {
+        const TaskRun &run = attempt.m_tasks[task];
+        if (run.m_over) {
+            continue;
+        }
+        if (context.m_now >= run.m_leasedAt + settings.m_leaseLength + settings.m_lapseMargin) {
+            markSilent(context.m_state, run);
+            endTask(context, job, task);
+        } else if (context.m_now - run.m_stoppedAt >= settings.m_renewInterval) {
+            sendCommand(context, job, task, CommandKind::Stop);
+        }
+    }
+}
+
+void tickAdopting(Context &context, Job &job)
+{
+    const bool isLate = context.m_now - job.m_attempt->m_phaseSince >= context.m_state.m_settings.m_answerTimeout;
+    if (context.m_state.m_isSettled && isLate) {
+        endAttempt(context, job, AttemptEnd::Lost, "not every task of the gang was found by a new holder");
+    }
+}
+
+}
+
+void tickGang(Context &context, Job &job)
+{
+    switch (job.m_attempt->m_phase) {
+    case AttemptPhase::Claiming:
+        break;
+    case AttemptPhase::Reserving:
+        giveUpUnanswered(context, job, TaskPhase::Reserved);
+        break;
+    case AttemptPhase::Adopting:
+        tickAdopting(context, job);
+        break;
+    case AttemptPhase::Running:
+    case AttemptPhase::Checkpointing:
+        giveUpUnanswered(context, job, TaskPhase::Running);
+        if (job.m_attempt->m_phase != AttemptPhase::Ending && !endIfUnconfirmed(context, job)) {
+            renewGang(context, job);
+        }
+        break;
+    case AttemptPhase::Ending:
+        tickEnding(context, job);
+        break;
+    }
+}
+
+fleet::Duration retryDelay(const Settings &settings, int setbacks)
+{
+    const int doublings = std::clamp(setbacks - 1, 0, 16);
+    return std::min(settings.m_retryMax, settings.m_retryBase * (1 << doublings));
+}
+
+}
--- /dev/null
+++ b/components/scheduler/gangs.cpp
@@ -0,0 +1,243 @@
+#include "components/scheduler/gangs.hpp"
+
+#include "components/scheduler/gang_timing.hpp"
+#include "components/scheduler/ledger.hpp"
+#include "components/scheduler/queue.hpp"
+
+#include <algorithm>
+
+namespace scheduler
+{
+
+namespace
+{
+
+bool givesLease(CommandKind kind)
+{
+    return kind == CommandKind::Reserve || kind == CommandKind::Start || kind == CommandKind::Renew;
+}
+
+bool allTasks(const Attempt &attempt, bool (*predicate)(const TaskRun &))
+{
+    return std::all_of(attempt.m_tasks.begin(), attempt.m_tasks.end(), predicate);
+}
+
+bool isReserved(const TaskRun &task)
+{
+    return !task.m_over && task.m_phase == TaskPhase::Reserved;
+}
+
+bool isRunningOrDone(const TaskRun &task)
+{
+    return task.m_phase == TaskPhase::Running || task.m_phase == TaskPhase::Succeeded;
+}
+
+bool hasSucceeded(const TaskRun &task)
+{
+    return task.m_phase == TaskPhase::Succeeded;
+}
+
+bool isOver(const TaskRun &task)
+{
+    return task.m_over;
+}
+
+void enterPhase(Context &context, Attempt &attempt, AttemptPhase phase)
+{
+    attempt.m_phase = phase;
+    attempt.m_phaseSince = context.m_now;
+}
+
+/// The barrier: every task of the gang is reserved, so all may start.
+void startGang(Context &context, Job &job)
+{
+    Attempt &attempt = *job.m_attempt;
+    AttemptStarted started {job.m_spec.m_id, attempt.m_number, {}};
+    for (const TaskRun &task : attempt.m_tasks) {
+        started.m_workers.push_back(context.m_state.m_workers[task.m_worker].m_info.m_id);
+    }
+    context.m_actions.emplace_back(std::move(started));
+    enterPhase(context, attempt, AttemptPhase::Running);
+    attempt.m_startedAt = context.m_now;
+    attempt.m_renewedAt = context.m_now;
+    for (int task = 0; task < static_cast<int>(attempt.m_tasks.size()); ++task) {
+        sendCommand(context, job, task, CommandKind::Start);
+    }
+}
+
+void keepCheckpoint(Job &job)
+{
+    const auto &tasks = job.m_attempt->m_tasks;
+    const auto least = std::min_element(tasks.begin(), tasks.end(), [](const TaskRun &a, const TaskRun &b) {
+        return a.m_checkpointed < b.m_checkpointed;
+    });
+    if (job.m_spec.m_checkpointable && least != tasks.end()) {
+        job.m_checkpointed = std::max(job.m_checkpointed, least->m_checkpointed);
+    }
+}
+
+void waitAgain(Context &context, Job &job)
+{
+    const Attempt &attempt = *job.m_attempt;
+    const bool isSetback = attempt.m_end == AttemptEnd::Refused || attempt.m_end == AttemptEnd::Lost || attempt.m_end == AttemptEnd::TaskFailed;
+    job.m_setbacks = isSetback ? job.m_setbacks + 1 : 0;
+    job.m_notBefore = isSetback ? context.m_now + retryDelay(context.m_state.m_settings, job.m_setbacks) : context.m_now;
+    context.m_actions.emplace_back(AttemptEnded {job.m_spec.m_id, attempt.m_number, job.m_checkpointed, attempt.m_reason});
+    forgetRetained(context, job);
+    job.m_endedAttempt = attempt.m_number;
+    job.m_attempt.reset();
+    context.m_state.m_active.erase(job.m_spec.m_id);
+    enqueue(context.m_state, job);
+}
+
+/// Every lease of the attempt is over: the job ends or waits again.
+void finishAttempt(Context &context, Job &job)
+{
+    const Attempt &attempt = *job.m_attempt;
+    keepCheckpoint(job);
+    if (allTasks(attempt, hasSucceeded)) {
+        endJob(context, job, JobOutcome::Done, "every task succeeded");
+    } else if (attempt.m_end == AttemptEnd::Cancelled) {
+        endJob(context, job, JobOutcome::Cancelled, attempt.m_reason);
+    } else if (job.m_failures >= context.m_state.m_settings.m_maxFailures) {
+        endJob(context, job, JobOutcome::Failed, attempt.m_reason);
+    } else {
+        waitAgain(context, job);
+    }
+}
+
+void settleAdoption(Context &context, Job &job)
+{
+    Attempt &attempt = *job.m_attempt;
+    const bool isLost = std::any_of(attempt.m_tasks.begin(), attempt.m_tasks.end(), [](const TaskRun &task) {
+        return task.m_over && !hasSucceeded(task);
+    });
+    if (isLost) {
+        endAttempt(context, job, AttemptEnd::Lost, "a task of the gang had ended when a new holder read it");
+    } else if (allTasks(attempt, isRunningOrDone)) {
+        enterPhase(context, attempt, AttemptPhase::Running);
+        attempt.m_startedAt = context.m_now;
+    }
+}
+
+void settleGang(Context &context, Job &job)
+{
+    Attempt &attempt = *job.m_attempt;
+    if (attempt.m_phase == AttemptPhase::Adopting) {
+        settleAdoption(context, job);
+    }
+    if (attempt.m_phase == AttemptPhase::Reserving && allTasks(attempt, isReserved)) {
+        startGang(context, job);
+    }
+    if (allTasks(attempt, isOver)) {
+        finishAttempt(context, job);
+    }
+}
+
+}
+
+void beginAttempt(Context &context, Job &job, const placement::Assignment &workers)
+{
+    dequeue(context.m_state, job);
+    Attempt attempt;
+    attempt.m_number = ++job.m_attempts;
+    attempt.m_resumedFrom = job.m_checkpointed;
+    enterPhase(context, attempt, AttemptPhase::Reserving);
+    for (const int worker : workers) {
+        attempt.m_tasks.push_back({.m_worker = worker, .m_checkpointed = job.m_checkpointed});
+    }
+    job.m_attempt = std::move(attempt);
+    book(context.m_state, job);
+    context.m_state.m_active.insert(job.m_spec.m_id);
+    for (int task = 0; task < static_cast<int>(workers.size()); ++task) {
+        addLease(context.m_state, job, task);
+        sendCommand(context, job, task, CommandKind::Reserve);
+    }
+}
+
+void endAttempt(Context &context, Job &job, AttemptEnd end, const std::string &reason)
+{
+    Attempt &attempt = *job.m_attempt;
+    context.m_touched.insert(job.m_spec.m_id);
+    if (attempt.m_phase != AttemptPhase::Ending || end == AttemptEnd::Cancelled) {
+        attempt.m_end = end;
+        attempt.m_reason = reason;
+    }
+    if (attempt.m_phase == AttemptPhase::Ending) {
+        return;
+    }
+    enterPhase(context, attempt, AttemptPhase::Ending);
+    for (int task = 0; task < static_cast<int>(attempt.m_tasks.size()); ++task) {
+        TaskRun &run = attempt.m_tasks[task];
+        if (run.m_worker == unknownWorker) {
+            run.m_over = true;
+        } else if (!run.m_over) {
+            sendCommand(context, job, task, CommandKind::Stop);
+        }
+    }
+}
+
+void endTask(Context &context, Job &job, int task)
+{
+    TaskRun &run = job.m_attempt->m_tasks[task];
+    if (run.m_over) {
+        return;
+    }
+    run.m_over = true;
+    unbook(context.m_state, job, task);
+    removeLease(context.m_state, job, task);
+    context.m_touched.insert(job.m_spec.m_id);
+}
+
+void settleGangs(Context &context)
+{
+    while (!context.m_touched.empty()) {
+        const fleet::JobId id = *context.m_touched.begin();
+        context.m_touched.erase(context.m_touched.begin());
+        const auto found = context.m_state.m_jobs.find(id);
+        if (found != context.m_state.m_jobs.end() && found->second.m_attempt) {
+            settleGang(context, found->second);
+        }
+    }
+}
+
+void tickGangs(Context &context)
+{
+    for (const fleet::JobId &id : context.m_state.m_active) {
+        tickGang(context, context.m_state.m_jobs.at(id));
+    }
+}
+
+void forgetRetained(Context &context, Job &job)
+{
+    for (int task = 0; task < static_cast<int>(job.m_attempt->m_tasks.size()); ++task) {
+        if (job.m_attempt->m_tasks[task].m_isRetained) {
+            sendCommand(context, job, task, CommandKind::Forget);
+        }
+    }
+}
+
+void sendCommand(Context &context, Job &job, int task, CommandKind kind)
+{
+    TaskRun &run = job.m_attempt->m_tasks[task];
+    WorkerCommand command;
+    command.m_worker = context.m_state.m_workers[run.m_worker].m_info.m_id;
+    command.m_kind = kind;
+    command.m_task = taskRef(job, task);
+    if (givesLease(kind)) {
+        command.m_leaseLength = context.m_state.m_settings.m_leaseLength;
+        run.m_leasedAt = context.m_now;
+    }
+    if (kind == CommandKind::Reserve) {
+        command.m_resources = job.m_spec.m_shape.m_perTask;
+    }
+    if (kind == CommandKind::Start) {
+        command.m_resumeFrom = job.m_attempt->m_resumedFrom;
+    }
+    if (kind == CommandKind::Stop) {
+        run.m_stoppedAt = context.m_now;
+    }
+    context.m_actions.emplace_back(std::move(command));
+}
+
+}
--- /dev/null
+++ b/components/scheduler/queue.cpp
@@ -0,0 +1,92 @@
+#include "components/scheduler/queue.hpp"
+
+#include "components/scheduler/gangs.hpp"
+
+#include <algorithm>
+
+namespace scheduler
+{
+
+namespace
+{
+
+const char *const cancelReason = "cancelled by the caller";
+
+void expire(std::map<fleet::JobId, fleet::TimePoint> &jobs, fleet::TimePoint before)
+{
+    std::erase_if(jobs, [before](const auto &entry) {
+        return entry.second < before;
+    });
+}
+
+}
+
+void admitJob(Context &context, const JobArrived &event)
+{
+    State &state = context.m_state;
+    if (state.m_ended.contains(event.m_spec.m_id) || state.m_jobs.contains(event.m_spec.m_id)) {
+        return;
+    }
+    Job job;
+    job.m_spec = event.m_spec;
+    job.m_spec.m_shape.m_tasks = std::max(1, event.m_spec.m_shape.m_tasks);
+    job.m_attempts = event.m_attempts;
+    job.m_endedAttempt = std::max(0, event.m_attempts - 1);
+    job.m_checkpointed = event.m_checkpointed;
+    Job &kept = state.m_jobs.emplace(event.m_spec.m_id, std::move(job)).first->second;
+    enqueue(state, kept);
+    if (state.m_cancelledEarly.erase(event.m_spec.m_id) > 0) {
+        endJob(context, kept, JobOutcome::Cancelled, cancelReason);
+    }
+}
+
+void cancelJob(Context &context, const JobCancelRequested &event)
+{
+    State &state = context.m_state;
+    const auto found = state.m_jobs.find(event.m_job);
+    if (found == state.m_jobs.end()) {
+        if (!state.m_ended.contains(event.m_job)) {
+            state.m_cancelledEarly.emplace(event.m_job, context.m_now);
+        }
+        return;
+    }
+    if (found->second.m_attempt) {
+        endAttempt(context, found->second, AttemptEnd::Cancelled, cancelReason);
+    } else {
+        endJob(context, found->second, JobOutcome::Cancelled, cancelReason);
+    }
+}
+
+void endJob(Context &context, Job &job, JobOutcome outcome, const std::string &reason)
+{
+    State &state = context.m_state;
+    context.m_actions.emplace_back(JobEnded {job.m_spec.m_id, job.m_attempts, outcome, reason});
+    if (job.m_attempt) {
+        forgetRetained(context, job);
+    }
+    dequeue(state, job);
+    const fleet::JobId id = job.m_spec.m_id;
+    state.m_active.erase(id);
+    state.m_ended.insert_or_assign(id, context.m_now);
+    state.m_jobs.erase(id);
+}
+
+void enqueue(State &state, const Job &job)
+{
+    state.m_waiting.insert({job.m_spec.m_submittedAt, job.m_spec.m_id});
+    state.m_isDirty = true;
+}
+
+void dequeue(State &state, const Job &job)
+{
+    state.m_waiting.erase({job.m_spec.m_submittedAt, job.m_spec.m_id});
+}
+
+void expireEnded(Context &context)
+{
+    const fleet::TimePoint before = context.m_now - context.m_state.m_settings.m_endedRetention;
+    expire(context.m_state.m_ended, before);
+    expire(context.m_state.m_cancelledEarly, before);
+}
+
+}
--- /dev/null
+++ b/components/scheduler/queue.hpp
@@ -0,0 +1,29 @@
+#ifndef COMPONENTS_SCHEDULER_QUEUE_HPP
+#define COMPONENTS_SCHEDULER_QUEUE_HPP
+
+#include "components/scheduler/context.hpp"
+#include "components/scheduler/events.hpp"
+
+#include <string>
+
+namespace scheduler
+{
+
+/// Takes in a job; repeats and jobs that ended are ignored.
+void admitJob(Context &context, const JobArrived &event);
+
+/// Cancels a job at whatever step it is; a cancellation that comes before the job is kept for it.
+void cancelJob(Context &context, const JobCancelRequested &event);
+
+/// Ends the job for good and drops it.
+void endJob(Context &context, Job &job, JobOutcome outcome, const std::string &reason);
+
+void enqueue(State &state, const Job &job);
+void dequeue(State &state, const Job &job);
+
+/// Drops what was kept about ended jobs after the retention time.
+void expireEnded(Context &context);
+
+}
+
+#endif
--- /dev/null
+++ b/components/scheduler/reports.cpp
@@ -0,0 +1,228 @@
+#include "components/scheduler/reports.hpp"
+
+#include "components/scheduler/gangs.hpp"
+#include "components/scheduler/ledger.hpp"
+#include "components/scheduler/queue.hpp"
+
+#include <algorithm>
+
+namespace scheduler
+{
+
+namespace
+{
+
+bool isFinal(TaskPhase phase)
+{
+    return phase != TaskPhase::Reserved && phase != TaskPhase::Running;
+}
+
+Job *findJob(State &state, const fleet::JobId &id)
+{
+    const auto found = state.m_jobs.find(id);
+    return found == state.m_jobs.end() ? nullptr : &found->second;
+}
+
+/// The job, where the status is about its present attempt on this worker.
+Job *findCurrent(State &state, const TaskStatus &status, int worker)
+{
+    Job *job = findJob(state, status.m_task.m_job);
+    if (job == nullptr || !job->m_attempt || job->m_attempt->m_number != status.m_task.m_attempt) {
+        return nullptr;
+    }
+    auto &tasks = job->m_attempt->m_tasks;
+    const int task = status.m_task.m_task;
+    if (task < 0 || task >= static_cast<int>(tasks.size()) || tasks[task].m_worker != worker) {
+        return nullptr;
+    }
+    return job;
+}
+
+/// A lease or final status that no present attempt accounts for is stopped or dropped by its worker.
+void rejectStatus(Context &context, int worker, const TaskStatus &status)
+{
+    const State &state = context.m_state;
+    const bool isKnown = state.m_jobs.contains(status.m_task.m_job) || state.m_ended.contains(status.m_task.m_job);
+    if (!state.m_isSettled && !isKnown) {
+        return;
+    }
+    WorkerCommand command;
+    command.m_worker = state.m_workers[worker].m_info.m_id;
+    command.m_kind = isFinal(status.m_phase) ? CommandKind::Forget : CommandKind::Stop;
+    command.m_task = status.m_task;
+    context.m_actions.emplace_back(std::move(command));
+}
+
+bool canAdopt(const Job &job, const TaskStatus &status)
+{
+    const int number = status.m_task.m_attempt;
+    const int task = status.m_task.m_task;
+    if (task < 0 || task >= job.m_spec.m_shape.m_tasks) {
+        return false;
+    }
+    if (!job.m_attempt) {
+        return number > job.m_endedAttempt && number >= job.m_attempts;
+    }
+    const Attempt &attempt = *job.m_attempt;
+    return attempt.m_phase == AttemptPhase::Adopting && attempt.m_number == number && attempt.m_tasks[task].m_worker == unknownWorker;
+}
+
+void beginAdoption(Context &context, Job &job, int number)
+{
+    dequeue(context.m_state, job);
+    Attempt attempt;
+    attempt.m_number = number;
+    attempt.m_phase = AttemptPhase::Adopting;
+    attempt.m_phaseSince = context.m_now;
+    attempt.m_resumedFrom = job.m_checkpointed;
+    attempt.m_tasks.assign(job.m_spec.m_shape.m_tasks, {.m_worker = unknownWorker});
+    job.m_attempts = number;
+    job.m_attempt = std::move(attempt);
+    context.m_state.m_active.insert(job.m_spec.m_id);
+}
+
+/// Takes over a lease that an earlier holder gave.
+void adopt(Context &context, Job &job, int worker, const TaskStatus &status, fleet::TimePoint askedAt)
+{
+    if (!job.m_attempt) {
+        beginAdoption(context, job, status.m_task.m_attempt);
+    }
+    TaskRun &run = job.m_attempt->m_tasks[status.m_task.m_task];
+    run.m_worker = worker;
+    run.m_leasedAt = askedAt;
+    placement::take(context.m_state.m_pool, worker, job.m_spec.m_shape.m_perTask);
+    addLease(context.m_state, job, status.m_task.m_task);
+}
+
+void applyFinal(Context &context, Job &job, int task)
+{
+    TaskRun &run = job.m_attempt->m_tasks[task];
+    const TaskPhase phase = *run.m_phase;
+    const std::string &worker = context.m_state.m_workers[run.m_worker].m_info.m_id.value();
+    run.m_isRetained = true;
+    endTask(context, job, task);
+    if (phase == TaskPhase::Failed) {
+        ++job.m_failures;
+        endAttempt(context, job, AttemptEnd::TaskFailed, "a task failed on worker " + worker);
+    } else if (phase == TaskPhase::Refused) {
+        endAttempt(context, job, AttemptEnd::Refused, "worker " + worker + " refused a task");
+    } else if (phase != TaskPhase::Succeeded) {
+        endAttempt(context, job, AttemptEnd::Lost, "a lease ended early on worker " + worker);
+    }
+}
+
+/// A start that a later report does not show has not arrived.
+void repeatStart(Context &context, Job &job, int task)
+{
+    if (context.m_state.m_startsAllowed) {
+        sendCommand(context, job, task, CommandKind::Start);
+    } else {
+        endAttempt(context, job, AttemptEnd::Held, "starts are not allowed");
+    }
+}
+
+void applyLive(Context &context, Job &job, int task, fleet::TimePoint askedAt)
+{
+    const Attempt &attempt = *job.m_attempt;
+    TaskRun &run = job.m_attempt->m_tasks[task];
+    const bool isAfterCommand = askedAt > run.m_leasedAt;
+    if (askedAt >= run.m_leasedAt) {
+        run.m_confirmedAt = run.m_leasedAt;
+    }
+    const bool isStarted = attempt.m_phase == AttemptPhase::Running || attempt.m_phase == AttemptPhase::Checkpointing;
+    if (isStarted && run.m_phase == TaskPhase::Reserved && isAfterCommand) {
+        repeatStart(context, job, task);
+    }
+}
+
+void applyStatus(Context &context, Job &job, const TaskStatus &status, fleet::TimePoint askedAt)
+{
+    const int task = status.m_task.m_task;
+    TaskRun &run = job.m_attempt->m_tasks[task];
+    run.m_listedIn = context.m_state.m_workers[run.m_worker].m_reports;
+    if (run.m_over) {
+        run.m_isRetained = run.m_isRetained || isFinal(status.m_phase);
+        return;
+    }
+    run.m_checkpointed = std::max(run.m_checkpointed, status.m_checkpointed);
+    run.m_ran = std::max(run.m_ran, status.m_ran);
+    run.m_phase = status.m_phase;
+    context.m_touched.insert(job.m_spec.m_id);
+    if (isFinal(status.m_phase)) {
+        applyFinal(context, job, task);
+    } else {
+        applyLive(context, job, task, askedAt);
+    }
+}
+
+/// A lease that the worker should list and does not.
+void applyAbsence(Context &context, Job &job, int task)
+{
+    if (job.m_attempt->m_phase == AttemptPhase::Reserving && !job.m_attempt->m_tasks[task].m_phase) {
+        sendCommand(context, job, task, CommandKind::Reserve);
+        return;
+    }
+    const std::string &worker = context.m_state.m_workers[job.m_attempt->m_tasks[task].m_worker].m_info.m_id.value();
+    endTask(context, job, task);
+    endAttempt(context, job, AttemptEnd::Lost, "worker " + worker + " lost a lease");
+}
+
+void applyAbsences(Context &context, int index, fleet::TimePoint askedAt)
+{
+    const std::vector<TaskRef> tasks = context.m_state.m_workers[index].m_tasks;
+    for (const TaskRef &ref : tasks) {
+        Job &job = context.m_state.m_jobs.at(ref.m_job);
+        const TaskRun &run = job.m_attempt->m_tasks[ref.m_task];
+        if (run.m_listedIn != context.m_state.m_workers[index].m_reports && askedAt > run.m_leasedAt) {
+            applyAbsence(context, job, ref.m_task);
+        }
+    }
+}
+
+}
+
+void applyReport(Context &context, const WorkerReported &report)
+{
+    State &state = context.m_state;
+    const auto found = state.m_workerIndex.find(report.m_worker);
+    if (found == state.m_workerIndex.end() || report.m_askedAt < state.m_workers[found->second].m_askedAt) {
+        return;
+    }
+    const int index = found->second;
+    Worker &worker = state.m_workers[index];
+    worker.m_askedAt = report.m_askedAt;
+    worker.m_silent = false;
+    ++worker.m_reports;
+    refreshUsable(state, index);
+    for (const TaskStatus &status : report.m_tasks) {
+        Job *known = findJob(state, status.m_task.m_job);
+        if (known != nullptr && canAdopt(*known, status)) {
+            adopt(context, *known, index, status, report.m_askedAt);
+        }
+        if (Job *job = findCurrent(state, status, index)) {
+            applyStatus(context, *job, status, report.m_askedAt);
+        } else {
+            rejectStatus(context, index, status);
+        }
+    }
+    applyAbsences(context, index, report.m_askedAt);
+}
+
+void removeWorker(Context &context, const WorkerRemoved &event)
+{
+    State &state = context.m_state;
+    const auto found = state.m_workerIndex.find(event.m_worker);
+    if (found == state.m_workerIndex.end()) {
+        return;
+    }
+    state.m_workers[found->second].m_listed = false;
+    refreshUsable(state, found->second);
+    const std::vector<TaskRef> tasks = state.m_workers[found->second].m_tasks;
+    for (const TaskRef &ref : tasks) {
+        Job &job = state.m_jobs.at(ref.m_job);
+        endTask(context, job, ref.m_task);
+        endAttempt(context, job, AttemptEnd::Lost, "worker " + event.m_worker.value() + " was removed");
+    }
+}
+
+}
