HTTP server and client on Beast

Every slice that talks to callers, targets or the platform needs HTTP, and the truth about a request whose answer is missing.

A server with its own threads, limits and timeouts, answers from any thread and a stop that finishes what is in flight; a client with a connection pool per address that never sends twice and tells not sent, answered and unknown apart. The public headers include neither Asio nor Beast.

--- /dev/null
+++ b/components/http/address_error.hpp
@@ -0,0 +1,18 @@
+#ifndef COMPONENTS_HTTP_ADDRESS_ERROR_HPP
+#define COMPONENTS_HTTP_ADDRESS_ERROR_HPP
+
+#include <stdexcept>
+
+namespace http
+{
+
+/// A text is not an IP address with a port.
+class AddressError : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/http/client.hpp
@@ -0,0 +1,45 @@
+#ifndef COMPONENTS_HTTP_CLIENT_HPP
+#define COMPONENTS_HTTP_CLIENT_HPP
+
+#include "components/fleet/time.hpp"
+#include "components/http/client_settings.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace http
+{
+
+class ClientCore;
+struct Address;
+struct Request;
+struct Result;
+
+/// An HTTP/1.1 client with one thread of its own and a pool of kept connections for each address.
+///
+/// It never sends a request twice. A kept connection that the peer closed meanwhile gives NotSent where not one byte
+/// could be written, and Unknown from the first byte on.
+class Client
+{
+public:
+    /// Called exactly once for each request, on the client's thread. It must not block or throw.
+    using Callback = std::function<void(Result)>;
+
+    explicit Client(const ClientSettings &settings = {});
+
+    /// Ends what is under way: each callback is called with NotSent or Unknown before the destructor returns.
+    ~Client();
+
+    Client(const Client &) = delete;
+    Client &operator=(const Client &) = delete;
+
+    /// Sends a request. `timeout` covers waiting for a connection, connecting, sending and reading the whole answer.
+    void send(const Address &target, Request request, fleet::Duration timeout, Callback callback);
+
+private:
+    std::shared_ptr<ClientCore> m_core;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/http/client_connection.hpp
@@ -0,0 +1,31 @@
+#ifndef COMPONENTS_HTTP_CLIENT_CONNECTION_HPP
+#define COMPONENTS_HTTP_CLIENT_CONNECTION_HPP
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <chrono>
+
+namespace http
+{
+
+/// One TCP connection of a client. Includes Asio; meant for the client's own sources.
+struct ClientConnection
+{
+    explicit ClientConnection(boost::asio::io_context &io)
+        : m_socket(io)
+    {
+    }
+
+    boost::asio::ip::tcp::socket m_socket;
+    /// Bytes read beyond the last answer.
+    boost::beast::flat_buffer m_buffer;
+    std::chrono::steady_clock::time_point m_idleSince;
+};
+
+/// True where the peer has neither closed the idle connection nor sent anything on it.
+bool isQuiet(ClientConnection &connection);
+
+}
+
+#endif
--- /dev/null
+++ b/components/http/client_core.cpp
@@ -0,0 +1,183 @@
+#include "components/http/client_core.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace http
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds sweepInterval {1};
+
+}
+
+ClientCore::ClientCore(const ClientSettings &settings)
+    : m_settings(settings)
+    , m_io(1)
+    , m_work(m_io.get_executor())
+    , m_sweep(m_io)
+    , m_thread([this] {
+        m_io.run();
+    })
+{
+    boost::asio::post(m_io, [this] {
+        sweepIdleLater();
+    });
+}
+
+ClientCore::~ClientCore()
+{
+    stop();
+}
+
+void ClientCore::send(const Address &target, Request request, fleet::Duration timeout, Client::Callback callback)
+{
+    auto exchange = std::make_shared<ClientExchange>(m_io, target, std::move(request), std::move(callback));
+    {
+        const std::lock_guard lock(m_stopMutex);
+        if (!m_refusing) {
+            boost::asio::post(m_io, [this, exchange, timeout] {
+                begin(exchange, timeout);
+            });
+            return;
+        }
+    }
+    exchange->abandon("the client was closed");
+}
+
+void ClientCore::stop()
+{
+    {
+        const std::lock_guard lock(m_stopMutex);
+        if (std::exchange(m_refusing, true)) {
+            return;
+        }
+        boost::asio::post(m_io, [this] {
+            abandonAll();
+        });
+    }
+    m_work.reset();
+    m_thread.join();
+}
+
+void ClientCore::begin(const std::shared_ptr<ClientExchange> &exchange, fleet::Duration timeout)
+{
+    auto &pool = m_pools[exchange->target()];
+    if (m_stopped) {
+        exchange->abandon("the client was closed");
+        return;
+    }
+    if (pool.m_waiting.size() >= m_settings.m_waitingPerTarget) {
+        exchange->abandon("too many requests wait for " + toString(exchange->target()) + "; send fewer at once");
+        return;
+    }
+    exchange->begin(timeout);
+    pool.m_waiting.push_back(exchange);
+    serveWaiting(exchange->target());
+}
+
+void ClientCore::serveWaiting(const Address &target)
+{
+    auto &pool = m_pools[target];
+    while (!pool.m_waiting.empty() && pool.m_busy < m_settings.m_connectionsPerTarget) {
+        const auto exchange = pool.m_waiting.front();
+        pool.m_waiting.pop_front();
+        if (!exchange->ended()) {
+            run(pool, exchange);
+        }
+    }
+}
+
+void ClientCore::run(Pool &pool, const std::shared_ptr<ClientExchange> &exchange)
+{
+    ++pool.m_busy;
+    m_running.insert(exchange);
+    exchange->run(takeConnection(pool, exchange->isPost()), m_settings, [this, exchange](std::unique_ptr<ClientConnection> connection) {
+        release(exchange, std::move(connection));
+    });
+}
+
+void ClientCore::release(const std::shared_ptr<ClientExchange> &exchange, std::unique_ptr<ClientConnection> connection)
+{
+    auto &pool = m_pools[exchange->target()];
+    --pool.m_busy;
+    m_running.erase(exchange);
+    if (connection && !m_stopped) {
+        connection->m_idleSince = std::chrono::steady_clock::now();
+        pool.m_idle.push_back(std::move(connection));
+    }
+    if (!pool.m_waiting.empty()) {
+        boost::asio::post(m_io, [this, target = exchange->target()] {
+            serveWaiting(target);
+        });
+    }
+}
+
+std::unique_ptr<ClientConnection> ClientCore::takeConnection(Pool &pool, bool forPost)
+{
+    const auto limit = forPost ? m_settings.m_postIdleLimit : m_settings.m_idleLimit;
+    const auto now = std::chrono::steady_clock::now();
+    // The connection used last stands at the back and is the one most likely to be open.
+    while (!pool.m_idle.empty() && now - pool.m_idle.back()->m_idleSince <= limit) {
+        auto connection = std::move(pool.m_idle.back());
+        pool.m_idle.pop_back();
+        if (isQuiet(*connection)) {
+            return connection;
+        }
+    }
+    return std::make_unique<ClientConnection>(m_io);
+}
+
+void ClientCore::sweepIdleLater()
+{
+    if (m_stopped) {
+        return;
+    }
+    m_sweep.expires_after(sweepInterval);
+    m_sweep.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled) {
+            sweepIdle();
+            sweepIdleLater();
+        }
+    });
+}
+
+void ClientCore::sweepIdle()
+{
+    const auto oldest = std::chrono::steady_clock::now() - m_settings.m_idleLimit;
+    for (auto entry = m_pools.begin(); entry != m_pools.end();) {
+        auto &pool = entry->second;
+        std::erase_if(pool.m_idle, [oldest](const auto &connection) {
+            return connection->m_idleSince < oldest || !isQuiet(*connection);
+        });
+        std::erase_if(pool.m_waiting, [](const auto &exchange) {
+            return exchange->ended();
+        });
+        const bool unused = pool.m_idle.empty() && pool.m_waiting.empty() && pool.m_busy == 0;
+        entry = unused ? m_pools.erase(entry) : std::next(entry);
+    }
+}
+
+void ClientCore::abandonAll()
+{
+    m_stopped = true;
+    m_sweep.cancel();
+    for (auto &[target, pool] : m_pools) {
+        for (const auto &exchange : std::exchange(pool.m_waiting, {})) {
+            exchange->abandon("the client was closed");
+        }
+    }
+    const auto running = m_running;
+    for (const auto &exchange : running) {
+        exchange->abandon("the client was closed");
+    }
+    for (auto &[target, pool] : m_pools) {
+        pool.m_idle.clear();
+    }
+}
+
+}
--- /dev/null
+++ b/components/http/client_exchange.cpp
@@ -0,0 +1,186 @@
+#include "components/http/client_exchange.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <utility>
+
+namespace http
+{
+
+namespace beasthttp = boost::beast::http;
+
+namespace
+{
+
+beasthttp::request<beasthttp::string_body> toMessage(const Address &target, Request request)
+{
+    beasthttp::request<beasthttp::string_body> message;
+    message.method_string(request.m_method);
+    message.target(request.m_target);
+    message.version(11);
+    message.set(beasthttp::field::host, toString(target));
+    for (const auto &header : request.m_headers) {
+        message.set(header.m_name, header.m_value);
+    }
+    message.body() = std::move(request.m_body);
+    message.prepare_payload();
+    return message;
+}
+
+Response toResponse(beasthttp::response<beasthttp::string_body> message)
+{
+    Response response;
+    response.m_status = static_cast<int>(message.result_int());
+    response.m_contentType = std::string(message[beasthttp::field::content_type]);
+    for (const auto &field : message) {
+        response.m_headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    response.m_body = std::move(message.body());
+    return response;
+}
+
+}
+
+ClientExchange::ClientExchange(boost::asio::io_context &io, Address target, Request request, Client::Callback callback)
+    : m_timer(io)
+    , m_target(std::move(target))
+    , m_request(toMessage(m_target, std::move(request)))
+    , m_callback(std::move(callback))
+{
+}
+
+void ClientExchange::begin(fleet::Duration timeout)
+{
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([self = shared_from_this()](const Error &cancelled) {
+        if (!cancelled) {
+            self->abandon("no whole answer from " + toString(self->m_target) + " within the timeout");
+        }
+    });
+}
+
+void ClientExchange::run(std::unique_ptr<ClientConnection> connection, const ClientSettings &settings, Released released)
+{
+    m_connection = std::move(connection);
+    m_released = std::move(released);
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(settings.m_headerLimit));
+    m_parser->body_limit(settings.m_bodyLimit);
+    m_parser->skip(m_request.method() == beasthttp::verb::head);
+    if (m_connection->m_socket.is_open()) {
+        write();
+    } else {
+        connect();
+    }
+}
+
+void ClientExchange::abandon(const std::string &reason)
+{
+    end({m_writeBegun ? ResultKind::Unknown : ResultKind::NotSent, {}, reason}, false);
+}
+
+bool ClientExchange::ended() const
+{
+    return m_ended;
+}
+
+bool ClientExchange::isPost() const
+{
+    return m_request.method() == beasthttp::verb::post;
+}
+
+const Address &ClientExchange::target() const
+{
+    return m_target;
+}
+
+void ClientExchange::connect()
+{
+    Error error;
+    const auto host = boost::asio::ip::make_address(m_target.m_host, error);
+    if (error) {
+        abandon("'" + m_target.m_host + "' is not an IP address; use one");
+        return;
+    }
+    m_connection->m_socket.async_connect({host, m_target.m_port}, [self = shared_from_this()](const Error &failure) {
+        if (self->m_ended) {
+            return;
+        }
+        if (failure) {
+            self->abandon("cannot connect to " + toString(self->m_target) + ": " + failure.message());
+            return;
+        }
+        Error ignored;
+        self->m_connection->m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        self->write();
+    });
+}
+
+void ClientExchange::write()
+{
+    m_writeBegun = true;
+    beasthttp::async_write(m_connection->m_socket, m_request, [self = shared_from_this()](const Error &error, std::size_t count) {
+        if (!self->m_ended) {
+            self->onWritten(error, count);
+        }
+    });
+}
+
+void ClientExchange::onWritten(const Error &error, std::size_t count)
+{
+    if (!error) {
+        read();
+        return;
+    }
+    // The operation ended by itself with nothing written, so the kernel took no byte.
+    m_writeBegun = count > 0;
+    if (m_writeBegun) {
+        // The peer may have answered, such as with a refusal of the size, before it closed.
+        read();
+        return;
+    }
+    abandon("the connection to " + toString(m_target) + " was closed: " + error.message());
+}
+
+void ClientExchange::read()
+{
+    beasthttp::async_read(m_connection->m_socket, m_connection->m_buffer, *m_parser, [self = shared_from_this()](const Error &error, std::size_t) {
+        if (!self->m_ended) {
+            self->onRead(error);
+        }
+    });
+}
+
+void ClientExchange::onRead(const Error &error)
+{
+    if (error) {
+        abandon("no whole answer from " + toString(m_target) + ": " + error.message());
+        return;
+    }
+    const bool reusable = m_parser->keep_alive();
+    end({ResultKind::Answered, toResponse(m_parser->release()), {}}, reusable);
+}
+
+void ClientExchange::end(Result result, bool reusable)
+{
+    if (std::exchange(m_ended, true)) {
+        return;
+    }
+    m_timer.cancel();
+    if (m_connection && !reusable) {
+        Error ignored;
+        m_connection->m_socket.close(ignored);
+    }
+    const auto callback = std::exchange(m_callback, nullptr);
+    const auto released = std::exchange(m_released, nullptr);
+    // The operation in progress may still refer to the buffer; the exchange keeps the connection until it ended.
+    auto connection = reusable ? std::move(m_connection) : nullptr;
+    if (released) {
+        released(std::move(connection));
+    }
+    callback(std::move(result));
+}
+
+}
--- /dev/null
+++ b/components/http/client_exchange.hpp
@@ -0,0 +1,66 @@
+#ifndef COMPONENTS_HTTP_CLIENT_EXCHANGE_HPP
+#define COMPONENTS_HTTP_CLIENT_EXCHANGE_HPP
+
+#include "components/http/address.hpp"
+#include "components/http/client.hpp"
+#include "components/http/client_connection.hpp"
+#include "components/http/request.hpp"
+#include "components/http/result.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace http
+{
+
+/// One request on its way: connects where needed, writes, reads the answer, and ends at its timeout.
+/// Runs on the client's thread only.
+class ClientExchange : public std::enable_shared_from_this<ClientExchange>
+{
+public:
+    /// Called once at the end; gets the connection back where it can be used again, else nothing.
+    using Released = std::function<void(std::unique_ptr<ClientConnection>)>;
+
+    ClientExchange(boost::asio::io_context &io, Address target, Request request, Client::Callback callback);
+
+    /// Starts the timeout.
+    void begin(fleet::Duration timeout);
+    /// Runs on the connection, connecting it first where it is not open.
+    void run(std::unique_ptr<ClientConnection> connection, const ClientSettings &settings, Released released);
+    /// Ends the exchange with what is known so far.
+    void abandon(const std::string &reason);
+
+    bool ended() const;
+    bool isPost() const;
+    const Address &target() const;
+
+private:
+    using Error = boost::beast::error_code;
+
+    void connect();
+    void write();
+    void onWritten(const Error &error, std::size_t count);
+    void read();
+    void onRead(const Error &error);
+    void end(Result result, bool reusable);
+
+    boost::asio::steady_timer m_timer;
+    Address m_target;
+    boost::beast::http::request<boost::beast::http::string_body> m_request;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
+    Client::Callback m_callback;
+    Released m_released;
+    std::unique_ptr<ClientConnection> m_connection;
+    bool m_writeBegun = false;
+    bool m_ended = false;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/http/server.hpp
@@ -0,0 +1,55 @@
+#ifndef COMPONENTS_HTTP_SERVER_HPP
+#define COMPONENTS_HTTP_SERVER_HPP
+
+#include "components/fleet/time.hpp"
+#include "components/http/request.hpp"
+#include "components/http/responder.hpp"
+#include "components/http/server_settings.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace http
+{
+
+class ServerCore;
+
+/// An HTTP/1.1 server with its own threads.
+class Server
+{
+public:
+    /// Called on a server thread for each whole request. It must not block; an exception is answered with status 500.
+    using Handler = std::function<void(Request, Responder)>;
+
+    /// Binds, listens and serves at once.
+    /// @throws ServerError where the address cannot be bound.
+    Server(const ServerSettings &settings, Handler handler);
+
+    /// Stops without waiting for requests in flight.
+    ~Server();
+
+    Server(const Server &) = delete;
+    Server &operator=(const Server &) = delete;
+
+    /// The port listened on.
+    std::uint16_t port() const;
+
+    /// Requests handed to the handler whose answer has not been written.
+    std::size_t inFlight() const;
+
+    /// Stops listening. Requests in flight are finished, and each connection is closed after its answer. Returns at once.
+    void beginStop();
+
+    /// Begins the stop and waits until every connection is closed, at most `limit`. Must not be called by a handler.
+    /// @return false where connections had to be cut at the limit.
+    bool stop(fleet::Duration limit);
+
+private:
+    std::shared_ptr<ServerCore> m_core;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/http/server_core.cpp
@@ -0,0 +1,222 @@
+#include "components/http/server_core.hpp"
+
+#include "components/http/error_response.hpp"
+#include "components/http/server_error.hpp"
+#include "components/http/server_session.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+
+#include <exception>
+#include <utility>
+
+namespace http
+{
+
+using boost::asio::ip::tcp;
+
+namespace
+{
+
+/// Pause after a failed accept, such as for want of file descriptors.
+constexpr std::chrono::milliseconds acceptRetryInterval {100};
+
+}
+
+ServerCore::ServerCore(const ServerSettings &settings, Server::Handler handler)
+    : m_settings(settings)
+    , m_handler(std::move(handler))
+    , m_io(settings.m_threads)
+    , m_work(m_io.get_executor())
+    , m_acceptStrand(m_io.get_executor())
+    , m_acceptor(m_acceptStrand)
+    , m_acceptRetry(m_acceptStrand)
+{
+    try {
+        const tcp::endpoint endpoint(boost::asio::ip::make_address(m_settings.m_bind.m_host), m_settings.m_bind.m_port);
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen();
+        m_port = m_acceptor.local_endpoint().port();
+    } catch (const boost::system::system_error &error) {
+        throw ServerError("cannot listen on " + toString(m_settings.m_bind) + " (" + error.code().message() + "); set a free address and port");
+    }
+}
+
+ServerCore::~ServerCore()
+{
+    terminate();
+}
+
+void ServerCore::start()
+{
+    boost::asio::post(m_acceptStrand, [this] {
+        accept();
+    });
+    for (int i = 0; i < m_settings.m_threads; ++i) {
+        m_threads.emplace_back([this] {
+            m_io.run();
+        });
+    }
+}
+
+void ServerCore::beginStop()
+{
+    if (m_stopping.exchange(true)) {
+        return;
+    }
+    boost::asio::post(m_acceptStrand, [this] {
+        closeListener();
+    });
+}
+
+bool ServerCore::stop(fleet::Duration limit)
+{
+    beginStop();
+    bool emptied = false;
+    {
+        std::unique_lock lock(m_mutex);
+        emptied = m_emptied.wait_for(lock, limit, [this] {
+            return m_listenerClosed && m_sessions.empty();
+        });
+    }
+    terminate();
+    return emptied;
+}
+
+std::uint16_t ServerCore::port() const
+{
+    return m_port;
+}
+
+std::size_t ServerCore::inFlight() const
+{
+    return m_inFlight.load();
+}
+
+bool ServerCore::stopping() const
+{
+    return m_stopping.load();
+}
+
+const ServerSettings &ServerCore::settings() const
+{
+    return m_settings;
+}
+
+void ServerCore::handle(Request request, const Responder &responder)
+{
+    ++m_inFlight;
+    try {
+        m_handler(std::move(request), responder);
+    } catch (const std::exception &) {
+        responder(errorResponse(500, "internal", "the request handler failed; report it to the operators"));
+    }
+}
+
+void ServerCore::finished()
+{
+    --m_inFlight;
+}
+
+void ServerCore::remove(const std::shared_ptr<ServerSession> &session)
+{
+    const std::lock_guard lock(m_mutex);
+    m_sessions.erase(session);
+    if (m_sessions.empty()) {
+        m_emptied.notify_all();
+    }
+}
+
+void ServerCore::whileRunning(const std::function<void()> &action)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_terminated) {
+        action();
+    }
+}
+
+void ServerCore::accept()
+{
+    m_acceptor.async_accept(boost::asio::make_strand(m_io), [this](const boost::system::error_code &error, tcp::socket socket) {
+        onAccepted(error, std::move(socket));
+    });
+}
+
+void ServerCore::onAccepted(const boost::system::error_code &error, tcp::socket socket)
+{
+    if (!error) {
+        add(std::move(socket));
+    }
+    if (!m_acceptor.is_open()) {
+        return;
+    }
+    if (error) {
+        acceptLater();
+    } else {
+        accept();
+    }
+}
+
+void ServerCore::acceptLater()
+{
+    m_acceptRetry.expires_after(acceptRetryInterval);
+    m_acceptRetry.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled && m_acceptor.is_open()) {
+            accept();
+        }
+    });
+}
+
+void ServerCore::closeListener()
+{
+    // Connections that the kernel completed before the stop may carry requests; they are served.
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(boost::asio::make_strand(m_io));
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            add(std::move(socket));
+        }
+    }
+    m_acceptor.close(error);
+    m_acceptRetry.cancel();
+    const std::lock_guard lock(m_mutex);
+    m_listenerClosed = true;
+    for (const auto &session : m_sessions) {
+        session->beginStop();
+    }
+    m_emptied.notify_all();
+}
+
+void ServerCore::add(tcp::socket socket)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_terminated || m_sessions.size() >= m_settings.m_connectionLimit) {
+        return;
+    }
+    const auto session = std::make_shared<ServerSession>(shared_from_this(), std::move(socket));
+    m_sessions.insert(session);
+    session->start();
+}
+
+void ServerCore::terminate()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_terminated = true;
+        for (const auto &session : m_sessions) {
+            session->cut();
+        }
+    }
+    m_work.reset();
+    for (auto &thread : m_threads) {
+        thread.join();
+    }
+    m_threads.clear();
+    m_sessions.clear();
+}
+
+}
--- /dev/null
+++ b/components/http/server_core.hpp
@@ -0,0 +1,80 @@
+#ifndef COMPONENTS_HTTP_SERVER_CORE_HPP
+#define COMPONENTS_HTTP_SERVER_CORE_HPP
+
+#include "components/http/server.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <set>
+#include <thread>
+#include <vector>
+
+namespace http
+{
+
+class ServerSession;
+
+/// Threads, listening socket and open connections of one server. Includes Asio; meant for the server's own sources.
+class ServerCore : public std::enable_shared_from_this<ServerCore>
+{
+public:
+    ServerCore(const ServerSettings &settings, Server::Handler handler);
+    ~ServerCore();
+
+    ServerCore(const ServerCore &) = delete;
+    ServerCore &operator=(const ServerCore &) = delete;
+
+    void start();
+    void beginStop();
+    bool stop(fleet::Duration limit);
+
+    std::uint16_t port() const;
+    std::size_t inFlight() const;
+    bool stopping() const;
+    const ServerSettings &settings() const;
+
+    /// Hands a request to the handler and counts it as in flight.
+    void handle(Request request, const Responder &responder);
+    /// The answer of a handled request was written or its connection is gone.
+    void finished();
+    /// A session ended.
+    void remove(const std::shared_ptr<ServerSession> &session);
+    /// Runs `action` unless the server has ended. An action may post to the server's threads.
+    void whileRunning(const std::function<void()> &action);
+
+private:
+    void accept();
+    void onAccepted(const boost::system::error_code &error, boost::asio::ip::tcp::socket socket);
+    void acceptLater();
+    void closeListener();
+    void add(boost::asio::ip::tcp::socket socket);
+    void terminate();
+
+    ServerSettings m_settings;
+    Server::Handler m_handler;
+    boost::asio::io_context m_io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    boost::asio::strand<boost::asio::io_context::executor_type> m_acceptStrand;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_acceptRetry;
+    std::uint16_t m_port = 0;
+    std::atomic<bool> m_stopping {false};
+    std::atomic<std::size_t> m_inFlight {0};
+    std::mutex m_mutex;
+    std::condition_variable m_emptied;
+    std::set<std::shared_ptr<ServerSession>> m_sessions;
+    bool m_listenerClosed = false;
+    bool m_terminated = false;
+    std::vector<std::thread> m_threads;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/http/server_session.hpp
@@ -0,0 +1,60 @@
+#ifndef COMPONENTS_HTTP_SERVER_SESSION_HPP
+#define COMPONENTS_HTTP_SERVER_SESSION_HPP
+
+#include "components/http/response.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+
+namespace http
+{
+
+class ServerCore;
+
+/// One connection of a server: reads a request, hands it on, writes the answer, and starts again.
+/// All members are touched on the connection's strand only.
+class ServerSession : public std::enable_shared_from_this<ServerSession>
+{
+public:
+    ServerSession(std::shared_ptr<ServerCore> core, boost::asio::ip::tcp::socket socket);
+
+    void start();
+    /// Closes the connection after the answer in flight, or after the linger time where there is none.
+    void beginStop();
+    /// Closes the connection at once.
+    void cut();
+
+private:
+    using Error = boost::beast::error_code;
+
+    void awaitRequest();
+    void readHeader();
+    void readBody();
+    void refuse(const Error &error);
+    void dispatch();
+    void answer(Response response, bool last);
+    void onWritten(const Error &error, bool last);
+    void drainInput();
+    void end();
+
+    std::shared_ptr<ServerCore> m_core;
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    boost::beast::http::response<boost::beast::http::string_body> m_response;
+    std::size_t m_drained = 0;
+    bool m_idle = false;
+    bool m_handled = false;
+    bool m_ended = false;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/http/target.hpp
@@ -0,0 +1,31 @@
+#ifndef COMPONENTS_HTTP_TARGET_HPP
+#define COMPONENTS_HTTP_TARGET_HPP
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace http
+{
+
+struct Request;
+
+/// The path of a request target, without the query.
+std::string_view pathOf(std::string_view target);
+
+/// The path's segments, percent-decoded: "/v1/jobs/a%20b" gives "v1", "jobs", "a b".
+std::vector<std::string> pathSegments(std::string_view target);
+
+/// The percent-decoded value of a query parameter, or nothing where it is absent.
+std::optional<std::string> queryValue(std::string_view target, std::string_view name);
+
+/// Percent-encodes a text so that it can stand as one path segment or query value.
+std::string percentEncode(std::string_view text);
+
+/// The value of a header field, compared without case, or nothing where it is absent.
+std::optional<std::string> headerValue(const Request &request, std::string_view name);
+
+}
+
+#endif
