--- /dev/null
+++ b/components/report/account_figures.hpp
@@ -0,0 +1,52 @@
+#ifndef COMPONENTS_REPORT_ACCOUNT_FIGURES_HPP
+#define COMPONENTS_REPORT_ACCOUNT_FIGURES_HPP
+
+#include "components/report/duration_histogram.hpp"
+#include "components/report/objective.hpp"
+#include "components/report/tally.hpp"
+
+#include <array>
+#include <cstdint>
+
+namespace report
+{
+
+/// What one client account got in one period. Figures of two periods add up.
+struct AccountFigures
+{
+    std::uint64_t m_jobsSubmitted = 0;
+    std::uint64_t m_jobsDone = 0;
+    std::uint64_t m_jobsFailed = 0;
+    std::uint64_t m_jobsCancelled = 0;
+    std::uint64_t m_jobsRefused = 0;
+    std::uint64_t m_requestsDone = 0;
+    std::uint64_t m_requestsRefused = 0;
+    std::uint64_t m_requestsUnknown = 0;
+    /// Accelerator time that its tasks held, in milliseconds.
+    std::uint64_t m_acceleratorMs = 0;
+    /// Accelerator time of attempts that ended without being kept by a checkpoint, in milliseconds.
+    std::uint64_t m_wastedAcceleratorMs = 0;
+    DurationHistogram m_completionTime;
+    std::array<Tally, objectives.size()> m_tallies {};
+
+    bool operator==(const AccountFigures &) const = default;
+
+    void add(const AccountFigures &other);
+    /// Counts one event of an objective.
+    void count(Objective objective, bool good);
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_jobsSubmitted, m_jobsDone, m_jobsFailed, m_jobsCancelled, m_jobsRefused);
+        archive(m_requestsDone, m_requestsRefused, m_requestsUnknown, m_acceleratorMs, m_wastedAcceleratorMs);
+        archive(m_completionTime);
+        for (Tally &tally : m_tallies) {
+            archive(tally);
+        }
+    }
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/report/burn.hpp
@@ -0,0 +1,35 @@
+#ifndef COMPONENTS_REPORT_BURN_HPP
+#define COMPONENTS_REPORT_BURN_HPP
+
+#include "components/fleet/time.hpp"
+#include "components/report/ledger.hpp"
+#include "components/report/objective.hpp"
+#include "components/report/objective_targets.hpp"
+#include "components/report/tally.hpp"
+
+#include <optional>
+#include <vector>
+
+namespace report
+{
+
+/// How fast one objective used up its error budget over one window.
+struct Burn
+{
+    Objective m_objective = Objective::CompletionTime;
+    fleet::Duration m_window {0};
+    Tally m_tally;
+    double m_target = 1.0;
+    /// Share of bad events over the share that the target allows: 1 uses the budget up exactly at the end of its period.
+    /// Nothing where the window holds no event.
+    std::optional<double> m_rate;
+
+    bool operator==(const Burn &) const = default;
+};
+
+/// Burn of every objective over windows of 1 hour, 6 hours, 3 days and 30 days that end with the present hour.
+std::vector<Burn> burns(const Ledger &ledger, const ObjectiveTargets &targets, fleet::TimePoint now);
+
+}
+
+#endif
--- /dev/null
+++ b/components/report/exception_line.hpp
@@ -0,0 +1,30 @@
+#ifndef COMPONENTS_REPORT_EXCEPTION_LINE_HPP
+#define COMPONENTS_REPORT_EXCEPTION_LINE_HPP
+
+#include "components/fleet/time.hpp"
+
+#include <optional>
+#include <string>
+
+namespace report
+{
+
+/// One exception as a report shows it.
+struct ExceptionLine
+{
+    std::string m_name;
+    /// Operator who put it in force.
+    std::string m_by;
+    fleet::TimePoint m_since;
+    std::optional<fleet::TimePoint> m_until;
+    std::string m_reason;
+    /// What it changed, in words.
+    std::string m_change;
+    bool m_inForce = true;
+
+    bool operator==(const ExceptionLine &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/report/period_figures.hpp
@@ -0,0 +1,38 @@
+#ifndef COMPONENTS_REPORT_PERIOD_FIGURES_HPP
+#define COMPONENTS_REPORT_PERIOD_FIGURES_HPP
+
+#include "components/fleet/identifiers.hpp"
+#include "components/report/account_figures.hpp"
+
+#include <cstdint>
+#include <map>
+
+namespace report
+{
+
+/// What the fleet delivered in one period.
+struct PeriodFigures
+{
+    std::map<fleet::AccountId, AccountFigures> m_accounts;
+    /// Time for which some scheduler observed its zone, added up over zones, in milliseconds.
+    std::uint64_t m_observedMs = 0;
+    /// Observed accelerator time: in all, and free; free but of no use to any waiting shape. In milliseconds.
+    std::uint64_t m_capacityAcceleratorMs = 0;
+    std::uint64_t m_freeAcceleratorMs = 0;
+    std::uint64_t m_fragmentedAcceleratorMs = 0;
+
+    bool operator==(const PeriodFigures &) const = default;
+
+    void add(const PeriodFigures &other);
+    bool empty() const;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_accounts, m_observedMs, m_capacityAcceleratorMs, m_freeAcceleratorMs, m_fragmentedAcceleratorMs);
+    }
+};
+
+}
+
+#endif
