--- /dev/null
+++ b/CI/run_tidy.py
@@ -0,0 +1,63 @@
+#!/usr/bin/env python3
+"""Runs clang-tidy over the sources of a build folder, skipping each source that passed with the same contents before.
+
+A source's key covers its own text, every project header it includes (from ninja's dependency log) and .clang-tidy.
+"""
+import concurrent.futures
+import hashlib
+import os
+import pathlib
+import re
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BUILD = ROOT / (sys.argv[1] if len(sys.argv) > 1 else "build/release")
+CACHE = pathlib.Path(os.environ.get("XDG_CACHE_HOME", pathlib.Path.home() / ".cache")) / "foxtailcross-tidy"
+
+
+def project_dependencies():
+    """Maps each source to the project files that its object depends on."""
+    text = subprocess.run(["ninja", "-C", str(BUILD), "-t", "deps"], capture_output=True, text=True, check=True).stdout
+    result = {}
+    for block in text.split("\n\n"):
+        files = [pathlib.Path(line.strip()) for line in block.splitlines()[1:]]
+        files = [BUILD / file if not file.is_absolute() else file for file in files]
+        files = [file.resolve() for file in files]
+        own = [file for file in files if ROOT in file.parents and BUILD not in file.parents]
+        if own and own[0].suffix == ".cpp" and not re.search(r"_(test|bench|fuzz)$", own[0].stem):
+            result[own[0]] = own
+    return result
+
+
+def key_of(files):
+    digest = hashlib.sha256((ROOT / ".clang-tidy").read_bytes())
+    for file in sorted(set(files)):
+        digest.update(str(file.relative_to(ROOT)).encode())
+        digest.update(file.read_bytes())
+    return digest.hexdigest()
+
+
+def check(source, files):
+    stamp = CACHE / key_of(files)
+    if stamp.exists():
+        return True
+    run = subprocess.run(["clang-tidy", "--quiet", "-p", str(BUILD), str(source)], capture_output=True, text=True)
+    if run.returncode == 0:
+        stamp.touch()
+    else:
+        print(run.stdout, flush=True)
+    return run.returncode == 0
+
+
+def main():
+    CACHE.mkdir(parents=True, exist_ok=True)
+    sources = {source: files for source, files in project_dependencies().items() if source.exists()}
+    with concurrent.futures.ThreadPoolExecutor(os.cpu_count()) as pool:
+        clean = list(pool.map(lambda item: check(*item), sorted(sources.items())))
+    print(f"clang-tidy: {clean.count(True)} sources clean, {clean.count(False)} not")
+    return 0 if all(clean) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/components/report/table.cpp
+++ b/components/report/table.cpp
@@ -34,7 +34,8 @@
 {
     std::string html = "<tr>";
     for (const std::string &cell : row) {
-        html += "<" + element + ">" + escapeHtml(cell) + "</" + element + ">";
+        html.append("<").append(element).append(">").append(escapeHtml(cell));
+        html.append("</").append(element).append(">");
     }
     return html + "</tr>\n";
 }
