Request slice: ids, single dispatch, queues, choice of runner, handover

Cause: a non-idempotent request must run at most once although callers repeat it through any instance. Change: ids name the incarnation that issued them and carry a tag; only that incarnation, or the heir of a planned stop, dispatches them. Finished and refused ids stay in a bounded table, forgotten ones are never taken for new.

--- /dev/null
+++ b/components/requests/dispatch.hpp
@@ -0,0 +1,28 @@
+#ifndef COMPONENTS_REQUESTS_DISPATCH_HPP
+#define COMPONENTS_REQUESTS_DISPATCH_HPP
+
+#include "components/fleet/time.hpp"
+#include "components/requests/actions.hpp"
+#include "components/requests/events.hpp"
+
+#include <vector>
+
+namespace requests
+{
+
+struct Entry;
+struct State;
+
+/// Sends queued requests to runners while both last.
+void dispatchQueued(State &state, std::vector<Action> &actions, fleet::TimePoint now);
+
+void takeAnswer(State &state, const RunnerAnswered &event, std::vector<Action> &actions, fleet::TimePoint now);
+
+void takeFailure(State &state, const DispatchFailed &event, std::vector<Action> &actions, fleet::TimePoint now);
+
+/// Looks at every request whose deadline, attempt timeout or hedge time has come.
+void reviewDue(State &state, std::vector<Action> &actions, fleet::TimePoint now);
+
+}
+
+#endif
--- /dev/null
+++ b/components/requests/minted_id.hpp
@@ -0,0 +1,40 @@
+#ifndef COMPONENTS_REQUESTS_MINTED_ID_HPP
+#define COMPONENTS_REQUESTS_MINTED_ID_HPP
+
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/incarnation.hpp"
+#include "components/wire/keys.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+
+namespace requests
+{
+
+/// What a request id says: the incarnation that issued it, and so the only one that may dispatch it, and its number.
+struct MintedId
+{
+    fleet::InstanceId m_instance;
+    fleet::Incarnation m_incarnation;
+    /// Counts the ids of the incarnation from 1.
+    std::uint64_t m_counter = 0;
+
+    auto operator<=>(const MintedId &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_instance, m_incarnation, m_counter);
+    }
+};
+
+/// Writes the id for callers: instance, incarnation, counter and a tag under the signing key, joined by dots.
+fleet::RequestId formatId(const wire::Keys &keys, const MintedId &id);
+
+/// Reverses formatId(). Empty where the text is malformed or its tag fits neither key.
+std::optional<MintedId> parseId(const wire::Keys &keys, const fleet::RequestId &text);
+
+}
+
+#endif
--- /dev/null
+++ b/components/requests/submit.cpp
@@ -0,0 +1,119 @@
+#include "components/requests/submit.hpp"
+
+#include "components/requests/queues.hpp"
+#include "components/requests/runner_choice.hpp"
+#include "components/requests/state.hpp"
+#include "components/requests/table.hpp"
+
+#include <algorithm>
+
+namespace requests
+{
+
+namespace
+{
+
+void reply(const Submitted &event, const Answer &answer, std::vector<Action> &actions)
+{
+    actions.emplace_back(Reply {event.m_waiter, event.m_request.m_id, answer});
+}
+
+Answer refusal(const std::string &reason)
+{
+    return {AnswerKind::DidNotRun, {}, reason};
+}
+
+/// Answers a repeated sending from what is known, or lets it wait with the first.
+void submitKnown(State &state, Entry &entry, const Submitted &event, std::vector<Action> &actions)
+{
+    if (entry.m_digest != digest(event.m_request)) {
+        reply(event, refusal("this id belongs to another request; ask for a new id"), actions);
+        return;
+    }
+    if (entry.isFinished()) {
+        reply(event, entry.m_answer, actions);
+        return;
+    }
+    entry.m_waiters.push_back({event.m_waiter, event.m_request.m_deadline});
+    entry.m_request.m_deadline = std::max(entry.m_request.m_deadline, event.m_request.m_deadline);
+    scheduleReview(state, entry);
+}
+
+/// Returns why the request cannot be answered by its deadline or may not be taken at all; empty where it can.
+std::string findRefusal(const State &state, const Submitted &event, fleet::TimePoint now)
+{
+    const auto queue = state.m_queues.find(event.m_request.m_account);
+    if (queue == state.m_queues.end()) {
+        return "there is no account " + event.m_request.m_account.value() + "; ask the operators to create it";
+    }
+    if (queue->second.size() >= state.m_settings.m_maxQueuedPerAccount) {
+        return "too many requests of the account wait; send fewer at once";
+    }
+    if (now + expectedWait(state, queue->second, event.m_request.m_urgency) + state.m_meanService > event.m_request.m_deadline) {
+        return "the deadline cannot be met; allow more time or send fewer at once";
+    }
+    return {};
+}
+
+Entry &insertEntry(State &state, const Submitted &event)
+{
+    Entry entry;
+    entry.m_request = event.m_request;
+    entry.m_minted = event.m_minted;
+    entry.m_digest = digest(event.m_request);
+    entry.m_waiters.push_back({event.m_waiter, event.m_request.m_deadline});
+    Entry &stored = state.m_entries.emplace(event.m_request.m_id, std::move(entry)).first->second;
+    state.m_storedBytes += storedBytes(stored);
+    return stored;
+}
+
+void submitNew(State &state, const Submitted &event, std::vector<Action> &actions, fleet::TimePoint now)
+{
+    const std::string refused = findRefusal(state, event, now);
+    Entry &entry = insertEntry(state, event);
+    if (!refused.empty()) {
+        // Kept, so that a delayed copy of the same sending does not run after the refusal was given.
+        giveUp(state, entry, refused, actions, now);
+        return;
+    }
+    scheduleReview(state, entry);
+    enqueue(state, entry, now);
+}
+
+}
+
+Answer answerWithoutRecord(int sending)
+{
+    if (sending == 1) {
+        return refusal("the instance that issued this id no longer keeps it; ask for a new id and send again");
+    }
+    return {AnswerKind::OutcomeUnknown, {}, "the instance that issued this id no longer keeps it; find out by other means whether it ran"};
+}
+
+void submit(State &state, const Submitted &event, std::vector<Action> &actions, fleet::TimePoint now)
+{
+    IdRange *range = findRange(state, event.m_minted);
+    if (!range) {
+        reply(event, answerWithoutRecord(event.m_sending), actions);
+        return;
+    }
+    if (state.m_handedOver) {
+        actions.emplace_back(SendToHeir {event.m_waiter, event.m_request.m_id});
+        return;
+    }
+    const auto known = state.m_entries.find(event.m_request.m_id);
+    if (known != state.m_entries.end()) {
+        submitKnown(state, known->second, event, actions);
+    } else if (event.m_minted.m_counter <= range->m_forgotten) {
+        reply(event, answerWithoutRecord(event.m_sending), actions);
+    } else if (event.m_minted.m_counter > range->m_issued) {
+        reply(event, refusal("this id was never issued; ask for a new id"), actions);
+    } else if (isFull(state)) {
+        range->m_forgotten = event.m_minted.m_counter;
+        reply(event, refusal("the table of requests is full; ask another instance for a new id"), actions);
+    } else {
+        submitNew(state, event, actions, now);
+    }
+}
+
+}
--- /dev/null
+++ b/components/requests/waiter.hpp
@@ -0,0 +1,30 @@
+#ifndef COMPONENTS_REQUESTS_WAITER_HPP
+#define COMPONENTS_REQUESTS_WAITER_HPP
+
+#include "components/fleet/time.hpp"
+
+#include <compare>
+#include <cstdint>
+
+namespace requests
+{
+
+/// A connection that waits for an answer: a caller's, or another instance's that forwarded a request.
+struct WaiterId
+{
+    std::uint64_t m_value = 0;
+
+    auto operator<=>(const WaiterId &) const = default;
+};
+
+struct Waiter
+{
+    WaiterId m_id;
+    fleet::TimePoint m_deadline;
+
+    bool operator==(const Waiter &) const = default;
+};
+
+}
+
+#endif
