Experiment: scheduler decisions in virtual time under load and faults

Cause: the policy has to be measured against a first-fit FIFO baseline on the same seeds, with the faults of the field.

The baseline keeps impossible jobs in the queue for ever, so ratios against it are not meaningful yet.

--- /dev/null
+++ b/apps/foxtailcross-load/command_line.cpp
@@ -0,0 +1,105 @@
+#include "apps/foxtailcross-load/command_line.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <cmath>
+#include <iostream>
+#include <stdexcept>
+
+namespace load
+{
+
+namespace
+{
+
+namespace options = boost::program_options;
+
+constexpr double millisecondsPerDay = 86'400'000.0;
+constexpr double longestDays = 60.0;
+
+options::options_description described()
+{
+    options::options_description description("foxtailcross-load experiment: runs the scheduler's decisions in virtual time over seeded load and faults.\n"
+                                             "Exit code: 0 done, 1 a promise was broken or a target missed, 2 wrong use.\n"
+                                             "Options");
+    description.add_options()("help", "print this help")("version",
+                                                         "print the version")("command", options::value<std::string>()->default_value(""), "experiment")(
+        "size", options::value<std::string>()->default_value("swaralaya"), "swaralaya, kurume or two-year")(
+        "policy", options::value<std::string>()->default_value("guaranteed"), "guaranteed or first-fit-fifo")(
+        "compare", "run both policies on the same seeds and judge the targets")("seeds", options::value<std::uint64_t>()->default_value(5), "number of seeds")(
+        "first-seed", options::value<std::uint64_t>()->default_value(1), "first seed")(
+        "days", options::value<double>()->default_value(1.0), "days during which jobs arrive")(
+        "faults", options::value<std::string>()->default_value("on"), "on or off")(
+        "fault-scale", options::value<double>()->default_value(1.0), "factor on the rate of every fault")(
+        "load", options::value<double>(), "accelerator time asked for as a share of capacity; the size's own by default")(
+        "threads", options::value<unsigned>()->default_value(4), "seeds run at once")(
+        "output", options::value<std::string>()->default_value("table"), "table or json")(
+        "plot", options::value<std::string>()->default_value(""), "write the distribution of completion times to this SVG file");
+    return description;
+}
+
+bool choose(const std::string &option, const std::string &value, const std::string &whenTrue, const std::string &whenFalse)
+{
+    if (value != whenTrue && value != whenFalse) {
+        throw std::invalid_argument("--" + option + " is '" + value + "'; choose " + whenTrue + " or " + whenFalse);
+    }
+    return value == whenTrue;
+}
+
+void checkRange(const std::string &option, double value, double lowest, double highest)
+{
+    if (!(value >= lowest && value <= highest)) {
+        throw std::invalid_argument("--" + option + " is out of range; choose from " + std::to_string(lowest) + " to " + std::to_string(highest));
+    }
+}
+
+ExperimentCommand read(const options::variables_map &values)
+{
+    ExperimentCommand command;
+    command.m_options.m_site = experiment::siteNamed(values["size"].as<std::string>());
+    const bool isGuaranteed = choose("policy", values["policy"].as<std::string>(), "guaranteed", "first-fit-fifo");
+    command.m_options.m_scheduler.m_policy = isGuaranteed ? scheduler::Policy::Guaranteed : scheduler::Policy::FirstFitFifo;
+    const double days = values["days"].as<double>();
+    checkRange("days", days, 0.001, longestDays);
+    command.m_options.m_horizon = fleet::Duration(std::llround(days * millisecondsPerDay));
+    const double scale = values["fault-scale"].as<double>();
+    checkRange("fault-scale", scale, 0.0, 1'000.0);
+    command.m_options.m_faultScale = choose("faults", values["faults"].as<std::string>(), "on", "off") ? scale : 0.0;
+    if (values.count("load") > 0) {
+        command.m_options.m_site.m_offeredLoad = values["load"].as<double>();
+        checkRange("load", command.m_options.m_site.m_offeredLoad, 0.01, 10.0);
+    }
+    command.m_seeds = {values["first-seed"].as<std::uint64_t>(), values["seeds"].as<std::uint64_t>(), values["threads"].as<unsigned>()};
+    checkRange("seeds", static_cast<double>(command.m_seeds.m_count), 1.0, 1'000'000.0);
+    checkRange("threads", command.m_seeds.m_threads, 1.0, 256.0);
+    command.m_compare = values.count("compare") > 0;
+    command.m_asJson = choose("output", values["output"].as<std::string>(), "json", "table");
+    command.m_plotFile = values["plot"].as<std::string>();
+    return command;
+}
+
+}
+
+std::optional<ExperimentCommand> parseCommandLine(int argc, const char *const *argv)
+{
+    const options::options_description description = described();
+    options::positional_options_description positional;
+    positional.add("command", 1);
+    options::variables_map values;
+    options::store(options::command_line_parser(argc, argv).options(description).positional(positional).run(), values);
+    options::notify(values);
+    if (values.count("version") > 0) {
+        std::cout << "foxtailcross-load " FOXTAILCROSS_VERSION "\n";
+        return std::nullopt;
+    }
+    if (values.count("help") > 0) {
+        std::cout << description;
+        return std::nullopt;
+    }
+    if (values["command"].as<std::string>() != "experiment") {
+        throw std::invalid_argument("no command given; use 'foxtailcross-load experiment', or --help");
+    }
+    return read(values);
+}
+
+}
--- /dev/null
+++ b/components/experiment/agenda.cpp
@@ -0,0 +1,26 @@
+#include "components/experiment/agenda.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace experiment
+{
+
+void Agenda::add(fleet::TimePoint at, Callback callback)
+{
+    m_entries.push({std::max(at, m_now), m_nextOrder++, std::move(callback)});
+}
+
+bool Agenda::runNext()
+{
+    if (m_entries.empty()) {
+        return false;
+    }
+    const Entry entry = m_entries.top();
+    m_entries.pop();
+    m_now = entry.m_at;
+    entry.m_callback(m_now);
+    return true;
+}
+
+}
--- /dev/null
+++ b/components/experiment/agenda.hpp
@@ -0,0 +1,54 @@
+#ifndef COMPONENTS_EXPERIMENT_AGENDA_HPP
+#define COMPONENTS_EXPERIMENT_AGENDA_HPP
+
+#include "components/fleet/time.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <vector>
+
+namespace experiment
+{
+
+/// What is due, in virtual time. Entries of the same time run in the order in which they were added.
+class Agenda
+{
+public:
+    using Callback = std::function<void(fleet::TimePoint now)>;
+
+    void add(fleet::TimePoint at, Callback callback);
+
+    /// Runs the earliest entry; false where none is left.
+    bool runNext();
+
+    /// Time of the entry that ran last.
+    fleet::TimePoint now() const
+    {
+        return m_now;
+    }
+
+private:
+    struct Entry
+    {
+        fleet::TimePoint m_at;
+        std::uint64_t m_order = 0;
+        Callback m_callback;
+    };
+
+    struct Later
+    {
+        bool operator()(const Entry &a, const Entry &b) const
+        {
+            return a.m_at != b.m_at ? a.m_at > b.m_at : a.m_order > b.m_order;
+        }
+    };
+
+    std::priority_queue<Entry, std::vector<Entry>, Later> m_entries;
+    std::uint64_t m_nextOrder = 0;
+    fleet::TimePoint m_now;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/experiment/figures.cpp
@@ -0,0 +1,181 @@
+#include "components/experiment/figures.hpp"
+
+#include "components/experiment/run_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace experiment
+{
+
+namespace
+{
+
+/// A large job starves where it waits longer than this, and longer than this many times its run time.
+constexpr fleet::Duration starvationWait = std::chrono::hours(4);
+constexpr int starvationRunTimes = 4;
+
+double seconds(fleet::Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+double ratio(double part, double whole)
+{
+    return whole > 0.0 ? part / whole : 0.0;
+}
+
+/// First time at which every task of the job ran, or nothing.
+std::optional<fleet::TimePoint> startOf(const RunState &run, std::size_t index)
+{
+    const auto found = run.m_audit.m_jobs.find(run.m_jobs[index].m_spec.m_id);
+    return found == run.m_audit.m_jobs.end() ? std::nullopt : found->second.m_wholeAt;
+}
+
+/// A job that did not finish counts as finishing at the end of the run.
+fleet::Duration completionTime(const RunState &run, std::size_t index, fleet::TimePoint end)
+{
+    const JobRecord &record = run.m_records[index];
+    const bool isDone = record.m_endedAt && record.m_outcome == scheduler::JobOutcome::Done;
+    return (isDone ? *record.m_endedAt : end) - run.m_jobs[index].m_spec.m_submittedAt;
+}
+
+fleet::Duration waitOf(const RunState &run, std::size_t index, fleet::TimePoint end)
+{
+    return startOf(run, index).value_or(end) - run.m_jobs[index].m_spec.m_submittedAt;
+}
+
+bool isLarge(const RunState &run, const PlannedJob &job)
+{
+    return job.m_spec.m_shape.total().m_accelerators >= run.m_site.m_largeJob;
+}
+
+bool isStarved(const PlannedJob &job, fleet::Duration wait)
+{
+    return wait > std::max<fleet::Duration>(starvationWait, job.m_runTime * starvationRunTimes);
+}
+
+/// Values by purpose, not yet sorted.
+struct Collected
+{
+    std::vector<double> m_completions;
+    std::vector<double> m_largeCompletions;
+    std::vector<double> m_guaranteeWaits;
+    std::vector<double> m_urgentWaits;
+    std::map<fleet::AccountId, std::vector<double>> m_byAccount;
+};
+
+void collectSound(const RunState &run, std::size_t index, fleet::TimePoint end, Collected &collected, Figures &figures)
+{
+    const PlannedJob &job = run.m_jobs[index];
+    const JobRecord &record = run.m_records[index];
+    const double completion = seconds(completionTime(run, index, end));
+    const fleet::Duration wait = waitOf(run, index, end);
+    const bool isDone = record.m_endedAt && record.m_outcome == scheduler::JobOutcome::Done;
+    figures.m_done += isDone ? 1.0 : 0.0;
+    figures.m_givenUp += record.m_endedAt && !isDone ? 1.0 : 0.0;
+    figures.m_neverStarted += startOf(run, index) ? 0.0 : 1.0;
+    collected.m_completions.push_back(completion);
+    collected.m_byAccount[job.m_spec.m_account].push_back(completion);
+    if (isLarge(run, job)) {
+        collected.m_largeCompletions.push_back(completion);
+        figures.m_starvedLarge += isStarved(job, wait) ? 1.0 : 0.0;
+    }
+    if (record.m_isGuaranteedAsk) {
+        collected.m_guaranteeWaits.push_back(seconds(wait));
+    }
+    if (record.m_isBudgetedUrgent) {
+        collected.m_urgentWaits.push_back(seconds(wait));
+    }
+}
+
+Collected collect(const RunState &run, fleet::TimePoint end, Figures &figures)
+{
+    Collected collected;
+    for (std::size_t index = 0; index < run.m_jobs.size(); ++index) {
+        const PlannedJob &job = run.m_jobs[index];
+        figures.m_impossibleKept += job.m_impossible && !run.m_records[index].m_endedAt ? 1.0 : 0.0;
+        if (job.isSound()) {
+            collectSound(run, index, end, collected, figures);
+        }
+    }
+    return collected;
+}
+
+std::vector<double> sorted(std::vector<double> values)
+{
+    std::sort(values.begin(), values.end());
+    return values;
+}
+
+}
+
+const std::vector<Measure> &measures()
+{
+    static const std::vector<Measure> all {
+        {"jobs", "", &Figures::m_jobs},
+        {"sound jobs done", "", &Figures::m_done},
+        {"completion median", "s", &Figures::m_completionMedian},
+        {"completion p95", "s", &Figures::m_completionP95},
+        {"large jobs' completion p95", "s", &Figures::m_largeCompletionP95},
+        {"fragmentation", "share of free", &Figures::m_fragmentation},
+        {"largest startable gang", "share of free", &Figures::m_largestGangShare},
+        {"accelerators working", "share", &Figures::m_working},
+        {"working in a zone change", "share", &Figures::m_workingInZoneChange},
+        {"guarantees asked", "", &Figures::m_guaranteeAsks},
+        {"guarantee asked to running, median", "s", &Figures::m_guaranteeMedian},
+        {"guarantee asked to running, max", "s", &Figures::m_guaranteeMax},
+        {"urgent starts", "", &Figures::m_urgentStarts},
+        {"urgent start p99", "s", &Figures::m_urgentP99},
+        {"wasted accelerator hours", "h", &Figures::m_wastedAcceleratorHours},
+        {"sound jobs given up", "", &Figures::m_givenUp},
+        {"sound jobs never started", "", &Figures::m_neverStarted},
+        {"large jobs starved", "", &Figures::m_starvedLarge},
+        {"impossible jobs kept", "", &Figures::m_impossibleKept},
+    };
+    return all;
+}
+
+double quantile(const std::vector<double> &sorted, double share)
+{
+    if (sorted.empty()) {
+        return 0.0;
+    }
+    const double place = std::ceil(share * static_cast<double>(sorted.size())) - 1.0;
+    const double last = static_cast<double>(sorted.size() - 1);
+    return sorted[static_cast<std::size_t>(std::clamp(place, 0.0, last))];
+}
+
+Figures collectFigures(const RunState &run, std::uint64_t seed, fleet::TimePoint end)
+{
+    Figures figures;
+    figures.m_seed = seed;
+    Collected collected = collect(run, end, figures);
+    figures.m_jobs = static_cast<double>(run.m_jobs.size());
+    figures.m_completions = sorted(std::move(collected.m_completions));
+    figures.m_completionMedian = quantile(figures.m_completions, 0.5);
+    figures.m_completionP95 = quantile(figures.m_completions, 0.95);
+    figures.m_largeCompletionP95 = quantile(sorted(std::move(collected.m_largeCompletions)), 0.95);
+    const std::vector<double> guaranteeWaits = sorted(std::move(collected.m_guaranteeWaits));
+    figures.m_guaranteeAsks = static_cast<double>(guaranteeWaits.size());
+    figures.m_guaranteeMedian = quantile(guaranteeWaits, 0.5);
+    figures.m_guaranteeMax = quantile(guaranteeWaits, 1.0);
+    const std::vector<double> urgentWaits = sorted(std::move(collected.m_urgentWaits));
+    figures.m_urgentStarts = static_cast<double>(urgentWaits.size());
+    figures.m_urgentP99 = quantile(urgentWaits, 0.99);
+    const Samples &samples = run.m_samples;
+    figures.m_fragmentation = ratio(samples.m_unusable, samples.m_free);
+    figures.m_largestGangShare = ratio(samples.m_largestGangShare, static_cast<double>(samples.m_gangSamples));
+    figures.m_working = ratio(samples.m_working, samples.m_capacity);
+    figures.m_workingInZoneChange = ratio(samples.m_workingInZoneChange, samples.m_capacityInZoneChange);
+    figures.m_wastedAcceleratorHours = run.m_lostAcceleratorHours;
+    for (auto &[account, completions] : collected.m_byAccount) {
+        const std::vector<double> values = sorted(std::move(completions));
+        figures.m_accounts.push_back({account, static_cast<double>(values.size()), quantile(values, 0.5), quantile(values, 0.95)});
+    }
+    figures.m_violations = run.m_audit.m_violations;
+    return figures;
+}
+
+}
--- /dev/null
+++ b/components/experiment/run.hpp
@@ -0,0 +1,17 @@
+#ifndef COMPONENTS_EXPERIMENT_RUN_HPP
+#define COMPONENTS_EXPERIMENT_RUN_HPP
+
+#include "components/experiment/figures.hpp"
+#include "components/experiment/run_options.hpp"
+
+#include <cstdint>
+
+namespace experiment
+{
+
+/// Runs one seed in virtual time, on the calling thread. The same options and seed give the same figures.
+Figures runExperiment(const RunOptions &options, std::uint64_t seed);
+
+}
+
+#endif
--- /dev/null
+++ b/components/experiment/site.hpp
@@ -0,0 +1,47 @@
+#ifndef COMPONENTS_EXPERIMENT_SITE_HPP
+#define COMPONENTS_EXPERIMENT_SITE_HPP
+
+#include "components/experiment/job_class.hpp"
+#include "components/fleet/account_policy.hpp"
+#include "components/fleet/worker_info.hpp"
+
+#include <string>
+#include <vector>
+
+namespace experiment
+{
+
+/// A deployment to measure: its workers, accounts and mix of work.
+struct Site
+{
+    std::string m_name;
+    std::vector<fleet::ZoneId> m_zones;
+    std::vector<fleet::WorkerInfo> m_workers;
+    std::vector<fleet::AccountPolicy> m_accounts;
+    std::vector<JobClass> m_classes;
+    /// Processor time and memory that a task asks for with each accelerator, or alone where it uses none.
+    fleet::Resources m_perAccelerator;
+    /// Accelerator time asked for, as a share of all accelerator time.
+    double m_offeredLoad = 0.0;
+    /// Accelerators from which a job counts as large.
+    int m_largeJob = 16;
+};
+
+/// Three availability zones, 50 workers of 32 cores, 64 GB and 8 accelerators, 8 to a rack, 4 accounts.
+Site swaralaya();
+
+/// Four availability zones, 50 workers of 130 cores, 260 GB and 8 accelerators, 6 to a rack, 4 accounts.
+Site kurume();
+
+/// Eleven availability zones, 550 workers, 960 accelerators, 34 accounts, about 1,800 jobs a day.
+Site twoYear();
+
+/// The site named `swaralaya`, `kurume` or `two-year`; throws std::invalid_argument for any other name.
+Site siteNamed(const std::string &name);
+
+/// Accelerators of all workers together.
+std::int64_t totalAccelerators(const Site &site);
+
+}
+
+#endif
--- /dev/null
+++ b/components/experiment/workload.cpp
@@ -0,0 +1,209 @@
+#include "components/experiment/workload.hpp"
+
+#include "components/experiment/random.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace experiment
+{
+
+namespace
+{
+
+constexpr double runTimeSigma = 0.8;
+constexpr double declaredSigma = 1.0;
+constexpr double burstProbability = 0.02;
+constexpr int smallBurst = 40;
+constexpr int largeBurst = 5;
+constexpr double impossibleProbability = 0.005;
+constexpr double failingProbability = 0.015;
+constexpr double guaranteedAskProbability = 0.01;
+constexpr double fixedZoneProbability = 0.1;
+constexpr double cancelWaveProbability = 0.004;
+constexpr double cancelShareOfWave = 0.5;
+constexpr fleet::Duration cancelWaveReach = std::chrono::minutes(30);
+constexpr double backlogShare = 0.8;
+constexpr double overstatedMemoryProbability = 0.2;
+constexpr double maximumRunTimeFactor = 6.0;
+/// The account that claims urgency for everything it submits.
+constexpr std::size_t alwaysUrgentAccount = 3;
+
+double acceleratorSeconds(const PlannedJob &job)
+{
+    return std::chrono::duration<double>(job.m_runTime).count() * static_cast<double>(job.m_spec.m_shape.total().m_accelerators);
+}
+
+fleet::Duration scaled(fleet::Duration duration, double factor)
+{
+    return fleet::Duration(std::max<std::int64_t>(1'000, std::llround(static_cast<double>(duration.count()) * factor)));
+}
+
+const JobClass &pickClass(const Site &site, Random &random)
+{
+    int total = 0;
+    for (const JobClass &jobClass : site.m_classes) {
+        total += jobClass.m_weight;
+    }
+    std::int64_t remaining = uniform(random, 1, total);
+    for (const JobClass &jobClass : site.m_classes) {
+        remaining -= jobClass.m_weight;
+        if (remaining <= 0) {
+            return jobClass;
+        }
+    }
+    return site.m_classes.back();
+}
+
+/// Earlier accounts submit more: the weight of an account falls with the square root of its place.
+std::size_t pickAccount(const Site &site, Random &random)
+{
+    const double place = std::pow(static_cast<double>(uniform(random, 0, 999'999)) / 1'000'000.0, 1.5);
+    return static_cast<std::size_t>(place * static_cast<double>(site.m_accounts.size()));
+}
+
+fleet::Shape drawShape(const Site &site, const JobClass &jobClass, Random &random)
+{
+    const int accelerators = pick(random, jobClass.m_accelerators);
+    fleet::Shape shape;
+    shape.m_tasks = pick(random, jobClass.m_tasks);
+    shape.m_perTask = site.m_perAccelerator * std::max(accelerators, 1);
+    shape.m_perTask.m_accelerators = accelerators;
+    shape.m_adjacency = jobClass.m_adjacency;
+    if (accelerators > 0 && accelerators <= 4 && chance(random, overstatedMemoryProbability)) {
+        shape.m_perTask.m_memoryMb *= 2;
+    }
+    return shape;
+}
+
+void makeImpossible(PlannedJob &job, Random &random)
+{
+    job.m_impossible = true;
+    if (chance(random, 0.5)) {
+        job.m_spec.m_shape.m_perTask.m_accelerators = 16;
+    } else {
+        job.m_spec.m_shape.m_tasks = 1'000;
+        job.m_spec.m_shape.m_perTask.m_accelerators = 8;
+    }
+}
+
+PlannedJob drawJob(const Site &site, const JobClass &jobClass, Random &random)
+{
+    const std::size_t account = pickAccount(site, random);
+    PlannedJob job;
+    job.m_spec.m_account = site.m_accounts[account].m_account;
+    job.m_spec.m_kind = jobClass.m_kind;
+    job.m_spec.m_shape = drawShape(site, jobClass, random);
+    job.m_spec.m_urgency = account == alwaysUrgentAccount ? fleet::Urgency::Urgent : jobClass.m_urgency;
+    job.m_spec.m_checkpointable = chance(random, jobClass.m_checkpointable);
+    job.m_runTime = scaled(jobClass.m_medianRunTime, std::min(spreadFactor(random, runTimeSigma), maximumRunTimeFactor));
+    job.m_spec.m_declaredRunTime = scaled(job.m_runTime, spreadFactor(random, declaredSigma));
+    if (chance(random, fixedZoneProbability)) {
+        job.m_spec.m_zone = pick(random, site.m_zones);
+    }
+    if (chance(random, impossibleProbability)) {
+        makeImpossible(job, random);
+    } else if (chance(random, failingProbability)) {
+        job.m_failsAfter = uniformDuration(random, std::chrono::seconds(2), std::chrono::minutes(2));
+    }
+    return job;
+}
+
+/// A job of exactly the account's guaranteed shape.
+PlannedJob drawGuaranteedAsk(const Site &site, Random &random)
+{
+    const fleet::AccountPolicy &policy = pick(random, site.m_accounts);
+    PlannedJob job;
+    job.m_spec.m_account = policy.m_account;
+    job.m_spec.m_kind = "guaranteed";
+    job.m_spec.m_shape = policy.m_guarantees.front().m_shape;
+    job.m_spec.m_checkpointable = true;
+    job.m_runTime = scaled(std::chrono::minutes(20), spreadFactor(random, runTimeSigma));
+    job.m_spec.m_declaredRunTime = job.m_runTime;
+    return job;
+}
+
+struct Draft
+{
+    std::vector<PlannedJob> m_jobs;
+    fleet::TimePoint m_clock = runStart;
+};
+
+/// Adds the job at the present clock and returns its real accelerator time in seconds.
+double submit(Draft &draft, PlannedJob job)
+{
+    job.m_spec.m_id = fleet::JobId("job-" + std::to_string(draft.m_jobs.size()));
+    job.m_spec.m_submittedAt = draft.m_clock;
+    const double work = job.isSound() ? acceleratorSeconds(job) : 0.0;
+    draft.m_jobs.push_back(std::move(job));
+    return work;
+}
+
+const JobClass &classForBurst(const Site &site, bool large)
+{
+    return large ? site.m_classes.back() : site.m_classes.front();
+}
+
+double submitNext(Draft &draft, const Site &site, Random &random)
+{
+    if (chance(random, guaranteedAskProbability)) {
+        return submit(draft, drawGuaranteedAsk(site, random));
+    }
+    if (!chance(random, burstProbability)) {
+        return submit(draft, drawJob(site, pickClass(site, random), random));
+    }
+    const bool large = chance(random, 0.5);
+    const int size = large ? largeBurst : smallBurst;
+    double work = 0.0;
+    for (int member = 0; member < size; ++member) {
+        work += submit(draft, drawJob(site, classForBurst(site, large), random));
+    }
+    return work;
+}
+
+/// Cancels about half of the jobs submitted shortly before.
+void cancelWave(Draft &draft, Random &random)
+{
+    for (PlannedJob &job : draft.m_jobs) {
+        const bool recent = job.m_spec.m_submittedAt + cancelWaveReach > draft.m_clock && job.m_spec.m_submittedAt > runStart;
+        if (recent && !job.m_cancelAt && chance(random, cancelShareOfWave)) {
+            job.m_cancelAt = draft.m_clock + uniformDuration(random, std::chrono::seconds(1), std::chrono::seconds(20));
+        }
+    }
+}
+
+/// Jobs as of a fleet that has been at work: their remaining run times are cut at random.
+void addBacklog(Draft &draft, const Site &site, Random &random)
+{
+    const double wanted = backlogShare * static_cast<double>(totalAccelerators(site));
+    double running = 0.0;
+    while (running < wanted) {
+        PlannedJob job = drawJob(site, pickClass(site, random), random);
+        job.m_runTime = scaled(job.m_runTime, static_cast<double>(uniform(random, 5, 100)) / 100.0);
+        if (job.isSound()) {
+            running += static_cast<double>(job.m_spec.m_shape.total().m_accelerators);
+        }
+        submit(draft, std::move(job));
+    }
+}
+
+}
+
+std::vector<PlannedJob> generateWorkload(const Site &site, std::uint64_t seed, fleet::Duration horizon)
+{
+    Random random(seed);
+    Draft draft;
+    addBacklog(draft, site, random);
+    const double acceleratorsOffered = site.m_offeredLoad * static_cast<double>(totalAccelerators(site));
+    while (draft.m_clock < runStart + horizon) {
+        const double work = submitNext(draft, site, random);
+        if (chance(random, cancelWaveProbability)) {
+            cancelWave(draft, random);
+        }
+        const double seconds = work / acceleratorsOffered * exponential(random);
+        draft.m_clock += fleet::Duration(std::llround(seconds * 1'000.0));
+    }
+    return std::move(draft.m_jobs);
+}
+
+}
