Adapters of the platform's log, list, workers and runners

The byte formats of the platform have to stand in one place, and each answer has to say truthfully what is known: appended, not appended or unknown; reported, fenced, not sent or unknown; done, did not run or unknown.

A runner's answer that names another request or attempt says nothing about the one asked for.

--- /dev/null
+++ b/components/platform/json_fields.cpp
@@ -0,0 +1,104 @@
+#include "components/platform/json_fields.hpp"
+
+#include "components/platform/decode_error.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+#include <limits>
+
+namespace platform
+{
+
+namespace
+{
+
+[[noreturn]] void refuseField(std::string_view name, std::string_view expected)
+{
+    throw DecodeError("the field '" + std::string(name) + "' is missing or wrong; send " + std::string(expected));
+}
+
+}
+
+boost::json::object parseObject(std::string_view text)
+{
+    boost::system::error_code error;
+    auto value = boost::json::parse({text.data(), text.size()}, error);
+    if (error) {
+        throw DecodeError("the message is not JSON (" + error.message() + "); send one JSON object");
+    }
+    if (!value.is_object()) {
+        throw DecodeError("the message is not a JSON object; send one");
+    }
+    return std::move(value.as_object());
+}
+
+const boost::json::object &asObject(const boost::json::value &value)
+{
+    if (!value.is_object()) {
+        throw DecodeError("an element of an array is not a JSON object; send one");
+    }
+    return value.get_object();
+}
+
+const boost::json::array &arrayField(const boost::json::object &object, std::string_view name)
+{
+    const auto *value = object.if_contains({name.data(), name.size()});
+    if (value == nullptr || !value->is_array()) {
+        refuseField(name, "an array");
+    }
+    return value->get_array();
+}
+
+std::string textField(const boost::json::object &object, std::string_view name)
+{
+    const auto *value = object.if_contains({name.data(), name.size()});
+    if (value == nullptr || !value->is_string()) {
+        refuseField(name, "a text");
+    }
+    const auto &text = value->get_string();
+    return {text.data(), text.size()};
+}
+
+std::string textField(const boost::json::object &object, std::string_view name, std::string_view fallback)
+{
+    return object.contains({name.data(), name.size()}) ? textField(object, name) : std::string(fallback);
+}
+
+std::int64_t countField(const boost::json::object &object, std::string_view name)
+{
+    const auto *value = object.if_contains({name.data(), name.size()});
+    const auto *number = value == nullptr ? nullptr : value->if_int64();
+    if (number == nullptr || *number < 0) {
+        refuseField(name, "a whole number from 0 up");
+    }
+    return *number;
+}
+
+std::int64_t countField(const boost::json::object &object, std::string_view name, std::int64_t fallback)
+{
+    return object.contains({name.data(), name.size()}) ? countField(object, name) : fallback;
+}
+
+int smallField(const boost::json::object &object, std::string_view name)
+{
+    const auto number = countField(object, name);
+    if (number > std::numeric_limits<int>::max()) {
+        refuseField(name, "a smaller whole number");
+    }
+    return static_cast<int>(number);
+}
+
+bool boolField(const boost::json::object &object, std::string_view name, bool fallback)
+{
+    const auto *value = object.if_contains({name.data(), name.size()});
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->is_bool()) {
+        refuseField(name, "true or false");
+    }
+    return value->get_bool();
+}
+
+}
--- /dev/null
+++ b/components/platform/json_fields.hpp
@@ -0,0 +1,33 @@
+#ifndef COMPONENTS_PLATFORM_JSON_FIELDS_HPP
+#define COMPONENTS_PLATFORM_JSON_FIELDS_HPP
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace platform
+{
+
+/// Parses a text as one JSON object.
+/// @throws DecodeError, as all functions here do, naming the field and what it should be.
+boost::json::object parseObject(std::string_view text);
+
+/// An element of an array as an object.
+const boost::json::object &asObject(const boost::json::value &value);
+
+const boost::json::array &arrayField(const boost::json::object &object, std::string_view name);
+std::string textField(const boost::json::object &object, std::string_view name);
+std::string textField(const boost::json::object &object, std::string_view name, std::string_view fallback);
+/// A whole number from 0 up.
+std::int64_t countField(const boost::json::object &object, std::string_view name);
+std::int64_t countField(const boost::json::object &object, std::string_view name, std::int64_t fallback);
+/// A whole number from 0 to the largest int.
+int smallField(const boost::json::object &object, std::string_view name);
+bool boolField(const boost::json::object &object, std::string_view name, bool fallback);
+
+}
+
+#endif
--- /dev/null
+++ b/components/platform/list_codec.hpp
@@ -0,0 +1,23 @@
+#ifndef COMPONENTS_PLATFORM_LIST_CODEC_HPP
+#define COMPONENTS_PLATFORM_LIST_CODEC_HPP
+
+#include "components/platform/platform_list.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace platform
+{
+
+std::string encodeList(const PlatformList &list);
+
+/// @throws DecodeError
+PlatformList decodeList(std::string_view text);
+
+/// Reads one instance entry, as it stands in the list.
+/// @throws DecodeError
+InstanceEntry decodeInstance(std::string_view text);
+
+}
+
+#endif
--- /dev/null
+++ b/components/platform/log_page.hpp
@@ -0,0 +1,26 @@
+#ifndef COMPONENTS_PLATFORM_LOG_PAGE_HPP
+#define COMPONENTS_PLATFORM_LOG_PAGE_HPP
+
+#include "components/platform/log_record.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace platform
+{
+
+/// One answer to a read of a stream.
+struct LogPage
+{
+    /// Lowest retained offset. Where it is above the offset asked for, records in between have expired.
+    std::uint64_t m_first = 0;
+    /// One past the last offset of the stream.
+    std::uint64_t m_end = 0;
+    std::vector<LogRecord> m_records;
+
+    bool operator==(const LogPage &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/platform/read_result.hpp
@@ -0,0 +1,24 @@
+#ifndef COMPONENTS_PLATFORM_READ_RESULT_HPP
+#define COMPONENTS_PLATFORM_READ_RESULT_HPP
+
+#include "components/platform/log_page.hpp"
+
+#include <optional>
+#include <string>
+
+namespace platform
+{
+
+struct ReadResult
+{
+    /// Nothing where the log did not answer with a page.
+    std::optional<LogPage> m_page;
+    /// Why there is no page.
+    std::string m_reason;
+
+    bool operator==(const ReadResult &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/platform/resources_json.hpp
@@ -0,0 +1,19 @@
+#ifndef COMPONENTS_PLATFORM_RESOURCES_JSON_HPP
+#define COMPONENTS_PLATFORM_RESOURCES_JSON_HPP
+
+#include "components/fleet/resources.hpp"
+
+#include <boost/json/fwd.hpp>
+
+namespace platform
+{
+
+/// Adds the three amounts to a JSON object.
+void addResources(boost::json::object &object, const fleet::Resources &resources);
+
+/// @throws DecodeError
+fleet::Resources resourcesOf(const boost::json::object &object);
+
+}
+
+#endif
--- /dev/null
+++ b/components/platform/runner_codec.hpp
@@ -0,0 +1,36 @@
+#ifndef COMPONENTS_PLATFORM_RUNNER_CODEC_HPP
+#define COMPONENTS_PLATFORM_RUNNER_CODEC_HPP
+
+#include "components/platform/run_request.hpp"
+#include "components/platform/run_result.hpp"
+#include "components/platform/runner_load.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace http
+{
+struct Result;
+}
+
+namespace platform
+{
+
+std::string encodeRun(const RunRequest &request);
+/// @throws DecodeError
+RunRequest decodeRun(std::string_view text);
+
+std::string encodeRan(const RunRequest &request, const std::string &body);
+std::string encodeDidNotRun(const RunRequest &request);
+
+/// Reads the end of a dispatch of `request`. An answer that names another request or attempt, or is not understood,
+/// says nothing about this one and gives Unknown.
+RunResult toRunResult(const http::Result &result, const RunRequest &request);
+
+std::string encodeLoad(const RunnerLoad &load);
+/// @throws DecodeError
+RunnerLoad decodeLoad(std::string_view text);
+
+}
+
+#endif
--- /dev/null
+++ b/components/platform/usage_result.hpp
@@ -0,0 +1,23 @@
+#ifndef COMPONENTS_PLATFORM_USAGE_RESULT_HPP
+#define COMPONENTS_PLATFORM_USAGE_RESULT_HPP
+
+#include "components/platform/usage_report.hpp"
+
+#include <optional>
+#include <string>
+
+namespace platform
+{
+
+struct UsageResult
+{
+    /// Nothing where the worker did not answer.
+    std::optional<UsageReport> m_usage;
+    std::string m_reason;
+
+    bool operator==(const UsageResult &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/platform/worker_codec.hpp
@@ -0,0 +1,37 @@
+#ifndef COMPONENTS_PLATFORM_WORKER_CODEC_HPP
+#define COMPONENTS_PLATFORM_WORKER_CODEC_HPP
+
+#include "components/platform/command_message.hpp"
+#include "components/platform/command_result.hpp"
+#include "components/platform/usage_report.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace http
+{
+struct Result;
+}
+
+namespace platform
+{
+
+std::string encodeCommands(const CommandMessage &message);
+/// Reads a command message at the worker `worker`.
+/// @throws DecodeError
+CommandMessage decodeCommands(std::string_view text, const fleet::WorkerId &worker);
+
+std::string encodeReport(fleet::FencingToken fence, const std::vector<scheduler::TaskStatus> &tasks);
+std::string encodeFenced(fleet::FencingToken fence);
+
+/// Reads the end of a command message. An answer that is not understood is Unknown.
+CommandResult toCommandResult(const http::Result &result);
+
+std::string encodeUsage(const UsageReport &usage);
+/// @throws DecodeError
+UsageReport decodeUsage(std::string_view text);
+
+}
+
+#endif
