Stand-ins for log, list, workers and runners

Each is a plain table with functions that get the time, served by one process on a port of its own behind a gate that injects faults: down, silent, paused, slow, answers late, lost or crossed, failing tasks, stale list. The control port sets them. The HTTP responder can close a connection unanswered, which the gate uses for lost answers.

--- a/components/http/responder.cpp
+++ b/components/http/responder.cpp
@@ -25,7 +25,7 @@
         send(errorResponse(500, "internal", "the request was dropped without an answer; report it to the operators"));
     }
 
-    void send(Response response)
+    void send(std::optional<Response> response)
     {
         if (!m_answered.exchange(true)) {
             m_send(std::move(response));
@@ -47,4 +47,9 @@
     m_once->send(std::move(response));
 }
 
+void Responder::cut() const
+{
+    m_once->send(std::nullopt);
+}
+
 }
--- a/components/http/responder.hpp
+++ b/components/http/responder.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace http
 {
@@ -14,11 +15,14 @@
 class Responder
 {
 public:
-    using Send = std::function<void(Response)>;
+    /// Without a response the connection is closed unanswered.
+    using Send = std::function<void(std::optional<Response>)>;
 
     explicit Responder(Send send);
 
     void operator()(Response response) const;
+    /// Closes the connection without an answer.
+    void cut() const;
 
 private:
     class Once;
--- a/components/http/server_session.cpp
+++ b/components/http/server_session.cpp
@@ -145,12 +145,11 @@
     m_stream.expires_never();
     m_handled = true;
     const bool last = !m_parser->keep_alive();
-    const Responder responder([core = m_core, weak = weak_from_this(), last](Response response) {
+    const Responder responder([core = m_core, weak = weak_from_this(), last](std::optional<Response> response) {
         core->whileRunning([&] {
             if (const auto self = weak.lock()) {
                 boost::asio::post(self->m_stream.get_executor(), [self, last, response = std::move(response)]() mutable {
-                    self->m_stream.expires_after(self->m_core->settings().m_bodyTimeout);
-                    self->answer(std::move(response), last || self->m_core->stopping());
+                    self->onAnswered(std::move(response), last);
                 });
             }
         });
@@ -158,6 +157,18 @@
     m_core->handle(toRequest(m_parser->release()), responder);
 }
 
+void ServerSession::onAnswered(std::optional<Response> response, bool last)
+{
+    if (!response) {
+        m_handled = false;
+        m_core->finished();
+        end();
+        return;
+    }
+    m_stream.expires_after(m_core->settings().m_bodyTimeout);
+    answer(std::move(*response), last || m_core->stopping());
+}
+
 void ServerSession::answer(Response response, bool last)
 {
     if (m_ended) {
--- a/components/http/server_session.hpp
+++ b/components/http/server_session.hpp
@@ -39,6 +39,7 @@
     void readBody();
     void refuse(const Error &error);
     void dispatch();
+    void onAnswered(std::optional<Response> response, bool last);
     void answer(Response response, bool last);
     void onWritten(const Error &error, bool last);
     void drainInput();
--- a/components/http/server_test.cpp
+++ b/components/http/server_test.cpp
@@ -115,6 +115,17 @@
     cr_assert(startsWith(peer.readUntil("\r\n"), "HTTP/1.1 500"));
 }
 
+Test(http_server, responderCut_connectionIsClosedUnanswered)
+{
+    http::Server server(smallLimits(), [](const http::Request &, const http::Responder &respond) {
+        respond.cut();
+    });
+    auto peer = http::RawSocket::connect(server.port());
+    peer.send(post(1));
+    cr_assert(peer.readToClose().empty());
+    cr_assert_eq(server.inFlight(), 0U);
+}
+
 Test(http_server, stopWithRequestInFlight_answerIsWholeAndConnectionClosed)
 {
     std::promise<http::Responder> held;
--- /dev/null
+++ b/components/standin/routes.hpp
@@ -0,0 +1,23 @@
+#ifndef COMPONENTS_STANDIN_ROUTES_HPP
+#define COMPONENTS_STANDIN_ROUTES_HPP
+
+#include <string_view>
+
+namespace http
+{
+struct Request;
+struct Response;
+}
+
+namespace standin
+{
+
+/// True where the request has this method and this path.
+bool isCall(const http::Request &request, std::string_view method, std::string_view path);
+
+/// Answers a request for a path that is not served.
+http::Response unknownPath();
+
+}
+
+#endif
--- /dev/null
+++ b/components/standin/runner_service.hpp
@@ -0,0 +1,30 @@
+#ifndef COMPONENTS_STANDIN_RUNNER_SERVICE_HPP
+#define COMPONENTS_STANDIN_RUNNER_SERVICE_HPP
+
+#include "components/standin/runner_table.hpp"
+#include "components/standin/service.hpp"
+
+namespace standin
+{
+
+/// Serves one runner. `GET /v1/received` lists every request that reached it, for history checks.
+class RunnerService : public Service
+{
+public:
+    RunnerService(EventLoop &loop, fleet::RunnerId id, int slots, fleet::Duration runTime);
+
+protected:
+    void serve(const http::Request &request, fleet::TimePoint now, const FaultGate::Reply &reply) override;
+    bool isInspection(const http::Request &request) const override;
+
+private:
+    void run(const platform::RunRequest &request, fleet::TimePoint now, const FaultGate::Reply &reply);
+    http::Response received() const;
+
+    RunnerTable m_table;
+    fleet::Duration m_runTime;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/standin/task_event.hpp
@@ -0,0 +1,23 @@
+#ifndef COMPONENTS_STANDIN_TASK_EVENT_HPP
+#define COMPONENTS_STANDIN_TASK_EVENT_HPP
+
+#include "components/fleet/time.hpp"
+#include "components/scheduler/task_phase.hpp"
+#include "components/scheduler/task_ref.hpp"
+
+namespace standin
+{
+
+/// A task entered a phase on a worker. History checks are made from these.
+struct TaskEvent
+{
+    fleet::TimePoint m_at;
+    scheduler::TaskRef m_task;
+    scheduler::TaskPhase m_phase = scheduler::TaskPhase::Reserved;
+
+    bool operator==(const TaskEvent &) const = default;
+};
+
+}
+
+#endif
