Guarantees, reclaim, placement, estimates, worker health

Cause: first fit gave no account its guarantee, starved large gangs and kept using bad workers. Change: guaranteed shapes keep slots that are always packed together, so the invariant is a witness and not a search; covered gangs run in slots, all others may be stopped, the cheapest first, after a checkpoint. Urgent work displaces lesser work within an hourly budget. Weighted fair share, reservations with conservative backfill, run times learned by account and kind, repacking by checkpoint, refusal of jobs that can never run, attribution of failures by distinct pairs with quarantine and probing. Properties run random histories with late, crossed, lost and repeated messages, lapses, pauses, changes of holder, bad workers and cancellations, over both policies.

--- a/components/scheduler/admission.cpp
+++ b/components/scheduler/admission.cpp
@@ -1,6 +1,11 @@
 #include "components/scheduler/admission.hpp"
 
+#include "components/scheduler/borrowed.hpp"
+#include "components/scheduler/covered.hpp"
 #include "components/scheduler/gangs.hpp"
+#include "components/scheduler/reservations.hpp"
+
+#include <algorithm>
 
 namespace scheduler
 {
@@ -8,21 +13,67 @@
 namespace
 {
 
-/// Strict order of submission: the first job that does not fit holds up the rest, but for jobs in their retry wait.
+bool isBlocked(const State &state, const fleet::Shape &shape)
+{
+    return std::find(state.m_blockedShapes.begin(), state.m_blockedShapes.end(), shape) != state.m_blockedShapes.end();
+}
+
 void admitFifo(Context &context)
 {
     State &state = context.m_state;
-    const auto waiting = state.m_waiting;
-    for (const WaitingJob &entry : waiting) {
-        Job &job = state.m_jobs.at(entry.m_job);
-        if (job.m_notBefore > context.m_now) {
+    for (auto entry = state.m_waiting.begin(); entry != state.m_waiting.end();) {
+        Job &job = state.m_jobs.at(entry->m_job);
+        ++entry;
+        const fleet::Shape &shape = job.m_spec.m_shape;
+        if (job.m_notBefore > context.m_now || isBlocked(state, shape)) {
             continue;
         }
-        const auto workers = placement::place(state.m_pool, job.m_spec.m_shape, placement::Rule::FirstFit);
-        if (!workers) {
-            return;
+        if (const auto workers = placement::place(state.m_pool, shape, placement::Rule::FirstFit)) {
+            beginAttempt(context, job, {*workers, noSlot, job.m_spec.m_urgency});
+        } else {
+            state.m_blockedShapes.push_back(shape);
+        }
+    }
+}
+
+bool hasSlots(const State &state, const fleet::AccountId &account)
+{
+    const auto found = state.m_accounts.find(account);
+    return found != state.m_accounts.end() && !found->second.m_guarantees.empty();
+}
+
+/// Starts what guarantees cover, the most urgent first.
+void startAllCovered(Context &context)
+{
+    State &state = context.m_state;
+    std::vector<GroupKey> keys;
+    for (const auto &[key, group] : state.m_groups) {
+        if (hasSlots(state, key.m_account)) {
+            keys.push_back(key);
+        }
+    }
+    std::stable_sort(keys.begin(), keys.end(), [](const GroupKey &a, const GroupKey &b) {
+        return a.m_urgency > b.m_urgency;
+    });
+    for (const GroupKey &key : keys) {
+        auto group = state.m_groups.find(key);
+        while (group != state.m_groups.end() && startCovered(context, state.m_jobs.at(group->second.m_jobs.begin()->m_job))) {
+            group = state.m_groups.find(key);
         }
-        beginAttempt(context, job, *workers);
+    }
+}
+
+void admitGuaranteed(Context &context)
+{
+    repairSlots(context);
+    startAllCovered(context);
+    startUrgent(context);
+    startReserved(context);
+    startBorrowers(context, fleet::Urgency::Normal);
+    startBorrowers(context, fleet::Urgency::Background);
+    if (context.m_isTick) {
+        makeReservations(context);
+        repack(context);
     }
 }
 
@@ -35,7 +86,18 @@
         return;
     }
     state.m_isDirty = false;
-    admitFifo(context);
+    if (context.m_isTick) {
+        state.m_blockedReclaims.clear();
+    }
+    if (state.m_isFreed) {
+        state.m_blockedShapes.clear();
+        state.m_isFreed = false;
+    }
+    if (state.m_settings.m_policy == Policy::FirstFitFifo) {
+        admitFifo(context);
+    } else {
+        admitGuaranteed(context);
+    }
 }
 
 }
--- a/components/scheduler/attempt.hpp
+++ b/components/scheduler/attempt.hpp
@@ -1,9 +1,12 @@
 #ifndef COMPONENTS_SCHEDULER_ATTEMPT_HPP
 #define COMPONENTS_SCHEDULER_ATTEMPT_HPP
 
+#include "components/estimates/run_times.hpp"
 #include "components/fleet/time.hpp"
+#include "components/fleet/urgency.hpp"
 #include "components/scheduler/attempt_end.hpp"
 #include "components/scheduler/attempt_phase.hpp"
+#include "components/scheduler/placing.hpp"
 #include "components/scheduler/task_run.hpp"
 
 #include <string>
@@ -25,6 +28,12 @@
     fleet::TimePoint m_renewedAt;
     /// Run time that the job's checkpoint covered when the attempt was made.
     fleet::Duration m_resumedFrom {0};
+    fleet::TimePoint m_placedAt;
+    /// Slot of the guarantee that covers the gang; a gang without one may be stopped to make room.
+    int m_slot = noSlot;
+    fleet::Urgency m_urgency = fleet::Urgency::Normal;
+    /// Probable run time from the start of the attempt, and one that it hardly exceeds.
+    estimates::Estimate m_runTime;
     AttemptEnd m_end = AttemptEnd::Finished;
     std::string m_reason;
 
--- /dev/null
+++ b/components/scheduler/borrowed.hpp
@@ -0,0 +1,17 @@
+#ifndef COMPONENTS_SCHEDULER_BORROWED_HPP
+#define COMPONENTS_SCHEDULER_BORROWED_HPP
+
+#include "components/scheduler/context.hpp"
+
+namespace scheduler
+{
+
+/// Starts waiting jobs of one urgency on spare capacity, by weighted fair share among accounts, without delaying reservations.
+void startBorrowers(Context &context, fleet::Urgency urgency);
+
+/// Starts urgent jobs within their account's budget, displacing lesser work where nothing is free.
+void startUrgent(Context &context);
+
+}
+
+#endif
--- a/components/scheduler/context.hpp
+++ b/components/scheduler/context.hpp
@@ -19,6 +19,8 @@
     std::vector<Action> m_actions;
     /// Jobs whose attempt changed and may have a transition due.
     std::set<fleet::JobId> m_touched;
+    /// Costly searches that found nothing are repeated at a tick only.
+    bool m_isTick = false;
 };
 
 }
--- /dev/null
+++ b/components/scheduler/displacement.hpp
@@ -0,0 +1,42 @@
+#ifndef COMPONENTS_SCHEDULER_DISPLACEMENT_HPP
+#define COMPONENTS_SCHEDULER_DISPLACEMENT_HPP
+
+#include "components/placement/place.hpp"
+#include "components/scheduler/context.hpp"
+#include "components/scheduler/placing.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace scheduler
+{
+
+/// Where a shape can run once the victims have made room.
+struct Displacement
+{
+    placement::Assignment m_workers;
+    std::vector<fleet::JobId> m_victims;
+    /// Work lost, in accelerator seconds weighted by urgency.
+    double m_cost = 0;
+};
+
+/// Says whether a gang that no guarantee covers may be stopped for the purpose at hand.
+using VictimFilter = std::function<bool(const Job &)>;
+
+/// Finds the cheapest victims among the gangs that no guarantee covers. Nothing is used beyond what `ceiling` has free.
+std::optional<Displacement> planDisplacement(const Context &context, const fleet::Shape &shape, const placement::Pool &ceiling, const VictimFilter &mayStop);
+
+/// A ceiling that leaves every worker's whole capacity open.
+placement::Pool wholeCapacity(const State &state);
+
+/// Stops the victims and makes an attempt at the job that starts when they are gone.
+void startInPlaceOf(Context &context, Job &job, const Placing &placing, const std::vector<fleet::JobId> &victims);
+
+/// Displaces lesser work for an urgent job.
+bool startUrgentByDisplacing(Context &context, Job &job);
+
+}
+
+#endif
--- a/components/scheduler/gang_timing.cpp
+++ b/components/scheduler/gang_timing.cpp
@@ -22,12 +22,12 @@
 }
 
 /// A worker that sent no report since the command is not used until it does.
-void markSilent(State &state, const TaskRun &task)
+void markSilent(State &state, const TaskRun &task, fleet::TimePoint now)
 {
     Worker &worker = state.m_workers[task.m_worker];
     if (worker.m_askedAt < task.m_leasedAt) {
         worker.m_silent = true;
-        refreshUsable(state, task.m_worker);
+        refreshUsable(state, task.m_worker, now);
     }
 }
 
@@ -41,7 +41,7 @@
     for (const TaskRun &task : attempt.m_tasks) {
         if (isLive(task) && task.m_phase != awaited) {
             unanswered = &task;
-            markSilent(context.m_state, task);
+            markSilent(context.m_state, task, context.m_now);
         }
     }
     if (unanswered != nullptr) {
@@ -55,7 +55,7 @@
     const fleet::TimePoint limit = context.m_now - context.m_state.m_settings.m_leaseLength;
     for (const TaskRun &task : job.m_attempt->m_tasks) {
         if (isLive(task) && task.m_confirmedAt <= limit) {
-            markSilent(context.m_state, task);
+            markSilent(context.m_state, task, context.m_now);
             endAttempt(context, job, AttemptEnd::Lost, "worker " + workerName(context.m_state, task) + " went silent");
             return true;
         }
@@ -93,7 +93,7 @@
             continue;
         }
         if (context.m_now >= run.m_leasedAt + settings.m_leaseLength + settings.m_lapseMargin) {
-            markSilent(context.m_state, run);
+            markSilent(context.m_state, run, context.m_now);
             endTask(context, job, task);
         } else if (context.m_now - run.m_stoppedAt >= settings.m_renewInterval) {
             sendCommand(context, job, task, CommandKind::Stop);
@@ -109,12 +109,36 @@
     }
 }
 
+/// Room that was not made in the longest time that stopping a gang takes will not be made.
+void tickClaiming(Context &context, Job &job)
+{
+    const Settings &settings = context.m_state.m_settings;
+    const fleet::Duration limit = settings.m_checkpointGrace + settings.m_leaseLength + settings.m_lapseMargin + settings.m_answerTimeout;
+    const Attempt &attempt = *job.m_attempt;
+    const bool isUsable = std::all_of(attempt.m_tasks.begin(), attempt.m_tasks.end(), [&context](const TaskRun &task) {
+        return context.m_state.m_pool.m_nodes[task.m_worker].m_usable;
+    });
+    if (!isUsable || context.m_now - attempt.m_phaseSince >= limit) {
+        endAttempt(context, job, AttemptEnd::Refused, "no room was made on the workers chosen");
+    }
+}
+
+void endIfGraceOver(Context &context, Job &job)
+{
+    const Attempt &attempt = *job.m_attempt;
+    const bool isOver = context.m_now - attempt.m_phaseSince >= context.m_state.m_settings.m_checkpointGrace;
+    if (attempt.m_phase == AttemptPhase::Checkpointing && isOver) {
+        endAttempt(context, job, AttemptEnd::Displaced, attempt.m_reason);
+    }
+}
+
 }
 
 void tickGang(Context &context, Job &job)
 {
     switch (job.m_attempt->m_phase) {
     case AttemptPhase::Claiming:
+        tickClaiming(context, job);
         break;
     case AttemptPhase::Reserving:
         giveUpUnanswered(context, job, TaskPhase::Reserved);
@@ -125,6 +149,7 @@
     case AttemptPhase::Running:
     case AttemptPhase::Checkpointing:
         giveUpUnanswered(context, job, TaskPhase::Running);
+        endIfGraceOver(context, job);
         if (job.m_attempt->m_phase != AttemptPhase::Ending && !endIfUnconfirmed(context, job)) {
             renewGang(context, job);
         }
--- a/components/scheduler/gangs.cpp
+++ b/components/scheduler/gangs.cpp
@@ -2,7 +2,9 @@
 
 #include "components/scheduler/gang_timing.hpp"
 #include "components/scheduler/ledger.hpp"
+#include "components/scheduler/progress.hpp"
 #include "components/scheduler/queue.hpp"
+#include "components/scheduler/urgency_budget.hpp"
 
 #include <algorithm>
 
@@ -87,7 +89,20 @@
     job.m_endedAttempt = attempt.m_number;
     job.m_attempt.reset();
     context.m_state.m_active.erase(job.m_spec.m_id);
-    enqueue(context.m_state, job);
+    enqueue(context.m_state, job, context.m_now);
+}
+
+void learnRunTime(Context &context, const Job &job)
+{
+    const Attempt &attempt = *job.m_attempt;
+    fleet::Duration ran {0};
+    for (const TaskRun &task : attempt.m_tasks) {
+        ran = std::max(ran, task.m_ran);
+    }
+    if (ran == fleet::Duration::zero()) {
+        ran = context.m_now - attempt.m_startedAt;
+    }
+    estimates::learn(context.m_state.m_runTimes, job.m_spec, attempt.m_resumedFrom + ran);
 }
 
 /// Every lease of the attempt is over: the job ends or waits again.
@@ -96,11 +111,12 @@
     const Attempt &attempt = *job.m_attempt;
     keepCheckpoint(job);
     if (allTasks(attempt, hasSucceeded)) {
+        learnRunTime(context, job);
         endJob(context, job, JobOutcome::Done, "every task succeeded");
     } else if (attempt.m_end == AttemptEnd::Cancelled) {
         endJob(context, job, JobOutcome::Cancelled, attempt.m_reason);
-    } else if (job.m_failures >= context.m_state.m_settings.m_maxFailures) {
-        endJob(context, job, JobOutcome::Failed, attempt.m_reason);
+    } else if (job.m_verdict) {
+        endJob(context, job, *job.m_verdict, attempt.m_reason);
     } else {
         waitAgain(context, job);
     }
@@ -120,9 +136,32 @@
     }
 }
 
+void reserveIfRoom(Context &context, Job &job)
+{
+    Attempt &attempt = *job.m_attempt;
+    if (!isRoomForLeases(context.m_state, job)) {
+        return;
+    }
+    context.m_state.m_claims.erase(job.m_spec.m_id);
+    enterPhase(context, attempt, AttemptPhase::Reserving);
+    for (int task = 0; task < static_cast<int>(attempt.m_tasks.size()); ++task) {
+        addLease(context.m_state, job, task);
+        refreshUsable(context.m_state, attempt.m_tasks[task].m_worker, context.m_now);
+        sendCommand(context, job, task, CommandKind::Reserve);
+    }
+}
+
+bool isCheckpointed(const TaskRun &task)
+{
+    return task.m_over || task.m_checkpointed >= task.m_checkpointWanted;
+}
+
 void settleGang(Context &context, Job &job)
 {
     Attempt &attempt = *job.m_attempt;
+    if (attempt.m_phase == AttemptPhase::Checkpointing && allTasks(attempt, isCheckpointed)) {
+        endAttempt(context, job, AttemptEnd::Displaced, attempt.m_reason);
+    }
     if (attempt.m_phase == AttemptPhase::Adopting) {
         settleAdoption(context, job);
     }
@@ -136,22 +175,58 @@
 
 }
 
-void beginAttempt(Context &context, Job &job, const placement::Assignment &workers)
+void beginAttempt(Context &context, Job &job, const Placing &placing)
 {
-    dequeue(context.m_state, job);
+    State &state = context.m_state;
+    dequeue(state, job);
+    if (placing.m_urgency == fleet::Urgency::Urgent) {
+        payUrgency(state, job, context.m_now);
+    }
     Attempt attempt;
     attempt.m_number = ++job.m_attempts;
     attempt.m_resumedFrom = job.m_checkpointed;
-    enterPhase(context, attempt, AttemptPhase::Reserving);
-    for (const int worker : workers) {
+    attempt.m_placedAt = context.m_now;
+    attempt.m_slot = placing.m_slot;
+    attempt.m_urgency = placing.m_urgency;
+    attempt.m_runTime = remainingTime(state, job);
+    enterPhase(context, attempt, AttemptPhase::Claiming);
+    for (const int worker : placing.m_workers) {
         attempt.m_tasks.push_back({.m_worker = worker, .m_checkpointed = job.m_checkpointed});
     }
     job.m_attempt = std::move(attempt);
-    book(context.m_state, job);
-    context.m_state.m_active.insert(job.m_spec.m_id);
-    for (int task = 0; task < static_cast<int>(workers.size()); ++task) {
-        addLease(context.m_state, job, task);
-        sendCommand(context, job, task, CommandKind::Reserve);
+    for (int task = 0; task < static_cast<int>(placing.m_workers.size()); ++task) {
+        book(state, job, task);
+    }
+    state.m_active.insert(job.m_spec.m_id);
+    state.m_claims.insert(job.m_spec.m_id);
+    reserveIfRoom(context, job);
+}
+
+void displace(Context &context, Job &job, const std::string &reason)
+{
+    Attempt &attempt = *job.m_attempt;
+    if (attempt.m_phase != AttemptPhase::Running || !job.m_spec.m_checkpointable) {
+        if (attempt.m_phase != AttemptPhase::Checkpointing) {
+            endAttempt(context, job, AttemptEnd::Displaced, reason);
+        }
+        return;
+    }
+    enterPhase(context, attempt, AttemptPhase::Checkpointing);
+    attempt.m_reason = reason;
+    for (int task = 0; task < static_cast<int>(attempt.m_tasks.size()); ++task) {
+        TaskRun &run = attempt.m_tasks[task];
+        if (!run.m_over) {
+            run.m_checkpointWanted = attempt.m_resumedFrom + run.m_ran;
+            sendCommand(context, job, task, CommandKind::Checkpoint);
+        }
+    }
+}
+
+void advanceClaims(Context &context)
+{
+    const std::set<fleet::JobId> claims = context.m_state.m_claims;
+    for (const fleet::JobId &id : claims) {
+        reserveIfRoom(context, context.m_state.m_jobs.at(id));
     }
 }
 
@@ -166,11 +241,14 @@
     if (attempt.m_phase == AttemptPhase::Ending) {
         return;
     }
+    context.m_state.m_claims.erase(job.m_spec.m_id);
     enterPhase(context, attempt, AttemptPhase::Ending);
     for (int task = 0; task < static_cast<int>(attempt.m_tasks.size()); ++task) {
         TaskRun &run = attempt.m_tasks[task];
         if (run.m_worker == unknownWorker) {
             run.m_over = true;
+        } else if (!run.m_isLeased) {
+            endTask(context, job, task);
         } else if (!run.m_over) {
             sendCommand(context, job, task, CommandKind::Stop);
         }
@@ -186,6 +264,7 @@
     run.m_over = true;
     unbook(context.m_state, job, task);
     removeLease(context.m_state, job, task);
+    refreshUsable(context.m_state, run.m_worker, context.m_now);
     context.m_touched.insert(job.m_spec.m_id);
 }
 
--- a/components/scheduler/gangs.hpp
+++ b/components/scheduler/gangs.hpp
@@ -1,16 +1,23 @@
 #ifndef COMPONENTS_SCHEDULER_GANGS_HPP
 #define COMPONENTS_SCHEDULER_GANGS_HPP
 
-#include "components/placement/place.hpp"
 #include "components/scheduler/context.hpp"
+#include "components/scheduler/placing.hpp"
 
 #include <string>
 
 namespace scheduler
 {
 
-/// Sends Reserve for every task of a new attempt at the job, on the workers assigned.
-void beginAttempt(Context &context, Job &job, const placement::Assignment &workers);
+/// Makes a new attempt at the job on the workers assigned. Reserve is sent for every task as soon as the workers have
+/// room for all of them beside the leases that may still exist there.
+void beginAttempt(Context &context, Job &job, const Placing &placing);
+
+/// Stops a running gang to make room, after a checkpoint where it can write one.
+void displace(Context &context, Job &job, const std::string &reason);
+
+/// Sends Reserve for the claims whose workers have room by now.
+void advanceClaims(Context &context);
 
 /// Stops every task of the attempt that is not over. The first reason stays, but for a cancellation.
 void endAttempt(Context &context, Job &job, AttemptEnd end, const std::string &reason);
--- /dev/null
+++ b/components/scheduler/group.hpp
@@ -0,0 +1,25 @@
+#ifndef COMPONENTS_SCHEDULER_GROUP_HPP
+#define COMPONENTS_SCHEDULER_GROUP_HPP
+
+#include "components/estimates/run_times.hpp"
+#include "components/scheduler/waiting_job.hpp"
+
+#include <cstdint>
+#include <set>
+
+namespace scheduler
+{
+
+/// Waiting jobs of one account, kind, urgency and shape, in order of submission. Only the first is ever tried.
+struct Group
+{
+    std::set<WaitingJob> m_jobs;
+    /// Version of the fleet for which the shape was found to fit when nothing else runs.
+    std::uint64_t m_feasibleFor = 0;
+
+    bool operator==(const Group &) const = default;
+};
+
+}
+
+#endif
--- a/components/scheduler/job.hpp
+++ b/components/scheduler/job.hpp
@@ -3,6 +3,7 @@
 
 #include "components/fleet/job_spec.hpp"
 #include "components/scheduler/attempt.hpp"
+#include "components/scheduler/job_outcome.hpp"
 
 #include <optional>
 
@@ -23,8 +24,10 @@
     fleet::TimePoint m_notBefore;
     /// Attempts in a row that were refused or lost.
     int m_setbacks = 0;
-    /// Attempts that ended because a task failed.
-    int m_failures = 0;
+    /// Set once the job was found bad: how it ends when its attempt is over.
+    std::optional<JobOutcome> m_verdict;
+    /// An urgent start was taken from the account's budget for it.
+    bool m_isUrgencyPaid = false;
 
     bool operator==(const Job &) const = default;
 };
--- a/components/scheduler/ledger.hpp
+++ b/components/scheduler/ledger.hpp
@@ -8,19 +8,21 @@
 {
 
 /// Adds a worker or changes its entry.
-void listWorker(State &state, const WorkerListed &event);
+void listWorker(State &state, const WorkerListed &event, fleet::TimePoint now);
 
 /// Recomputes whether new tasks may be placed on the worker.
-void refreshUsable(State &state, int worker);
+void refreshUsable(State &state, int worker, fleet::TimePoint now);
 
-/// Books every task of the attempt on its worker.
-void book(State &state, const Job &job);
-/// Releases one task of the job.
+/// Books one task of the job's attempt on its worker, or releases it; also in the slot that covers the gang.
+void book(State &state, const Job &job, int task);
 void unbook(State &state, const Job &job, int task);
 
-/// Notes that a lease may exist on the task's worker.
-void addLease(State &state, const Job &job, int task);
-void removeLease(State &state, const Job &job, int task);
+/// Notes that a lease may exist on the task's worker, or that it is certainly over.
+void addLease(State &state, Job &job, int task);
+void removeLease(State &state, Job &job, int task);
+
+/// True where the workers of the attempt have room for its leases beside all that may still exist.
+bool isRoomForLeases(const State &state, const Job &job);
 
 TaskRef taskRef(const Job &job, int task);
 
--- a/components/scheduler/policy.hpp
+++ b/components/scheduler/policy.hpp
@@ -8,7 +8,7 @@
 
 /// How waiting jobs are ordered and placed.
 enum class Policy : std::uint8_t {
-    /// Baseline: strict order of submission, first fit, no guarantees, quotas, urgency or displacement.
+    /// Baseline: in order of submission each job that fits starts, first fit; no guarantees, quotas, urgency or displacement.
     FirstFitFifo,
     /// Guarantees with reclaim, fair share, best fit, reservations with conservative backfill.
     Guaranteed,
--- a/components/scheduler/queue.cpp
+++ b/components/scheduler/queue.cpp
@@ -19,6 +19,11 @@
     });
 }
 
+WaitingJob waitingJob(const Job &job)
+{
+    return {job.m_spec.m_submittedAt, job.m_spec.m_id};
+}
+
 }
 
 void admitJob(Context &context, const JobArrived &event)
@@ -34,7 +39,7 @@
     job.m_endedAttempt = std::max(0, event.m_attempts - 1);
     job.m_checkpointed = event.m_checkpointed;
     Job &kept = state.m_jobs.emplace(event.m_spec.m_id, std::move(job)).first->second;
-    enqueue(state, kept);
+    enqueue(state, kept, context.m_now);
     if (state.m_cancelledEarly.erase(event.m_spec.m_id) > 0) {
         endJob(context, kept, JobOutcome::Cancelled, cancelReason);
     }
@@ -67,19 +72,55 @@
     dequeue(state, job);
     const fleet::JobId id = job.m_spec.m_id;
     state.m_active.erase(id);
+    state.m_claims.erase(id);
+    health::dropJob(state.m_health, id);
+    std::erase_if(state.m_reservations, [&id](const Reservation &reservation) {
+        return reservation.m_job == id;
+    });
     state.m_ended.insert_or_assign(id, context.m_now);
     state.m_jobs.erase(id);
 }
 
-void enqueue(State &state, const Job &job)
+void enqueue(State &state, const Job &job, fleet::TimePoint now)
 {
-    state.m_waiting.insert({job.m_spec.m_submittedAt, job.m_spec.m_id});
-    state.m_isDirty = true;
+    const WaitingJob entry = waitingJob(job);
+    state.m_waiting.insert(entry);
+    if (job.m_notBefore > now) {
+        state.m_delayed.insert({job.m_notBefore, job.m_spec.m_id});
+    } else {
+        state.m_groups[groupKey(job.m_spec)].m_jobs.insert(entry);
+        state.m_isDirty = true;
+    }
 }
 
 void dequeue(State &state, const Job &job)
 {
-    state.m_waiting.erase({job.m_spec.m_submittedAt, job.m_spec.m_id});
+    const WaitingJob entry = waitingJob(job);
+    state.m_waiting.erase(entry);
+    state.m_delayed.erase({job.m_notBefore, job.m_spec.m_id});
+    const auto group = state.m_groups.find(groupKey(job.m_spec));
+    if (group == state.m_groups.end()) {
+        return;
+    }
+    group->second.m_jobs.erase(entry);
+    if (group->second.m_jobs.empty()) {
+        state.m_groups.erase(group);
+    }
+}
+
+void releaseDelayed(State &state, fleet::TimePoint now)
+{
+    while (!state.m_delayed.empty() && state.m_delayed.begin()->m_submittedAt <= now) {
+        const Job &job = state.m_jobs.at(state.m_delayed.begin()->m_job);
+        state.m_delayed.erase(state.m_delayed.begin());
+        state.m_groups[groupKey(job.m_spec)].m_jobs.insert(waitingJob(job));
+        state.m_isDirty = true;
+    }
+}
+
+GroupKey groupKey(const fleet::JobSpec &spec)
+{
+    return {spec.m_account, spec.m_kind, spec.m_urgency, spec.m_shape};
 }
 
 void expireEnded(Context &context)
--- a/components/scheduler/queue.hpp
+++ b/components/scheduler/queue.hpp
@@ -18,9 +18,14 @@
 /// Ends the job for good and drops it.
 void endJob(Context &context, Job &job, JobOutcome outcome, const std::string &reason);
 
-void enqueue(State &state, const Job &job);
+void enqueue(State &state, const Job &job, fleet::TimePoint now);
 void dequeue(State &state, const Job &job);
 
+/// Puts jobs back among those that may start when their retry wait is over.
+void releaseDelayed(State &state, fleet::TimePoint now);
+
+GroupKey groupKey(const fleet::JobSpec &spec);
+
 /// Drops what was kept about ended jobs after the retention time.
 void expireEnded(Context &context);
 
--- a/components/scheduler/reports.cpp
+++ b/components/scheduler/reports.cpp
@@ -2,6 +2,7 @@
 
 #include "components/scheduler/gangs.hpp"
 #include "components/scheduler/ledger.hpp"
+#include "components/scheduler/progress.hpp"
 #include "components/scheduler/queue.hpp"
 
 #include <algorithm>
@@ -75,6 +76,10 @@
     attempt.m_phase = AttemptPhase::Adopting;
     attempt.m_phaseSince = context.m_now;
     attempt.m_resumedFrom = job.m_checkpointed;
+    attempt.m_placedAt = context.m_now;
+    attempt.m_urgency = job.m_spec.m_urgency;
+    attempt.m_runTime = remainingTime(context.m_state, job);
+    context.m_state.m_isCoverDue = true;
     attempt.m_tasks.assign(job.m_spec.m_shape.m_tasks, {.m_worker = unknownWorker});
     job.m_attempts = number;
     job.m_attempt = std::move(attempt);
@@ -90,10 +95,26 @@
     TaskRun &run = job.m_attempt->m_tasks[status.m_task.m_task];
     run.m_worker = worker;
     run.m_leasedAt = askedAt;
-    placement::take(context.m_state.m_pool, worker, job.m_spec.m_shape.m_perTask);
+    book(context.m_state, job, status.m_task.m_task);
     addLease(context.m_state, job, status.m_task.m_task);
 }
 
+/// Decides whether the failure tells against the worker or the job.
+void blame(Context &context, Job &job, int worker)
+{
+    State &state = context.m_state;
+    const health::Settings &settings = state.m_settings.m_health;
+    const std::vector<int> &rack = state.m_pool.m_racks[state.m_pool.m_nodes[worker].m_rack];
+    const health::Verdict verdict = health::recordFailure(state.m_health, settings, job.m_spec.m_id, worker, rack, context.m_now);
+    for (const int quarantined : verdict.m_quarantined) {
+        refreshUsable(state, quarantined, context.m_now);
+    }
+    if (verdict.m_isJobBad) {
+        const bool isProved = static_cast<int>(state.m_health.m_jobs.at(job.m_spec.m_id).m_failedOn.size()) >= settings.m_badJobWorkers;
+        job.m_verdict = isProved ? JobOutcome::CannotRun : JobOutcome::Failed;
+    }
+}
+
 void applyFinal(Context &context, Job &job, int task)
 {
     TaskRun &run = job.m_attempt->m_tasks[task];
@@ -101,12 +122,17 @@
     const std::string &worker = context.m_state.m_workers[run.m_worker].m_info.m_id.value();
     run.m_isRetained = true;
     endTask(context, job, task);
-    if (phase == TaskPhase::Failed) {
-        ++job.m_failures;
+    if (phase == TaskPhase::Succeeded) {
+        health::recordSuccess(context.m_state.m_health, run.m_worker);
+        refreshUsable(context.m_state, run.m_worker, context.m_now);
+    } else if (phase == TaskPhase::Failed) {
+        blame(context, job, run.m_worker);
         endAttempt(context, job, AttemptEnd::TaskFailed, "a task failed on worker " + worker);
     } else if (phase == TaskPhase::Refused) {
+        context.m_state.m_workers[run.m_worker].m_holdUntil = context.m_now + context.m_state.m_settings.m_refusalHold;
+        refreshUsable(context.m_state, run.m_worker, context.m_now);
         endAttempt(context, job, AttemptEnd::Refused, "worker " + worker + " refused a task");
-    } else if (phase != TaskPhase::Succeeded) {
+    } else {
         endAttempt(context, job, AttemptEnd::Lost, "a lease ended early on worker " + worker);
     }
 }
@@ -193,7 +219,7 @@
     worker.m_askedAt = report.m_askedAt;
     worker.m_silent = false;
     ++worker.m_reports;
-    refreshUsable(state, index);
+    refreshUsable(state, index, context.m_now);
     for (const TaskStatus &status : report.m_tasks) {
         Job *known = findJob(state, status.m_task.m_job);
         if (known != nullptr && canAdopt(*known, status)) {
@@ -216,7 +242,8 @@
         return;
     }
     state.m_workers[found->second].m_listed = false;
-    refreshUsable(state, found->second);
+    state.m_workers[found->second].m_removedAt = context.m_now;
+    refreshUsable(state, found->second, context.m_now);
     const std::vector<TaskRef> tasks = state.m_workers[found->second].m_tasks;
     for (const TaskRef &ref : tasks) {
         Job &job = state.m_jobs.at(ref.m_job);
--- a/components/scheduler/settings.hpp
+++ b/components/scheduler/settings.hpp
@@ -2,6 +2,7 @@
 #define COMPONENTS_SCHEDULER_SETTINGS_HPP
 
 #include "components/fleet/time.hpp"
+#include "components/health/settings.hpp"
 #include "components/scheduler/policy.hpp"
 
 namespace scheduler
@@ -22,8 +23,30 @@
     /// Bounds of the exponential wait before a job is placed again after a refusal or a loss.
     fleet::Duration m_retryBase {1'000};
     fleet::Duration m_retryMax {30'000};
-    /// A job that failed this often has failed for good.
-    int m_maxFailures = 3;
+    /// A worker that refused a task is not used for this long.
+    fleet::Duration m_refusalHold {5'000};
+    /// A gang that makes room is stopped this long after it was asked for a checkpoint, whether it wrote one or not.
+    fleet::Duration m_checkpointGrace {2'000};
+    /// Run time lost by stopping and starting a gang, beyond what no checkpoint covers.
+    fleet::Duration m_restartCost {5'000};
+
+    /// Jobs that hold a reservation at once.
+    int m_maxReservations = 2;
+    /// How long past its due time a reservation waits for gangs that were there before it, until they make room.
+    fleet::Duration m_reservationPatience {120'000};
+    /// A reserved job starts earlier by moving other gangs where it gains this many times the work lost.
+    double m_repackGain = 4.0;
+    /// A gang is not moved again before it has run this long.
+    fleet::Duration m_repackLeastRun {60'000};
+    fleet::Duration m_repackInterval {10'000};
+    /// Background work that has waited this long counts as normal work.
+    fleet::Duration m_backgroundAging {3'600'000};
+    /// Jobs are not judged against the size of the fleet before its list has not grown for this long.
+    fleet::Duration m_fleetSettleTime {10'000};
+    /// A removed worker is expected to be replaced for this long; jobs are not refused for want of it.
+    fleet::Duration m_replacementTime {3'600'000};
+    health::Settings m_health;
+
     /// Ended jobs are remembered this long, so that a late repeat of a job's arrival does not run it again.
     fleet::Duration m_endedRetention {3'600'000};
 
--- a/components/scheduler/step.cpp
+++ b/components/scheduler/step.cpp
@@ -1,10 +1,13 @@
 #include "components/scheduler/step.hpp"
 
 #include "components/scheduler/admission.hpp"
+#include "components/scheduler/covered.hpp"
+#include "components/scheduler/feasibility.hpp"
 #include "components/scheduler/gangs.hpp"
 #include "components/scheduler/ledger.hpp"
 #include "components/scheduler/queue.hpp"
 #include "components/scheduler/reports.hpp"
+#include "components/scheduler/reservations.hpp"
 #include "components/scheduler/state.hpp"
 
 namespace scheduler
@@ -17,7 +20,8 @@
 {
     for (const fleet::JobId &id : context.m_state.m_active) {
         Job &job = context.m_state.m_jobs.at(id);
-        if (job.m_attempt->m_phase == AttemptPhase::Reserving) {
+        const AttemptPhase phase = job.m_attempt->m_phase;
+        if (phase == AttemptPhase::Claiming || phase == AttemptPhase::Reserving) {
             endAttempt(context, job, AttemptEnd::Held, "starts are not allowed");
         }
     }
@@ -35,7 +39,7 @@
 
 void apply(Context &context, const WorkerListed &event)
 {
-    listWorker(context.m_state, event);
+    listWorker(context.m_state, event, context.m_now);
 }
 
 void apply(Context &context, const WorkerRemoved &event)
@@ -54,6 +58,10 @@
     for (const ZoneAccount &account : event.m_accounts) {
         context.m_state.m_accounts.emplace(account.m_account, account);
     }
+    applyEntitlements(context);
+    for (auto &[key, group] : context.m_state.m_groups) {
+        group.m_feasibleFor = 0;
+    }
     context.m_state.m_isDirty = true;
 }
 
@@ -68,25 +76,64 @@
     }
 }
 
+void expireRemoved(State &state, Worker &worker, fleet::TimePoint now)
+{
+    const bool isRemoved = !worker.m_listed && worker.m_isExpected;
+    if (isRemoved && now - worker.m_removedAt >= state.m_settings.m_replacementTime) {
+        worker.m_isExpected = false;
+        ++state.m_fleetVersion;
+    }
+}
+
+/// Workers whose quarantine or hold is over may be used again.
+void refreshWorkers(Context &context)
+{
+    State &state = context.m_state;
+    for (const int worker : health::expire(state.m_health, state.m_settings.m_health, context.m_now)) {
+        refreshUsable(state, worker, context.m_now);
+    }
+    for (int worker = 0; worker < static_cast<int>(state.m_workers.size()); ++worker) {
+        expireRemoved(state, state.m_workers[worker], context.m_now);
+        fleet::TimePoint &holdUntil = state.m_workers[worker].m_holdUntil;
+        if (holdUntil != fleet::TimePoint {} && holdUntil <= context.m_now) {
+            holdUntil = fleet::TimePoint {};
+            refreshUsable(state, worker, context.m_now);
+        }
+    }
+}
+
+/// A reservation that is due may make room; the rest of the queue changes by other events only.
+bool isReservationDue(const Context &context)
+{
+    return !context.m_state.m_reservations.empty()
+        && (earliestDue(context.m_state) <= context.m_now || context.m_now - context.m_state.m_repackedAt >= context.m_state.m_settings.m_repackInterval);
+}
+
 void apply(Context &context, const Tick & /*event*/)
 {
+    context.m_isTick = true;
     tickGangs(context);
+    refreshWorkers(context);
     expireEnded(context);
-    context.m_state.m_isDirty = true;
+    releaseDelayed(context.m_state, context.m_now);
+    refuseInfeasible(context);
+    context.m_state.m_isDirty = context.m_state.m_isDirty || isReservationDue(context);
 }
 
 }
 
 std::vector<Action> step(State &state, const Event &event, fleet::TimePoint now)
 {
-    Context context {state, now, {}, {}};
+    Context context {state, now, {}, {}, false};
     std::visit(
         [&context](const auto &one) {
             apply(context, one);
         },
         event);
     settleGangs(context);
+    advanceClaims(context);
     admitWaiting(context);
+    settleGangs(context);
     return std::move(context.m_actions);
 }
 
--- a/components/scheduler/task_run.hpp
+++ b/components/scheduler/task_run.hpp
@@ -22,6 +22,8 @@
     std::optional<TaskPhase> m_phase;
     /// The lease is certainly over: a final phase was reported, the worker does not hold it, or it lapsed.
     bool m_over = false;
+    /// The worker may hold a lease; false while the attempt only claims capacity.
+    bool m_isLeased = false;
     /// A final status was reported, which the worker keeps until Forget.
     bool m_isRetained = false;
     /// When the last command was sent that gives or renews the lease.
@@ -32,6 +34,8 @@
     /// Number of the worker's last report that lists the task.
     std::uint64_t m_listedIn = 0;
     fleet::Duration m_checkpointed {0};
+    /// While checkpointing: what the checkpoint has to cover.
+    fleet::Duration m_checkpointWanted {0};
     fleet::Duration m_ran {0};
 
     bool operator==(const TaskRun &) const = default;
--- a/components/scheduler/task_status.hpp
+++ b/components/scheduler/task_status.hpp
@@ -13,7 +13,7 @@
 {
     TaskRef m_task;
     TaskPhase m_phase = TaskPhase::Reserved;
-    /// Run time that the last checkpoint covers; a resumed attempt skips it.
+    /// Run time that the last checkpoint covers, earlier attempts included; a resumed attempt skips it.
     fleet::Duration m_checkpointed {0};
     /// Run time of the task so far on this attempt.
     fleet::Duration m_ran {0};
--- a/components/scheduler/worker.hpp
+++ b/components/scheduler/worker.hpp
@@ -16,15 +16,22 @@
 {
     fleet::WorkerInfo m_info;
     bool m_listed = false;
+    fleet::TimePoint m_removedAt;
+    /// Counts towards what the zone can hold when jobs are judged: listed, or removed not long ago.
+    bool m_isExpected = true;
     /// Never unlearned.
     bool m_leaving = false;
     /// A reservation was not answered in time; nothing is placed here until the worker reports.
     bool m_silent = false;
+    /// Nothing is placed here before this time.
+    fleet::TimePoint m_holdUntil;
     /// `m_askedAt` of the newest report taken in; older ones that come later are dropped.
     fleet::TimePoint m_askedAt;
     std::uint64_t m_reports = 0;
     /// Tasks that hold or may hold a lease here.
     std::vector<TaskRef> m_tasks;
+    /// What these tasks use.
+    fleet::Resources m_leased;
 
     bool operator==(const Worker &) const = default;
 };
