Fault relay for TCP and UDP in the stand-in

Real-process tests have to cut, slow and confuse the traffic between instances and to the platform, one way at a time.

Orders over the control port cut either direction, delay, drop, duplicate and reorder; cut TCP bytes wait, as they do in a real partition, and cut datagrams are lost.

--- a/components/platform/json_fields.cpp
+++ b/components/platform/json_fields.cpp
@@ -5,6 +5,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace platform
@@ -89,6 +90,11 @@
     return static_cast<int>(number);
 }
 
+int smallField(const boost::json::object &object, std::string_view name, int fallback)
+{
+    return object.contains({name.data(), name.size()}) ? smallField(object, name) : fallback;
+}
+
 bool boolField(const boost::json::object &object, std::string_view name, bool fallback)
 {
     const auto *value = object.if_contains({name.data(), name.size()});
@@ -101,4 +107,14 @@
     return value->get_bool();
 }
 
+void refuseUnknownFields(const boost::json::object &object, std::initializer_list<std::string_view> known)
+{
+    for (const auto &field : object) {
+        const std::string_view name(field.key().data(), field.key().size());
+        if (std::find(known.begin(), known.end(), name) == known.end()) {
+            throw DecodeError("the field '" + std::string(name) + "' is not known; leave it out");
+        }
+    }
+}
+
 }
--- a/components/platform/json_fields.hpp
+++ b/components/platform/json_fields.hpp
@@ -5,6 +5,7 @@
 #include <boost/json/object.hpp>
 
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -26,8 +27,12 @@
 std::int64_t countField(const boost::json::object &object, std::string_view name, std::int64_t fallback);
 /// A whole number from 0 to the largest int.
 int smallField(const boost::json::object &object, std::string_view name);
+int smallField(const boost::json::object &object, std::string_view name, int fallback);
 bool boolField(const boost::json::object &object, std::string_view name, bool fallback);
 
+/// Refuses an object with a field that is not among the known ones.
+void refuseUnknownFields(const boost::json::object &object, std::initializer_list<std::string_view> known);
+
 }
 
 #endif
--- a/components/standin/control_service.cpp
+++ b/components/standin/control_service.cpp
@@ -1,12 +1,18 @@
 #include "components/standin/control_service.hpp"
 
+#include "components/http/address.hpp"
+#include "components/http/address_error.hpp"
 #include "components/http/error_response.hpp"
+#include "components/platform/decode_error.hpp"
 #include "components/platform/json_fields.hpp"
 #include "components/platform/list_codec.hpp"
 #include "components/standin/fault_order.hpp"
+#include "components/standin/relay.hpp"
+#include "components/standin/relay_fault_order.hpp"
 #include "components/standin/routes.hpp"
 #include "components/standin/stand_in.hpp"
 
+#include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
 namespace standin
@@ -15,10 +21,25 @@
 namespace
 {
 
-bool isControlCall(const http::Request &request)
+const http::Response done {200, "{}", "application/json", {}};
+
+http::Response answerFor(bool found)
+{
+    return found ? done : http::errorResponse(404, "unknown-target", "no such target; use log, list, an id of the list or the name of a route");
+}
+
+http::Address addressField(const boost::json::object &order, std::string_view name)
+{
+    try {
+        return http::parseAddress(platform::textField(order, name));
+    } catch (const http::AddressError &error) {
+        throw platform::DecodeError(error.what());
+    }
+}
+
+http::Response addressAnswer(const http::Address &address)
 {
-    return isCall(request, "POST", "/v1/faults") || isCall(request, "POST", "/v1/instances") || isCall(request, "POST", "/v1/leaving")
-        || isCall(request, "POST", "/v1/removed");
+    return {200, boost::json::serialize(boost::json::object {{"address", http::toString(address)}}), "application/json", {}};
 }
 
 }
@@ -31,30 +52,34 @@
 
 void ControlService::serve(const http::Request &request, fleet::TimePoint now, const FaultGate::Reply &reply)
 {
-    if (!isControlCall(request)) {
-        reply(unknownPath());
-    } else if (carryOut(request, now)) {
-        reply({200, "{}", "application/json", {}});
+    if (isCall(request, "POST", "/v1/faults")) {
+        reply(answerFor(m_standIn.setFaults(decodeFaultOrder(request.m_body), now)));
+    } else if (isCall(request, "POST", "/v1/instances")) {
+        m_standIn.putInstance(platform::decodeInstance(request.m_body), now);
+        reply(done);
+    } else if (isCall(request, "POST", "/v1/leaving")) {
+        reply(answerFor(setLeaving(platform::parseObject(request.m_body), now)));
+    } else if (isCall(request, "POST", "/v1/removed")) {
+        reply(answerFor(m_standIn.remove(platform::textField(platform::parseObject(request.m_body), "id"), now)));
+    } else if (isCall(request, "POST", "/v1/relays")) {
+        reply(addressAnswer(addRelay(platform::parseObject(request.m_body))));
+    } else if (isCall(request, "POST", "/v1/relay-faults")) {
+        const auto order = decodeRelayFaultOrder(request.m_body);
+        reply(answerFor(m_standIn.relay().setFaults(order.m_route, order.m_faults)));
     } else {
-        reply(http::errorResponse(404, "unknown-target", "no such target; use log, list or an id of the list"));
+        reply(unknownPath());
     }
 }
 
-bool ControlService::carryOut(const http::Request &request, fleet::TimePoint now)
+bool ControlService::setLeaving(const boost::json::object &order, fleet::TimePoint now)
 {
-    if (isCall(request, "POST", "/v1/faults")) {
-        return m_standIn.setFaults(decodeFaultOrder(request.m_body), now);
-    }
-    if (isCall(request, "POST", "/v1/instances")) {
-        m_standIn.putInstance(platform::decodeInstance(request.m_body), now);
-        return true;
-    }
-    const auto order = platform::parseObject(request.m_body);
-    const auto id = platform::textField(order, "id");
-    if (isCall(request, "POST", "/v1/removed")) {
-        return m_standIn.remove(id, now);
-    }
-    return m_standIn.setLeaving(id, platform::boolField(order, "leaving", true), now);
+    return m_standIn.setLeaving(platform::textField(order, "id"), platform::boolField(order, "leaving", true), now);
+}
+
+http::Address ControlService::addRelay(const boost::json::object &order)
+{
+    const auto target = addressField(order, "target");
+    return m_standIn.relay().add(platform::textField(order, "name"), target.m_host, target);
 }
 
 }
--- a/components/standin/control_service.hpp
+++ b/components/standin/control_service.hpp
@@ -3,12 +3,14 @@
 
 #include "components/standin/service.hpp"
 
+#include <boost/json/fwd.hpp>
+
 namespace standin
 {
 
 class StandIn;
 
-/// Serves the control port: faults, and changes of the list.
+/// Serves the control port: faults, changes of the list, and the fault relay.
 class ControlService : public Service
 {
 public:
@@ -18,7 +20,8 @@
     void serve(const http::Request &request, fleet::TimePoint now, const FaultGate::Reply &reply) override;
 
 private:
-    bool carryOut(const http::Request &request, fleet::TimePoint now);
+    bool setLeaving(const boost::json::object &order, fleet::TimePoint now);
+    http::Address addRelay(const boost::json::object &order);
 
     StandIn &m_standIn;
 };
--- a/components/standin/fault_order.cpp
+++ b/components/standin/fault_order.cpp
@@ -1,38 +1,16 @@
 #include "components/standin/fault_order.hpp"
 
-#include "components/platform/decode_error.hpp"
 #include "components/platform/json_fields.hpp"
 
 #include <boost/json/value.hpp>
 
-#include <algorithm>
-#include <array>
-
 namespace standin
 {
 
-namespace
-{
-
-constexpr std::array<const char *, 11> knownFields {
-    "target", "down", "silent", "paused", "slowMs", "lateMs", "loseEvery", "crossed", "failTasks", "stale", "lagMs"};
-
-void refuseUnknownFields(const boost::json::object &object)
-{
-    for (const auto &field : object) {
-        const std::string name(field.key());
-        if (std::find(knownFields.begin(), knownFields.end(), name) == knownFields.end()) {
-            throw platform::DecodeError("the fault '" + name + "' is not known; see docs/testing.md");
-        }
-    }
-}
-
-}
-
 FaultOrder decodeFaultOrder(std::string_view text)
 {
     const auto object = platform::parseObject(text);
-    refuseUnknownFields(object);
+    platform::refuseUnknownFields(object, {"target", "down", "silent", "paused", "slowMs", "lateMs", "loseEvery", "crossed", "failTasks", "stale", "lagMs"});
     FaultOrder order;
     order.m_target = platform::textField(object, "target");
     auto &faults = order.m_faults;
@@ -41,7 +19,7 @@
     faults.m_paused = platform::boolField(object, "paused", false);
     faults.m_slow = fleet::Duration(platform::countField(object, "slowMs", 0));
     faults.m_late = fleet::Duration(platform::countField(object, "lateMs", 0));
-    faults.m_loseEvery = static_cast<int>(platform::countField(object, "loseEvery", 0));
+    faults.m_loseEvery = platform::smallField(object, "loseEvery", 0);
     faults.m_crossed = platform::boolField(object, "crossed", false);
     faults.m_failTasks = platform::boolField(object, "failTasks", false);
     faults.m_stale = platform::boolField(object, "stale", false);
--- /dev/null
+++ b/components/standin/relay.cpp
@@ -0,0 +1,226 @@
+#include "components/standin/relay.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+
+#include <array>
+#include <map>
+#include <thread>
+
+namespace standin
+{
+
+using boost::asio::ip::tcp;
+using boost::asio::ip::udp;
+
+namespace
+{
+
+using Error = boost::system::error_code;
+
+/// How often a cut connection looks whether the cut has ended.
+constexpr fleet::Duration cutCheckInterval {10};
+constexpr std::size_t chunkBytes = 65536;
+constexpr int maxPortAttempts = 100;
+
+/// Moves bytes one way between two connections.
+struct Pump : public std::enable_shared_from_this<Pump>
+{
+    std::shared_ptr<tcp::socket> m_from;
+    std::shared_ptr<tcp::socket> m_to;
+    std::shared_ptr<const RelayFaults> m_faults;
+    bool m_forward;
+    boost::asio::steady_timer m_timer {m_from->get_executor()};
+    std::array<char, chunkBytes> m_bytes {};
+
+    Pump(std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to, std::shared_ptr<const RelayFaults> faults, bool forward)
+        : m_from(std::move(from))
+        , m_to(std::move(to))
+        , m_faults(std::move(faults))
+        , m_forward(forward)
+    {
+    }
+
+    void read()
+    {
+        m_from->async_read_some(boost::asio::buffer(m_bytes), [self = shared_from_this()](const Error &error, std::size_t count) {
+            self->wait(self->m_faults->m_delay, error ? 0 : count);
+        });
+    }
+
+    void wait(fleet::Duration time, std::size_t count)
+    {
+        m_timer.expires_after(time);
+        m_timer.async_wait([self = shared_from_this(), count](const Error &) {
+            const auto &faults = *self->m_faults;
+            if (self->m_forward ? faults.m_cutForward : faults.m_cutBackward) {
+                self->wait(cutCheckInterval, count);
+            } else {
+                self->write(count);
+            }
+        });
+    }
+
+    void write(std::size_t count)
+    {
+        Error ignored;
+        if (count == 0) {
+            m_to->shutdown(tcp::socket::shutdown_send, ignored);
+            return;
+        }
+        boost::asio::async_write(*m_to, boost::asio::buffer(m_bytes, count), [self = shared_from_this()](const Error &error, std::size_t) {
+            if (!error) {
+                self->read();
+            } else {
+                Error alreadyClosed;
+                self->m_from->close(alreadyClosed);
+            }
+        });
+    }
+};
+
+/// A port of the relay and the target behind it.
+class Route : public std::enable_shared_from_this<Route>
+{
+public:
+    std::shared_ptr<RelayFaults> m_faults = std::make_shared<RelayFaults>();
+
+    Route(boost::asio::io_context &io, const std::string &host, const http::Address &target, std::uint32_t seed)
+        : m_io(io)
+        , m_host(boost::asio::ip::make_address(target.m_host))
+        , m_port(target.m_port)
+        , m_random(seed)
+    {
+        // TCP and UDP share the number, so the kernel's choice for one is tried for the other.
+        Error error = boost::asio::error::address_in_use;
+        for (int i = 0; error && i < maxPortAttempts; ++i) {
+            m_acceptor = tcp::acceptor(m_io, {boost::asio::ip::make_address(host), 0});
+            m_datagrams = udp::socket(m_io, udp::v4());
+            m_datagrams.bind({boost::asio::ip::make_address(host), port()}, error);
+        }
+    }
+
+    std::uint16_t port() const
+    {
+        return m_acceptor.local_endpoint().port();
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept([self = shared_from_this()](const Error &error, tcp::socket caller) {
+            if (!error) {
+                self->connect(std::make_shared<tcp::socket>(std::move(caller)));
+                self->accept();
+            }
+        });
+    }
+
+    void receive()
+    {
+        m_datagrams.async_receive(boost::asio::buffer(m_bytes), [self = shared_from_this()](const Error &error, std::size_t count) {
+            for (int copies = error ? 0 : self->drawCopies(); copies > 0; --copies) {
+                self->forward(std::string(self->m_bytes.data(), count));
+            }
+            self->receive();
+        });
+    }
+
+private:
+    void connect(const std::shared_ptr<tcp::socket> &caller)
+    {
+        const auto target = std::make_shared<tcp::socket>(m_io);
+        target->async_connect({m_host, m_port}, [target, caller, faults = m_faults](const Error &error) {
+            if (!error) {
+                std::make_shared<Pump>(caller, target, faults, true)->read();
+                std::make_shared<Pump>(target, caller, faults, false)->read();
+            }
+        });
+    }
+
+    std::int64_t draw(std::int64_t most)
+    {
+        return boost::random::uniform_int_distribution<std::int64_t>(0, most)(m_random);
+    }
+
+    int drawCopies()
+    {
+        const bool dropped = draw(99) < m_faults->m_dropPercent;
+        const bool doubled = draw(99) < m_faults->m_duplicatePercent;
+        return m_faults->m_cutForward || dropped ? 0 : 1 + (doubled ? 1 : 0);
+    }
+
+    void forward(const std::string &datagram)
+    {
+        const auto delay = m_faults->m_delay + fleet::Duration(draw(m_faults->m_jitter.count()));
+        const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, delay);
+        timer->async_wait([timer, datagram, self = shared_from_this()](const Error &) {
+            Error lost;
+            self->m_datagrams.send_to(boost::asio::buffer(datagram), {self->m_host, self->m_port}, 0, lost);
+        });
+    }
+
+    boost::asio::io_context &m_io;
+    boost::asio::ip::address m_host;
+    std::uint16_t m_port;
+    boost::random::mt19937 m_random;
+    tcp::acceptor m_acceptor {m_io};
+    udp::socket m_datagrams {m_io};
+    std::array<char, chunkBytes> m_bytes {};
+};
+
+}
+
+struct Relay::Core
+{
+    std::uint32_t m_seed;
+    boost::asio::io_context m_io {1};
+    std::map<std::string, std::shared_ptr<Route>> m_routes;
+    std::jthread m_thread;
+};
+
+Relay::Relay(std::uint32_t seed)
+    : m_core(std::make_unique<Core>())
+{
+    m_core->m_seed = seed;
+}
+
+Relay::~Relay()
+{
+    m_core->m_io.stop();
+}
+
+http::Address Relay::add(const std::string &name, const std::string &host, const http::Address &target)
+{
+    const auto route = std::make_shared<Route>(m_core->m_io, host, target, m_core->m_seed++);
+    m_core->m_routes[name] = route;
+    boost::asio::post(m_core->m_io, [route] {
+        route->accept();
+        route->receive();
+    });
+    if (!m_core->m_thread.joinable()) {
+        m_core->m_thread = std::jthread([&io = m_core->m_io] {
+            io.run();
+        });
+    }
+    return {host, route->port()};
+}
+
+bool Relay::setFaults(const std::string &name, const RelayFaults &faults)
+{
+    const auto found = m_core->m_routes.find(name);
+    if (found == m_core->m_routes.end()) {
+        return false;
+    }
+    boost::asio::post(m_core->m_io, [route = found->second, faults] {
+        *route->m_faults = faults;
+    });
+    return true;
+}
+
+}
--- a/components/standin/stand_in.cpp
+++ b/components/standin/stand_in.cpp
@@ -5,6 +5,7 @@
 #include "components/standin/fault_order.hpp"
 #include "components/standin/list_service.hpp"
 #include "components/standin/log_service.hpp"
+#include "components/standin/relay.hpp"
 #include "components/standin/runner_service.hpp"
 #include "components/standin/worker_service.hpp"
 
@@ -43,6 +44,7 @@
 }
 
 StandIn::StandIn(const StandInSettings &settings)
+    : m_relay(std::make_unique<Relay>(settings.m_relaySeed))
 {
     const auto &host = settings.m_address;
     auto list = std::make_unique<ListService>(m_loop, settings.m_listLag);
@@ -118,6 +120,11 @@
     return removed;
 }
 
+Relay &StandIn::relay()
+{
+    return *m_relay;
+}
+
 void StandIn::addWorkers(const StandInSettings &settings, platform::PlatformList &list)
 {
     for (int i = 0; i < settings.m_workers; ++i) {
--- a/components/standin/stand_in.hpp
+++ b/components/standin/stand_in.hpp
@@ -23,6 +23,7 @@
 class ControlService;
 class ListService;
 class LogService;
+class Relay;
 class RunnerService;
 class Service;
 class WorkerService;
@@ -49,6 +50,7 @@
     void putInstance(const platform::InstanceEntry &instance, fleet::TimePoint now);
     bool setLeaving(const std::string &id, bool leaving, fleet::TimePoint now);
     bool remove(const std::string &id, fleet::TimePoint now);
+    Relay &relay();
 
 private:
     void addWorkers(const StandInSettings &settings, platform::PlatformList &list);
@@ -58,6 +60,7 @@
     std::map<std::string, std::unique_ptr<Service>> m_services;
     std::map<std::string, WorkerService *> m_workers;
     ListService *m_list = nullptr;
+    std::unique_ptr<Relay> m_relay;
     /// Declared last: its thread ends before the services that it works on.
     EventLoop m_loop;
 };
--- a/components/standin/stand_in_settings.cpp
+++ b/components/standin/stand_in_settings.cpp
@@ -98,6 +98,7 @@
     result.m_logRetention = reader.duration("log_retention", result.m_logRetention, 1s, longest);
     result.m_listLag = reader.duration("list_lag", result.m_listLag, 0ms, longest);
     result.m_usageLag = reader.duration("usage_lag", result.m_usageLag, 0ms, longest);
+    result.m_relaySeed = static_cast<std::uint32_t>(reader.integer("relay_seed", result.m_relaySeed, 0, std::numeric_limits<std::uint32_t>::max()));
     readInstances(reader, result);
     readWorkers(reader, result);
     readRunners(reader, result);
--- a/components/standin/stand_in_settings.hpp
+++ b/components/standin/stand_in_settings.hpp
@@ -35,6 +35,9 @@
     std::vector<fleet::ZoneId> m_zones;
     std::vector<platform::InstanceEntry> m_instances;
 
+    /// Decides what the fault relay drops, duplicates and reorders.
+    std::uint32_t m_relaySeed = 1;
+
     fleet::Duration m_logRetention {std::chrono::hours(24)};
     fleet::Duration m_listLag {1000};
     fleet::Duration m_usageLag {2000};
--- a/components/standin/stand_in_test.cpp
+++ b/components/standin/stand_in_test.cpp
@@ -223,3 +223,23 @@
     auto reader = settings::Reader::fromFile("files/standin.toml");
     cr_assert_eq(standin::readStandInSettings(reader).m_workers, 12);
 }
+
+Test(stand_in, relayToTheLog_isCutByOrder)
+{
+    Bench bench;
+    const auto added = bench.control("/v1/relays", R"({"name": "log-cut", "target": ")" + http::toString(bench.m_standIn.logAddress()) + "\"}");
+    const auto &body = added.m_response.m_body;
+    const auto address = http::parseAddress(body.substr(12, body.size() - 14));
+    const platform::LogClient relayed(bench.m_client, address);
+    const auto append = [&](fleet::Duration timeout) {
+        return wait<platform::AppendResult>([&](auto callback) {
+                   relayed.append("system", "x", timeout, callback);
+               })
+            .m_kind;
+    };
+    cr_assert(append(longTimeout) == platform::AppendKind::Appended);
+    bench.control("/v1/relay-faults", R"({"name": "log-cut", "cutBackward": true})");
+    cr_assert(append(shortTimeout) == platform::AppendKind::Unknown);
+    cr_assert_eq(bench.read(0).m_page->m_end, 2U);
+    cr_assert_eq(bench.control("/v1/relay-faults", R"({"name": "other"})").m_response.m_status, 404);
+}
