Records, scheduling duty, membership, zones, planned stop and peer messages

Change: fold of the system's own stream with fencing tokens and group commit; the duty of a zone as a state machine over log, peers and workers; heartbeats whose echoes prove when a message was sent, so that a paused process does not take old messages for fresh ones; permission to start by freshness of the view; the planned stop; sealed envelopes with a replay window and length-prefixed frames. Two models hold several instances in one process behind one seeded queue that drops, delays, duplicates and reorders. Faults that the models found and that are mended here: a forgotten id was refused to a delayed copy of its first sending although it had run; a zone that was out was left aside when the log was down, so that an operator there could take out another zone unheard; a zone taken out through the log was unknown to everyone when the log was cut before it was read back, so a take-out now spreads among the instances first.

--- a/components/configuration/configuration_test.cpp
+++ b/components/configuration/configuration_test.cpp
@@ -65,10 +65,15 @@
 {
     std::vector<std::string> stream;
     State reader;
+    Snapshot delayed;
     const int length = *rc::gen::inRange(1, 60);
     for (int i = 0; i < length; ++i) {
-        const bool snapshot = reader.m_complete && *rc::gen::inRange(0, 8) == 0;
-        stream.push_back(snapshot ? encodeRecord(makeSnapshot(reader)) : anyRecord(stream.size()));
+        // A snapshot may reach the log well after the records that it covers.
+        const bool append = reader.m_complete && *rc::gen::inRange(0, 8) == 0;
+        stream.push_back(append ? encodeRecord(delayed) : anyRecord(stream.size()));
+        if (*rc::gen::inRange(0, 3) == 0) {
+            delayed = makeSnapshot(reader);
+        }
         fold(reader, stream.size() - 1, start, stream.back());
     }
     return stream;
@@ -163,6 +168,7 @@
         State reader;
         for (int i = 0; i < 100; ++i) {
             const Version before = reader.m_configuration.m_version;
+            const std::uint64_t nextBefore = reader.m_next;
             const auto offset = static_cast<std::size_t>(*rc::gen::inRange<int>(0, static_cast<int>(stream.size())));
             if (*rc::gen::inRange(0, 20) == 0) {
                 adopt(reader, makeSnapshot(foldAll({stream.begin(), stream.begin() + static_cast<std::ptrdiff_t>(offset)})));
@@ -170,6 +176,7 @@
                 fold(reader, offset, start, stream[offset]);
             }
             RC_ASSERT(before <= reader.m_configuration.m_version);
+            RC_ASSERT(nextBefore <= reader.m_next);
         }
         for (std::size_t offset = reader.m_next; offset < stream.size(); ++offset) {
             fold(reader, offset, start, stream[offset]);
@@ -179,6 +186,14 @@
     cr_assert(holds);
 }
 
+Test(configuration, snapshotOfAnOlderVersion_adopt_isIgnored)
+{
+    State state;
+    fold(state, 0, start, encodeRecord(makeChange("a", 0, studioAccount())));
+    adopt(state, {9, {}});
+    cr_assert_eq(state.m_configuration.m_version.m_value, 1U);
+}
+
 Test(configuration, damagedRecord_fold_isSkippedAndCounted)
 {
     State state;
--- /dev/null
+++ b/components/drain/step.cpp
@@ -0,0 +1,120 @@
+#include "components/drain/step.hpp"
+
+#include "components/drain/state.hpp"
+
+namespace drain
+{
+
+namespace
+{
+
+void enter(State &state, Phase phase, fleet::TimePoint now)
+{
+    state.m_phase = phase;
+    state.m_phaseAt = now;
+}
+
+void end(State &state, bool clean, std::vector<Action> &actions, fleet::TimePoint now)
+{
+    enter(state, Phase::Ended, now);
+    actions.emplace_back(Exit {clean});
+}
+
+/// Past this time nothing is waited for but the handover and the last records.
+bool isFinishingOver(const State &state, fleet::TimePoint now)
+{
+    return state.m_stopAt + state.m_settings.m_limit - state.m_settings.m_handoverReserve <= now;
+}
+
+void sendHandover(State &state, std::vector<Action> &actions, fleet::TimePoint now)
+{
+    state.m_handoverSentAt = now;
+    actions.emplace_back(SendHandover {state.m_heir});
+}
+
+void beginHandover(State &state, std::vector<Action> &actions, fleet::TimePoint now)
+{
+    state.m_heir = state.m_progress.m_heir;
+    if (state.m_heir.empty()) {
+        // Alone, the ids are lost with the process: their callers are told that the outcome is unknown.
+        enter(state, Phase::Flushing, now);
+        return;
+    }
+    enter(state, Phase::HandingOver, now);
+    sendHandover(state, actions, now);
+}
+
+/// Takes the steps that are due, until one has to be waited for.
+void advance(State &state, std::vector<Action> &actions, fleet::TimePoint now)
+{
+    if (state.m_phase == Phase::Leaving && state.m_phaseAt + state.m_settings.m_balancerGrace <= now) {
+        enter(state, Phase::Finishing, now);
+        actions.emplace_back(StopListening {});
+    }
+    if (state.m_phase == Phase::Finishing && (state.m_progress.m_requestsIdle || isFinishingOver(state, now))) {
+        state.m_clean = state.m_progress.m_requestsIdle;
+        beginHandover(state, actions, now);
+    }
+    if (state.m_phase == Phase::HandingOver && state.m_handoverSentAt + state.m_settings.m_handoverRetry <= now) {
+        sendHandover(state, actions, now);
+    }
+    if (state.m_phase == Phase::Flushing && state.m_progress.m_recordsFlushed) {
+        enter(state, Phase::Farewell, now);
+        actions.emplace_back(SayFarewell {});
+    }
+    if (state.m_phase == Phase::Farewell && state.m_phaseAt + state.m_settings.m_farewell <= now) {
+        end(state, state.m_clean, actions, now);
+    }
+    const bool isStopping = state.m_phase != Phase::Serving && state.m_phase != Phase::Ended;
+    if (isStopping && state.m_stopAt + state.m_settings.m_limit <= now) {
+        end(state, false, actions, now);
+    }
+}
+
+void apply(State &state, const StopSignal &, std::vector<Action> &actions, fleet::TimePoint now)
+{
+    if (state.m_phase == Phase::Serving) {
+        state.m_stopAt = now;
+        enter(state, Phase::Leaving, now);
+        actions.emplace_back(BeginLeaving {});
+    } else if (state.m_phase != Phase::Ended) {
+        end(state, false, actions, now);
+    }
+}
+
+void apply(State &state, const Progress &event, std::vector<Action> &, fleet::TimePoint)
+{
+    state.m_progress = event;
+}
+
+void apply(State &state, const HandoverAnswered &event, std::vector<Action> &actions, fleet::TimePoint now)
+{
+    if (state.m_phase != Phase::HandingOver || event.m_heir != state.m_heir) {
+        return;
+    }
+    if (event.m_taken) {
+        enter(state, Phase::Flushing, now);
+    } else if (state.m_progress.m_heir != state.m_heir) {
+        beginHandover(state, actions, now);
+    }
+}
+
+void apply(State &, const Tick &, std::vector<Action> &, fleet::TimePoint)
+{
+}
+
+}
+
+std::vector<Action> step(State &state, const Event &event, fleet::TimePoint now)
+{
+    std::vector<Action> actions;
+    std::visit(
+        [&](const auto &value) {
+            apply(state, value, actions, now);
+        },
+        event);
+    advance(state, actions, now);
+    return actions;
+}
+
+}
--- /dev/null
+++ b/components/drain/step.hpp
@@ -0,0 +1,19 @@
+#ifndef COMPONENTS_DRAIN_STEP_HPP
+#define COMPONENTS_DRAIN_STEP_HPP
+
+#include "components/drain/events.hpp"
+#include "components/fleet/time.hpp"
+
+#include <vector>
+
+namespace drain
+{
+
+struct State;
+
+/// Applies one event to the planned stop and returns what is to be done, in order. Deterministic.
+std::vector<Action> step(State &state, const Event &event, fleet::TimePoint now);
+
+}
+
+#endif
--- /dev/null
+++ b/components/instances/zone_site.cpp
@@ -0,0 +1,273 @@
+#include "components/instances/zone_site.hpp"
+
+#include "components/membership/view.hpp"
+
+#include <algorithm>
+
+namespace instances
+{
+
+namespace
+{
+
+constexpr int zoneCount = 3;
+constexpr int perZone = 2;
+constexpr fleet::Duration tickInterval {500};
+/// After a zone is out for certain, starts must end within this time.
+constexpr fleet::Duration grace = std::chrono::seconds(7);
+const Faults between {10, 10, 10, std::chrono::seconds(5)};
+
+fleet::ZoneId zoneName(int zone)
+{
+    return fleet::ZoneId("z" + std::to_string(zone));
+}
+
+}
+
+ZoneSite::ZoneSite(std::uint64_t seed)
+    : m_queue(seed)
+    , m_logReachable(zoneCount, true)
+    , m_linked(zoneCount, std::vector<bool>(zoneCount, true))
+    , m_outSince(zoneCount)
+{
+    membership::ListRead list {m_queue.now(), {}};
+    for (int node = 0; node < zoneCount * perZone; ++node) {
+        const fleet::InstanceId id("i" + std::to_string(node));
+        const int zone = node / perZone;
+        const std::string address = std::to_string(node);
+        ZoneNode state;
+        state.m_zone = zone;
+        state.m_membership = membership::makeState({}, id, {static_cast<std::uint64_t>(node + 1)}, zoneName(zone), address);
+        m_nodes.push_back(state);
+        list.m_instances.push_back({id, zoneName(zone), address, false});
+    }
+    configuration::Change first {configuration::ChangeId("first"), {}, fleet::OperatorId("op"), m_queue.now(), configuration::SetDefaults {}};
+    appendRecord(configuration::encodeRecord(first));
+    for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+        apply(static_cast<int>(node), list);
+        tick(static_cast<int>(node));
+    }
+}
+
+bool ZoneSite::isPaused(int node) const
+{
+    return m_queue.now() < m_nodes[static_cast<std::size_t>(node)].m_pausedUntil;
+}
+
+void ZoneSite::apply(int node, const membership::Event &event)
+{
+    ZoneNode &state = m_nodes[static_cast<std::size_t>(node)];
+    for (const membership::SendHeartbeat &sent : membership::step(state.m_membership, event, m_queue.now())) {
+        const int to = std::stoi(sent.m_address);
+        const int toZone = m_nodes[static_cast<std::size_t>(to)].m_zone;
+        if (!m_linked[static_cast<std::size_t>(state.m_zone)][static_cast<std::size_t>(toZone)]) {
+            continue;
+        }
+        const membership::Heartbeat heartbeat = sent.m_heartbeat;
+        m_queue.send(between, [this, to, heartbeat] {
+            const fleet::TimePoint pausedUntil = m_nodes[static_cast<std::size_t>(to)].m_pausedUntil;
+            // A paused process finds the message in its socket when it wakes.
+            m_queue.at(std::max(pausedUntil, m_queue.now()), [this, to, heartbeat] {
+                apply(to, membership::HeartbeatReceived {heartbeat});
+            });
+        });
+    }
+}
+
+void ZoneSite::appendRecord(const std::string &bytes)
+{
+    const std::uint64_t offset = m_log.size();
+    m_log.push_back(bytes);
+    configuration::fold(m_truth, offset, m_queue.now(), bytes);
+    for (int zone = 0; zone < zoneCount; ++zone) {
+        if (!m_truth.m_configuration.isOut(zoneName(zone))) {
+            m_outSince[static_cast<std::size_t>(zone)].reset();
+        }
+    }
+}
+
+void ZoneSite::noteToldOut(int node)
+{
+    const ZoneNode &state = m_nodes[static_cast<std::size_t>(node)];
+    const auto note = [this](const fleet::ZoneId &zone) {
+        std::optional<fleet::TimePoint> &since = m_outSince[static_cast<std::size_t>(std::stoi(zone.value().substr(1)))];
+        since = since.value_or(m_queue.now());
+    };
+    for (const configuration::ZoneOut &out : m_truth.m_configuration.m_zonesOut) {
+        if (state.m_configuration.m_configuration.isOut(out.m_zone)) {
+            note(out.m_zone);
+        }
+    }
+    for (const auto &[id, takeOut] : state.m_membership.m_takeOuts) {
+        if (!m_truth.m_configuration.findResult(id) && membership::isConfirmed(state.m_membership, id)) {
+            note(takeOut.m_zone);
+        }
+    }
+}
+
+void ZoneSite::appendTakeOuts(int node)
+{
+    const ZoneNode &state = m_nodes[static_cast<std::size_t>(node)];
+    if (!m_logReachable[static_cast<std::size_t>(state.m_zone)]) {
+        return;
+    }
+    const configuration::Version madeFrom = state.m_configuration.m_configuration.m_version;
+    for (const auto &[id, takeOut] : state.m_membership.m_takeOuts) {
+        const configuration::TakeZoneOut operation {takeOut.m_zone, takeOut.m_reason};
+        appendRecord(configuration::encodeRecord(configuration::Change {id, madeFrom, takeOut.m_operator, takeOut.m_at, operation}));
+    }
+}
+
+void ZoneSite::noteConfiguration(int node)
+{
+    ZoneNode &state = m_nodes[static_cast<std::size_t>(node)];
+    const configuration::Configuration &configuration = state.m_configuration.m_configuration;
+    if (configuration.m_version < state.m_highestSeen) {
+        m_violation = "the configuration went back at an instance";
+    }
+    state.m_highestSeen = configuration.m_version;
+    membership::ConfigurationKnown known {configuration.m_version, {}};
+    for (const configuration::ChangeResult &result : configuration.m_results) {
+        known.m_folded.push_back(result.m_id);
+    }
+    apply(node, known);
+}
+
+void ZoneSite::readLog(int node)
+{
+    ZoneNode &state = m_nodes[static_cast<std::size_t>(node)];
+    if (!m_logReachable[static_cast<std::size_t>(state.m_zone)]) {
+        return;
+    }
+    const fleet::TimePoint askedAt = m_queue.now();
+    const std::vector<std::string> records(m_log.begin() + static_cast<std::ptrdiff_t>(state.m_configuration.m_next), m_log.end());
+    const std::uint64_t from = state.m_configuration.m_next;
+    const fleet::Duration delay(1 + m_queue.dice().roll(m_queue.dice().chance(10) ? 4000 : 30));
+    m_queue.at(askedAt + delay, [this, node, askedAt, records, from] {
+        m_queue.at(std::max(m_queue.now(), m_nodes[static_cast<std::size_t>(node)].m_pausedUntil), [this, node, askedAt, records, from] {
+            ZoneNode &reader = m_nodes[static_cast<std::size_t>(node)];
+            for (std::size_t i = 0; i < records.size(); ++i) {
+                configuration::fold(reader.m_configuration, from + i, askedAt, records[i]);
+            }
+            noteConfiguration(node);
+            apply(node, membership::LogRead {askedAt});
+        });
+    });
+}
+
+void ZoneSite::syncFromPeers(int node)
+{
+    ZoneNode &state = m_nodes[static_cast<std::size_t>(node)];
+    if (!membership::isBehind(state.m_membership)) {
+        return;
+    }
+    for (const ZoneNode &peer : m_nodes) {
+        const bool forth = m_linked[static_cast<std::size_t>(state.m_zone)][static_cast<std::size_t>(peer.m_zone)];
+        const bool back = m_linked[static_cast<std::size_t>(peer.m_zone)][static_cast<std::size_t>(state.m_zone)];
+        if (forth && back && peer.m_configuration.m_configuration.m_version > state.m_configuration.m_configuration.m_version) {
+            configuration::adopt(state.m_configuration, configuration::makeSnapshot(peer.m_configuration));
+            noteConfiguration(node);
+        }
+    }
+}
+
+void ZoneSite::tick(int node)
+{
+    if (!isPaused(node)) {
+        readLog(node);
+        syncFromPeers(node);
+        apply(node, membership::Tick {});
+        appendTakeOuts(node);
+        noteToldOut(node);
+        checkStarts(node);
+    }
+    m_queue.at(m_queue.now() + tickInterval, [this, node] {
+        tick(node);
+    });
+}
+
+void ZoneSite::checkStarts(int node)
+{
+    const ZoneNode &state = m_nodes[static_cast<std::size_t>(node)];
+    const auto closed = zones::closedZones(state.m_configuration.m_configuration, membership::provisionallyOut(state.m_membership));
+    zones::ZoneView view;
+    view.m_isOut = std::find(closed.begin(), closed.end(), zoneName(state.m_zone)) != closed.end();
+    view.m_hasConfiguration = state.m_configuration.m_complete;
+    view.m_viewFreshAt = state.m_membership.m_viewFreshAt.value_or(fleet::TimePoint());
+    view.m_otherZonesHeardAt = membership::otherZonesHeardAt(state.m_membership, m_queue.now());
+    view.m_isBehind = membership::isBehind(state.m_membership);
+    const zones::StartPermission permission = zones::judgeStart({}, view, m_queue.now());
+    if (!zones::isAllowed(permission)) {
+        return;
+    }
+    m_startsWithoutLog += permission == zones::StartPermission::AllowedWithoutLog ? 1 : 0;
+    const std::optional<fleet::TimePoint> &since = m_outSince[static_cast<std::size_t>(state.m_zone)];
+    if (since && *since + grace < m_queue.now()) {
+        m_violation = "a task may start " + std::to_string((m_queue.now() - *since).count()) + " ms after its zone was taken out";
+    }
+}
+
+void ZoneSite::changeCuts()
+{
+    if (m_queue.dice().chance(40)) {
+        m_logReachable.assign(zoneCount, true);
+        m_linked.assign(zoneCount, std::vector<bool>(zoneCount, true));
+    }
+    for (int zone = 0; zone < zoneCount; ++zone) {
+        if (m_queue.dice().chance(40)) {
+            m_logReachable[static_cast<std::size_t>(zone)] = false;
+        }
+        const int other = m_queue.dice().roll(zoneCount);
+        if (other != zone && m_queue.dice().chance(30)) {
+            m_linked[static_cast<std::size_t>(zone)][static_cast<std::size_t>(other)] = false;
+        }
+    }
+    if (m_queue.dice().chance(10)) {
+        m_logReachable.assign(zoneCount, false);
+    }
+    ZoneNode &paused = m_nodes[static_cast<std::size_t>(m_queue.dice().roll(zoneCount * perZone))];
+    if (m_queue.dice().chance(30)) {
+        paused.m_pausedUntil = m_queue.now() + std::chrono::seconds(1 + m_queue.dice().roll(30));
+    }
+    m_queue.at(m_queue.now() + std::chrono::seconds(5 + m_queue.dice().roll(20)), [this] {
+        changeCuts();
+    });
+}
+
+void ZoneSite::takeOut(int node, const fleet::ZoneId &zone)
+{
+    const configuration::ChangeId id("c" + std::to_string(++m_changes));
+    // Spread among the instances first: stopping early is safe, and the log may be lost right after the append.
+    apply(node, membership::TakeOutRequested {{id, zone, fleet::OperatorId("op"), "flood", m_queue.now()}});
+    appendTakeOuts(node);
+}
+
+void ZoneSite::operate()
+{
+    const int node = m_queue.dice().roll(zoneCount * perZone);
+    const fleet::ZoneId zone = zoneName(m_queue.dice().roll(zoneCount));
+    ZoneNode &state = m_nodes[static_cast<std::size_t>(node)];
+    const bool returns = m_queue.dice().chance(50);
+    if (!isPaused(node) && !returns) {
+        takeOut(node, zone);
+    } else if (!isPaused(node) && m_logReachable[static_cast<std::size_t>(state.m_zone)]) {
+        const configuration::ChangeId id("c" + std::to_string(++m_changes));
+        const configuration::Version madeFrom = state.m_configuration.m_configuration.m_version;
+        appendRecord(
+            configuration::encodeRecord(configuration::Change {id, madeFrom, fleet::OperatorId("op"), m_queue.now(), configuration::ReturnZone {zone}}));
+    }
+    m_queue.at(m_queue.now() + std::chrono::seconds(3 + m_queue.dice().roll(20)), [this] {
+        operate();
+    });
+}
+
+void ZoneSite::run()
+{
+    m_queue.at(m_queue.now() + std::chrono::seconds(10), [this] {
+        changeCuts();
+        operate();
+    });
+    m_queue.runUntil(m_queue.now() + std::chrono::minutes(4));
+}
+
+}
--- /dev/null
+++ b/components/membership/heartbeat.hpp
@@ -0,0 +1,82 @@
+#ifndef COMPONENTS_MEMBERSHIP_HEARTBEAT_HPP
+#define COMPONENTS_MEMBERSHIP_HEARTBEAT_HPP
+
+#include "components/configuration/version.hpp"
+#include "components/fleet/fencing_token.hpp"
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/incarnation.hpp"
+#include "components/fleet/time.hpp"
+#include "components/membership/member_phase.hpp"
+#include "components/membership/take_out.hpp"
+#include "components/membership/zone_summary.hpp"
+#include "components/requests/routing.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace membership
+{
+
+/// What the sender knows about another instance.
+struct News
+{
+    fleet::InstanceId m_instance;
+    fleet::Incarnation m_incarnation;
+    fleet::ZoneId m_zone;
+    std::string m_address;
+    MemberPhase m_phase = MemberPhase::Live;
+    /// How long ago the sender last heard of it.
+    fleet::Duration m_age {0};
+
+    bool operator==(const News &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_instance, m_incarnation, m_zone, m_address, m_phase);
+        fleet::serializeDuration(archive, m_age);
+    }
+};
+
+/// One UDP message from one instance to another.
+struct Heartbeat
+{
+    fleet::InstanceId m_from;
+    fleet::Incarnation m_incarnation;
+    /// Counts the sender's heartbeats to all instances from 1.
+    std::uint64_t m_sequence = 0;
+    /// Last sequence received from the recipient, and of which incarnation; proves when this message was sent.
+    fleet::Incarnation m_echoIncarnation;
+    std::uint64_t m_echo = 0;
+    fleet::ZoneId m_zone;
+    std::string m_address;
+    MemberPhase m_phase = MemberPhase::Live;
+    /// Whose request ids the sender dispatches besides its own.
+    std::vector<requests::Issuer> m_inherited;
+    configuration::Version m_configuration;
+    /// True where the sender's view of the configuration was ever fresh.
+    bool m_hasView = false;
+    /// Time since the sender's view was fresh, directly or by relay.
+    fleet::Duration m_viewAge {0};
+    /// Highest token of the sender's zone that it knows.
+    fleet::FencingToken m_token;
+    std::vector<ZoneSummary> m_zones;
+    std::vector<TakeOut> m_takeOuts;
+    std::vector<News> m_news;
+
+    bool operator==(const Heartbeat &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_from, m_incarnation, m_sequence, m_echoIncarnation, m_echo, m_zone, m_address, m_phase, m_inherited);
+        archive(m_configuration, m_hasView);
+        fleet::serializeDuration(archive, m_viewAge);
+        archive(m_token, m_zones, m_takeOuts, m_news);
+    }
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/membership/merge.cpp
@@ -0,0 +1,176 @@
+#include "components/membership/merge.hpp"
+
+#include "components/membership/state.hpp"
+
+#include <algorithm>
+
+namespace membership
+{
+
+namespace
+{
+
+/// Most members that are kept; more would be an error elsewhere.
+constexpr std::size_t maxMembers = 256;
+
+/// Most take-outs that are kept.
+constexpr std::size_t maxTakeOuts = 64;
+
+/// Finds the member, or adds it. Null where the table is full.
+Member *obtain(State &state, const fleet::InstanceId &id, fleet::TimePoint now)
+{
+    const auto found = state.m_members.find(id);
+    if (found != state.m_members.end()) {
+        return &found->second;
+    }
+    if (id == state.m_self || state.m_members.size() >= maxMembers) {
+        return nullptr;
+    }
+    Member &member = state.m_members[id];
+    member.m_id = id;
+    member.m_firstSeenAt = now;
+    return &member;
+}
+
+/// A later incarnation is a new process: what was known of the earlier one does not hold for it.
+void beginIncarnation(Member &member, fleet::Incarnation incarnation, fleet::TimePoint now)
+{
+    if (member.m_incarnation.m_value != 0) {
+        member.m_phase = MemberPhase::Live;
+        member.m_listLeaving = false;
+    }
+    member.m_incarnation = incarnation;
+    member.m_sequence = 0;
+    member.m_inherited.clear();
+    member.m_takeOuts.clear();
+    member.m_firstSeenAt = now;
+}
+
+void mergeNews(State &state, const News &news, fleet::TimePoint now)
+{
+    Member *member = obtain(state, news.m_instance, now);
+    if (!member || news.m_incarnation < member->m_incarnation || news.m_phase > MemberPhase::Gone) {
+        return;
+    }
+    if (news.m_incarnation > member->m_incarnation) {
+        beginIncarnation(*member, news.m_incarnation, now);
+    }
+    member->m_phase = std::max(member->m_phase, news.m_phase);
+    member->m_heardAt = std::max(member->m_heardAt, now - std::max(news.m_age, fleet::Duration {0}));
+    if (member->m_address.empty()) {
+        member->m_address = news.m_address;
+        member->m_zone = news.m_zone;
+    }
+}
+
+/// Returns when this instance sent the heartbeat that the other echoes; absent where it is too long ago to say.
+std::optional<fleet::TimePoint> sentTime(const State &state, const Heartbeat &heartbeat)
+{
+    if (heartbeat.m_echoIncarnation != state.m_incarnation) {
+        return std::nullopt;
+    }
+    const auto found = std::lower_bound(state.m_sent.begin(), state.m_sent.end(), heartbeat.m_echo, [](const SentHeartbeat &sent, std::uint64_t sequence) {
+        return sent.m_sequence < sequence;
+    });
+    if (found == state.m_sent.end() || found->m_sequence != heartbeat.m_echo) {
+        return std::nullopt;
+    }
+    return found->m_at;
+}
+
+/// Uses what only a message of proven age may say.
+void mergeProven(State &state, Member &member, const Heartbeat &heartbeat, fleet::TimePoint provenAt)
+{
+    member.m_provenAt = std::max(member.m_provenAt, provenAt);
+    if (heartbeat.m_hasView && heartbeat.m_viewAge.count() >= 0 && heartbeat.m_configuration <= state.m_configuration) {
+        const fleet::TimePoint freshAt = provenAt - heartbeat.m_viewAge;
+        state.m_viewFreshAt = std::max(state.m_viewFreshAt.value_or(freshAt), freshAt);
+    }
+}
+
+void mergeTakeOuts(State &state, Member &member, const std::vector<TakeOut> &takeOuts)
+{
+    for (const TakeOut &takeOut : takeOuts) {
+        if (std::find(member.m_takeOuts.begin(), member.m_takeOuts.end(), takeOut.m_id) == member.m_takeOuts.end()) {
+            member.m_takeOuts.push_back(takeOut.m_id);
+        }
+        if (!state.m_folded.contains(takeOut.m_id) && state.m_takeOuts.size() < maxTakeOuts) {
+            state.m_takeOuts.emplace(takeOut.m_id, takeOut);
+        }
+    }
+}
+
+void mergeSummary(State &state, const ZoneSummary &summary)
+{
+    ZoneSummary &known = state.m_summaries[summary.m_zone];
+    const bool isLater = summary.m_token > known.m_token || (summary.m_token == known.m_token && summary.m_sequence > known.m_sequence);
+    if (isLater) {
+        known = summary;
+    }
+}
+
+void mergeSender(Member &member, const Heartbeat &heartbeat, fleet::TimePoint now)
+{
+    member.m_sequence = heartbeat.m_sequence;
+    member.m_zone = heartbeat.m_zone;
+    member.m_address = heartbeat.m_address;
+    member.m_phase = std::max(member.m_phase, heartbeat.m_phase);
+    member.m_heardAt = now;
+    member.m_directAt = now;
+    member.m_inherited = heartbeat.m_inherited;
+    member.m_configuration = std::max(member.m_configuration, heartbeat.m_configuration);
+    member.m_token = std::max(member.m_token, heartbeat.m_token);
+}
+
+}
+
+void mergeHeartbeat(State &state, const Heartbeat &heartbeat, fleet::TimePoint now)
+{
+    Member *member = obtain(state, heartbeat.m_from, now);
+    if (!member || heartbeat.m_incarnation < member->m_incarnation || heartbeat.m_phase > MemberPhase::Gone) {
+        return;
+    }
+    if (heartbeat.m_incarnation > member->m_incarnation) {
+        beginIncarnation(*member, heartbeat.m_incarnation, now);
+    }
+    for (const News &news : heartbeat.m_news) {
+        mergeNews(state, news, now);
+    }
+    mergeTakeOuts(state, *member, heartbeat.m_takeOuts);
+    for (const ZoneSummary &summary : heartbeat.m_zones) {
+        mergeSummary(state, summary);
+    }
+    if (heartbeat.m_sequence > member->m_sequence) {
+        mergeSender(*member, heartbeat, now);
+    }
+    if (const std::optional<fleet::TimePoint> provenAt = sentTime(state, heartbeat)) {
+        mergeProven(state, *member, heartbeat, *provenAt);
+    }
+}
+
+void mergeList(State &state, const ListRead &list, fleet::TimePoint now)
+{
+    const bool isNewer = !state.m_listAsOf || list.m_asOf > *state.m_listAsOf;
+    if (isNewer) {
+        state.m_listAsOf = list.m_asOf;
+        for (auto &[id, member] : state.m_members) {
+            member.m_listed = false;
+        }
+    }
+    for (const ListedInstance &listed : list.m_instances) {
+        Member *member = obtain(state, listed.m_id, now);
+        if (!member) {
+            continue;
+        }
+        member->m_listed = member->m_listed || isNewer;
+        // News of leaving that is older than the present incarnation was about an earlier one.
+        const bool concernsPresent = member->m_incarnation.m_value == 0 || list.m_asOf >= member->m_firstSeenAt;
+        member->m_listLeaving = member->m_listLeaving || (listed.m_leaving && concernsPresent);
+        if (member->m_address.empty()) {
+            member->m_address = listed.m_address;
+            member->m_zone = listed.m_zone;
+        }
+    }
+}
+
+}
--- a/components/requests/routing.cpp
+++ b/components/requests/routing.cpp
@@ -1,7 +1,5 @@
 #include "components/requests/routing.hpp"
 
-#include "components/requests/submit.hpp"
-
 #include <algorithm>
 
 namespace requests
@@ -17,7 +15,10 @@
         }
         return dispatcher.m_instance == here ? Route(HandleHere {}) : Route(ForwardTo {dispatcher.m_instance});
     }
-    return answerWithoutRecord(sending);
+    if (sending == 1) {
+        return Answer {AnswerKind::DidNotRun, {}, "the instance that issued this id is gone; ask for a new id and send again"};
+    }
+    return Answer {AnswerKind::OutcomeUnknown, {}, "the instance that issued this id is gone; find out by other means whether it ran"};
 }
 
 Answer answerFailedForward(int sending, bool bytesLeft)
--- a/components/requests/submit.cpp
+++ b/components/requests/submit.cpp
@@ -13,6 +13,10 @@
 namespace
 {
 
+/// What is said of an id that is not in the table and may have been there. Also of a first sending: an earlier copy of
+/// the same message may have run and been forgotten.
+const Answer unknownId {AnswerKind::OutcomeUnknown, {}, "nothing is known of this id any more; find out by other means whether it ran"};
+
 void reply(const Submitted &event, const Answer &answer, std::vector<Action> &actions)
 {
     actions.emplace_back(Reply {event.m_waiter, event.m_request.m_id, answer});
@@ -82,19 +86,11 @@
 
 }
 
-Answer answerWithoutRecord(int sending)
-{
-    if (sending == 1) {
-        return refusal("the instance that issued this id no longer keeps it; ask for a new id and send again");
-    }
-    return {AnswerKind::OutcomeUnknown, {}, "the instance that issued this id no longer keeps it; find out by other means whether it ran"};
-}
-
 void submit(State &state, const Submitted &event, std::vector<Action> &actions, fleet::TimePoint now)
 {
     IdRange *range = findRange(state, event.m_minted);
     if (!range) {
-        reply(event, answerWithoutRecord(event.m_sending), actions);
+        reply(event, unknownId, actions);
         return;
     }
     if (state.m_handedOver) {
@@ -105,7 +101,7 @@
     if (known != state.m_entries.end()) {
         submitKnown(state, known->second, event, actions);
     } else if (event.m_minted.m_counter <= range->m_forgotten) {
-        reply(event, answerWithoutRecord(event.m_sending), actions);
+        reply(event, unknownId, actions);
     } else if (event.m_minted.m_counter > range->m_issued) {
         reply(event, refusal("this id was never issued; ask for a new id"), actions);
     } else if (isFull(state)) {
--- /dev/null
+++ b/components/wire/envelope.cpp
@@ -0,0 +1,35 @@
+#include "components/wire/envelope.hpp"
+
+#include "components/wire/codec.hpp"
+#include "components/wire/mac.hpp"
+#include "components/wire/wire_error.hpp"
+
+namespace wire
+{
+
+namespace
+{
+
+constexpr std::uint8_t envelopeVersion = 1;
+
+}
+
+std::string seal(const Keys &keys, const Envelope &envelope)
+{
+    const std::string content = encode(envelopeVersion, envelope);
+    return sign(keys, content) + content;
+}
+
+Envelope open(const Keys &keys, const fleet::InstanceId &self, std::string_view bytes)
+{
+    if (bytes.size() <= macLength || !verify(keys, bytes.substr(macLength), bytes.substr(0, macLength))) {
+        throw AuthenticationError("a message fits none of the keys; give every instance the same keys");
+    }
+    Envelope envelope = decode<Envelope>(envelopeVersion, bytes.substr(macLength));
+    if (envelope.m_to != self) {
+        throw AuthenticationError("a message is for instance " + envelope.m_to.value() + "; check the peer addresses in the settings");
+    }
+    return envelope;
+}
+
+}
--- /dev/null
+++ b/components/wire/wire_test.cpp
@@ -0,0 +1,133 @@
+#include "components/wire/codec.hpp"
+#include "components/wire/envelope.hpp"
+#include "components/wire/frame_reader.hpp"
+#include "components/wire/mac.hpp"
+#include "components/wire/replay_guard.hpp"
+#include "components/wire/wire_error.hpp"
+
+#include <set>
+
+#include <rapidcheck.h>
+
+#include <criterion/criterion.h>
+
+using namespace wire;
+
+namespace
+{
+
+const Keys keys {"signing key", {}};
+const fleet::InstanceId self {"i2"};
+
+Envelope makeEnvelope(std::uint64_t sequence, std::uint64_t incarnation = 5)
+{
+    return {fleet::InstanceId("i1"), {incarnation}, self, sequence, MessageType::Heartbeat, "payload"};
+}
+
+}
+
+Test(mac, publishedExample_sign_givesItsTag)
+{
+    // Test case 2 of RFC 4231.
+    const std::string tag = sign({"Jefe", {}}, "what do ya want for nothing?");
+    cr_assert_eq(static_cast<unsigned char>(tag[0]), 0x5bU);
+    cr_assert_eq(static_cast<unsigned char>(tag[31]), 0x43U);
+}
+
+Test(envelope, sealedWithEitherKey_open_givesTheMessage)
+{
+    const Envelope envelope = makeEnvelope(1);
+    cr_assert(open(keys, self, seal(keys, envelope)) == envelope);
+    cr_assert(open({"new key", "signing key"}, self, seal(keys, envelope)) == envelope);
+    cr_assert_throw(open({"new key", {}}, self, seal(keys, envelope)), AuthenticationError);
+    cr_assert_throw(open(keys, fleet::InstanceId("i3"), seal(keys, envelope)), AuthenticationError);
+}
+
+Test(envelope, anyChangedByte_open_isRefused)
+{
+    const bool holds = rc::check([] {
+        std::string bytes = seal(keys, makeEnvelope(1));
+        const auto place = static_cast<std::size_t>(*rc::gen::inRange<int>(0, static_cast<int>(bytes.size())));
+        bytes[place] = static_cast<char>(bytes[place] ^ *rc::gen::inRange(1, 256));
+        RC_ASSERT_THROWS_AS(open(keys, self, bytes), AuthenticationError);
+    });
+    cr_assert(holds);
+}
+
+Test(codec, anyBytes_decode_givesAValueOrACodecError)
+{
+    const bool holds = rc::check([] {
+        const std::string bytes = '\1' + *rc::gen::arbitrary<std::string>();
+        try {
+            decode<std::vector<std::vector<std::string>>>(1, bytes);
+        } catch (const CodecError &) {
+            RC_SUCCEED("refused");
+        }
+    });
+    cr_assert(holds);
+}
+
+Test(codec, lengthBeyondTheBytes_decode_isRefusedBeforeAllocation)
+{
+    std::string bytes(9, '\0');
+    bytes[0] = 1;
+    bytes[8] = 0x7f;
+    cr_assert_throw(decode<std::vector<std::uint64_t>>(1, bytes), CodecError);
+    cr_assert_throw(decode<std::string>(1, bytes), CodecError);
+}
+
+Test(replayGuard, anyOrderWithRepeats_accept_isTrueAtMostOnceEach)
+{
+    const bool holds = rc::check([] {
+        ReplayGuard guard;
+        std::set<std::uint64_t> accepted;
+        const auto sequences = *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 9000));
+        for (const int sequence : sequences) {
+            const auto value = static_cast<std::uint64_t>(sequence);
+            if (accept(guard, makeEnvelope(value))) {
+                RC_ASSERT(accepted.insert(value).second);
+            } else {
+                RC_ASSERT(accepted.contains(value) || value + replayWindow <= *accepted.rbegin());
+            }
+        }
+    });
+    cr_assert(holds);
+}
+
+Test(replayGuard, earlierIncarnation_accept_isFalse)
+{
+    ReplayGuard guard;
+    cr_assert(accept(guard, makeEnvelope(7, 5)));
+    cr_assert(accept(guard, makeEnvelope(1, 6)));
+    cr_assert_not(accept(guard, makeEnvelope(8, 5)));
+}
+
+Test(frameReader, anyCutting_next_givesTheMessages)
+{
+    const bool holds = rc::check([] {
+        const auto messages = *rc::gen::container<std::vector<std::string>>(rc::gen::nonEmpty<std::string>());
+        std::string stream;
+        for (const std::string &message : messages) {
+            stream += makeFrame(message);
+        }
+        FrameReader reader;
+        std::vector<std::string> found;
+        while (!stream.empty()) {
+            const auto count = std::min(stream.size(), static_cast<std::size_t>(*rc::gen::inRange(1, 40)));
+            reader.push(stream.substr(0, count));
+            stream.erase(0, count);
+            while (auto message = reader.next()) {
+                found.push_back(*message);
+            }
+        }
+        RC_ASSERT(found == messages);
+    });
+    cr_assert(holds);
+}
+
+Test(frameReader, lengthAboveTheLimit_next_throws)
+{
+    FrameReader reader;
+    reader.push("\xff\xff\xff\xff");
+    cr_assert_throw(reader.next(), FrameError);
+}
