--- a/apps/foxtailcross-load/command_line.cpp
+++ b/apps/foxtailcross-load/command_line.cpp
@@ -1,5 +1,7 @@
 #include "apps/foxtailcross-load/command_line.hpp"
 
+#include "components/experiment/setting_override.hpp"
+
 #include <boost/program_options.hpp>
 
 #include <cmath>
@@ -19,22 +21,27 @@
 
 options::options_description described()
 {
+    using options::value;
     options::options_description description("foxtailcross-load experiment: runs the scheduler's decisions in virtual time over seeded load and faults.\n"
                                              "Exit code: 0 done, 1 a promise was broken or a target missed, 2 wrong use.\n"
                                              "Options");
-    description.add_options()("help", "print this help")("version",
-                                                         "print the version")("command", options::value<std::string>()->default_value(""), "experiment")(
-        "size", options::value<std::string>()->default_value("swaralaya"), "swaralaya, kurume or two-year")(
-        "policy", options::value<std::string>()->default_value("guaranteed"), "guaranteed or first-fit-fifo")(
-        "compare", "run both policies on the same seeds and judge the targets")("seeds", options::value<std::uint64_t>()->default_value(5), "number of seeds")(
-        "first-seed", options::value<std::uint64_t>()->default_value(1), "first seed")(
-        "days", options::value<double>()->default_value(1.0), "days during which jobs arrive")(
-        "faults", options::value<std::string>()->default_value("on"), "on or off")(
-        "fault-scale", options::value<double>()->default_value(1.0), "factor on the rate of every fault")(
-        "load", options::value<double>(), "accelerator time asked for as a share of capacity; the size's own by default")(
-        "threads", options::value<unsigned>()->default_value(4), "seeds run at once")(
-        "output", options::value<std::string>()->default_value("table"), "table or json")(
-        "plot", options::value<std::string>()->default_value(""), "write the distribution of completion times to this SVG file");
+    auto add = description.add_options();
+    add("help", "print this help");
+    add("version", "print the version");
+    add("command", value<std::string>()->default_value(""), "experiment");
+    add("size", value<std::string>()->default_value("swaralaya"), "swaralaya, kurume or two-year");
+    add("policy", value<std::string>()->default_value("guaranteed"), "guaranteed or first-fit-fifo");
+    add("compare", "run both policies on the same seeds and judge the targets");
+    add("set", value<std::vector<std::string>>(), "name=number: change a scheduler setting; may be repeated");
+    add("seeds", value<std::uint64_t>()->default_value(5), "number of seeds");
+    add("first-seed", value<std::uint64_t>()->default_value(1), "first seed");
+    add("days", value<double>()->default_value(1.0), "days during which jobs arrive");
+    add("faults", value<std::string>()->default_value("on"), "on or off");
+    add("fault-scale", value<double>()->default_value(1.0), "factor on the rate of every fault");
+    add("load", value<double>(), "accelerator time asked for as a share of capacity; the size's own by default");
+    add("threads", value<unsigned>()->default_value(4), "seeds run at once");
+    add("output", value<std::string>()->default_value("table"), "table or json");
+    add("plot", value<std::string>()->default_value(""), "write the distribution of completion times to this SVG file");
     return description;
 }
 
@@ -59,6 +66,11 @@
     command.m_options.m_site = experiment::siteNamed(values["size"].as<std::string>());
     const bool isGuaranteed = choose("policy", values["policy"].as<std::string>(), "guaranteed", "first-fit-fifo");
     command.m_options.m_scheduler.m_policy = isGuaranteed ? scheduler::Policy::Guaranteed : scheduler::Policy::FirstFitFifo;
+    if (values.count("set") > 0) {
+        for (const std::string &assignment : values["set"].as<std::vector<std::string>>()) {
+            experiment::overrideSetting(command.m_options.m_scheduler, assignment);
+        }
+    }
     const double days = values["days"].as<double>();
     checkRange("days", days, 0.001, longestDays);
     command.m_options.m_horizon = fleet::Duration(std::llround(days * millisecondsPerDay));
--- a/components/experiment/arrivals.cpp
+++ b/components/experiment/arrivals.cpp
@@ -2,6 +2,7 @@
 
 #include "components/admission/zone_choice.hpp"
 #include "components/experiment/run_state.hpp"
+#include "components/experiment/workload.hpp"
 #include "components/experiment/zone_loop.hpp"
 
 #include <algorithm>
@@ -133,9 +134,9 @@
 {
     JobRecord &record = run.m_records[index];
     const fleet::JobSpec &spec = run.m_jobs[index].m_spec;
-    const bool startsFresh = spec.m_submittedAt > fleet::TimePoint() && !summary.m_out;
-    record.m_isGuaranteedAsk = startsFresh && isEntitled(spec, summary);
-    record.m_isBudgetedUrgent = startsFresh && spec.m_urgency == fleet::Urgency::Urgent && isWithinUrgencyBudget(run, index, *record.m_zone, now);
+    const bool isCounted = spec.m_submittedAt > runStart && !summary.m_out;
+    record.m_isGuaranteedAsk = isCounted && isEntitled(spec, summary);
+    record.m_isBudgetedUrgent = isCounted && spec.m_urgency == fleet::Urgency::Urgent && isWithinUrgencyBudget(run, index, *record.m_zone, now);
 }
 
 }
--- a/components/experiment/fake_worker.cpp
+++ b/components/experiment/fake_worker.cpp
@@ -15,6 +15,8 @@
 
 constexpr fleet::Duration failureDelay = std::chrono::seconds(3);
 constexpr int throttledSlowdown = 2;
+/// A task makes no progress for this long while it writes a checkpoint.
+constexpr fleet::Duration checkpointCost = std::chrono::seconds(5);
 
 void count(FakeLease &lease, fleet::TimePoint until)
 {
@@ -125,6 +127,7 @@
         lease.m_expiresAt = now + command.m_leaseLength;
     } else if (command.m_kind == CommandKind::Checkpoint && lease.m_running && checkpointable) {
         lease.m_checkpointed = lease.m_progress;
+        lease.m_countedTo = now + checkpointCost;
     } else if (command.m_kind == CommandKind::Throttle) {
         lease.m_throttled = true;
     } else if (command.m_kind == CommandKind::Unthrottle) {
@@ -189,7 +192,8 @@
 {
     std::vector<TaskChange> changes = advance(worker, now);
     while (!worker.m_leases.empty()) {
-        append(changes, endTask(worker, worker.m_leases.begin()->first, TaskPhase::Lapsed, now));
+        const TaskRef task = worker.m_leases.begin()->first;
+        append(changes, endTask(worker, task, TaskPhase::Lapsed, now));
     }
     worker.m_finals.clear();
     return changes;
--- a/components/experiment/figures.cpp
+++ b/components/experiment/figures.cpp
@@ -46,6 +46,17 @@
     return startOf(run, index).value_or(end) - run.m_jobs[index].m_spec.m_submittedAt;
 }
 
+/// Whether operators had the job's zone out at any time between its submission and its start.
+bool wasZoneOut(const RunState &run, std::size_t index, fleet::TimePoint end)
+{
+    const fleet::TimePoint submittedAt = run.m_jobs[index].m_spec.m_submittedAt;
+    const fleet::TimePoint startedAt = startOf(run, index).value_or(end);
+    return std::any_of(run.m_faults.m_faults.begin(), run.m_faults.m_faults.end(), [&](const Fault &fault) {
+        const bool overlaps = fault.m_from <= startedAt && submittedAt <= fault.m_until;
+        return fault.m_kind == FaultKind::ZoneOut && run.m_records[index].m_zone == fault.m_subject && overlaps;
+    });
+}
+
 bool isLarge(const RunState &run, const PlannedJob &job)
 {
     return job.m_spec.m_shape.total().m_accelerators >= run.m_site.m_largeJob;
@@ -59,6 +70,7 @@
 /// Values by purpose, not yet sorted.
 struct Collected
 {
+    std::vector<double> m_runTimes;
     std::vector<double> m_completions;
     std::vector<double> m_largeCompletions;
     std::vector<double> m_guaranteeWaits;
@@ -76,12 +88,16 @@
     figures.m_done += isDone ? 1.0 : 0.0;
     figures.m_givenUp += record.m_endedAt && !isDone ? 1.0 : 0.0;
     figures.m_neverStarted += startOf(run, index) ? 0.0 : 1.0;
+    collected.m_runTimes.push_back(seconds(job.m_runTime));
     collected.m_completions.push_back(completion);
     collected.m_byAccount[job.m_spec.m_account].push_back(completion);
     if (isLarge(run, job)) {
         collected.m_largeCompletions.push_back(completion);
         figures.m_starvedLarge += isStarved(job, wait) ? 1.0 : 0.0;
     }
+    if (wasZoneOut(run, index, end)) {
+        return;
+    }
     if (record.m_isGuaranteedAsk) {
         collected.m_guaranteeWaits.push_back(seconds(wait));
     }
@@ -116,6 +132,8 @@
     static const std::vector<Measure> all {
         {"jobs", "", &Figures::m_jobs},
         {"sound jobs done", "", &Figures::m_done},
+        {"run time median", "s", &Figures::m_runTimeMedian},
+        {"run time p95", "s", &Figures::m_runTimeP95},
         {"completion median", "s", &Figures::m_completionMedian},
         {"completion p95", "s", &Figures::m_completionP95},
         {"large jobs' completion p95", "s", &Figures::m_largeCompletionP95},
@@ -153,6 +171,9 @@
     figures.m_seed = seed;
     Collected collected = collect(run, end, figures);
     figures.m_jobs = static_cast<double>(run.m_jobs.size());
+    const std::vector<double> runTimes = sorted(std::move(collected.m_runTimes));
+    figures.m_runTimeMedian = quantile(runTimes, 0.5);
+    figures.m_runTimeP95 = quantile(runTimes, 0.95);
     figures.m_completions = sorted(std::move(collected.m_completions));
     figures.m_completionMedian = quantile(figures.m_completions, 0.5);
     figures.m_completionP95 = quantile(figures.m_completions, 0.95);
--- a/components/experiment/figures.hpp
+++ b/components/experiment/figures.hpp
@@ -18,6 +18,9 @@
     std::uint64_t m_seed = 0;
     double m_jobs = 0.0;
     double m_done = 0.0;
+    /// Completion time of a scheduler without any wait or loss.
+    double m_runTimeMedian = 0.0;
+    double m_runTimeP95 = 0.0;
     double m_completionMedian = 0.0;
     double m_completionP95 = 0.0;
     double m_largeCompletionP95 = 0.0;
--- a/components/scheduler/attempt.hpp
+++ b/components/scheduler/attempt.hpp
@@ -26,6 +26,8 @@
     fleet::TimePoint m_startedAt;
     /// When the gang's leases were last given or renewed.
     fleet::TimePoint m_renewedAt;
+    /// When the gang was last asked for a checkpoint while it ran on.
+    fleet::TimePoint m_checkpointAskedAt;
     /// Run time that the job's checkpoint covered when the attempt was made.
     fleet::Duration m_resumedFrom {0};
     fleet::TimePoint m_placedAt;
--- a/components/scheduler/gang_timing.cpp
+++ b/components/scheduler/gang_timing.cpp
@@ -63,6 +63,15 @@
     return false;
 }
 
+/// Checkpoints on the way bound what a lost worker or a lapsed lease costs.
+bool isCheckpointDue(const Context &context, const Job &job)
+{
+    const Attempt &attempt = *job.m_attempt;
+    const fleet::Duration interval = context.m_state.m_settings.m_checkpointInterval;
+    const bool mayCheckpoint = job.m_spec.m_checkpointable && attempt.m_phase == AttemptPhase::Running && interval > fleet::Duration {0};
+    return mayCheckpoint && context.m_now - std::max(attempt.m_startedAt, attempt.m_checkpointAskedAt) >= interval;
+}
+
 void renewGang(Context &context, Job &job)
 {
     Attempt &attempt = *job.m_attempt;
@@ -76,11 +85,17 @@
         return;
     }
     attempt.m_renewedAt = context.m_now;
+    const bool withCheckpoint = isCheckpointDue(context, job);
     for (int task = 0; task < static_cast<int>(attempt.m_tasks.size()); ++task) {
-        if (!attempt.m_tasks[task].m_over) {
-            sendCommand(context, job, task, CommandKind::Renew);
+        if (attempt.m_tasks[task].m_over) {
+            continue;
+        }
+        sendCommand(context, job, task, CommandKind::Renew);
+        if (withCheckpoint) {
+            sendCommand(context, job, task, CommandKind::Checkpoint);
         }
     }
+    attempt.m_checkpointAskedAt = withCheckpoint ? context.m_now : attempt.m_checkpointAskedAt;
 }
 
 void tickEnding(Context &context, Job &job)
--- a/components/scheduler/settings.hpp
+++ b/components/scheduler/settings.hpp
@@ -27,6 +27,8 @@
     fleet::Duration m_refusalHold {5'000};
     /// A gang that makes room is stopped this long after it was asked for a checkpoint, whether it wrote one or not.
     fleet::Duration m_checkpointGrace {2'000};
+    /// Running gangs that can resume are asked for a checkpoint this often; 0 for only when they make room.
+    fleet::Duration m_checkpointInterval {600'000};
     /// Run time lost by stopping and starting a gang, beyond what no checkpoint covers.
     fleet::Duration m_restartCost {5'000};
 
