Takeover model, mending of a false refusal after a handover, hedging by default

Cause: with 3000 cases the request model found a refusal of a request that had run: a delayed copy reached the old instance after its handover, and the heir could not be reached. Change: an instance that has handed over answers what it knows from its table; a failed second hop is an unknown outcome. A third model holds the duty state machines of three instances, workers with leases, and the log.

--- /dev/null
+++ b/components/instances/duty_site.hpp
@@ -0,0 +1,98 @@
+#ifndef COMPONENTS_INSTANCES_DUTY_SITE_HPP
+#define COMPONENTS_INSTANCES_DUTY_SITE_HPP
+
+#include "components/duty/state.hpp"
+#include "components/duty/step.hpp"
+#include "components/instances/message_queue.hpp"
+#include "components/membership/state.hpp"
+#include "components/membership/step.hpp"
+#include "components/records/batcher.hpp"
+#include "components/records/stream_fold.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace instances
+{
+
+/// One worker with room for one task of the one job of the model.
+struct ModelWorker
+{
+    std::uint64_t m_token = 0;
+    /// Reserved or running until this time.
+    fleet::TimePoint m_leaseEnd;
+    bool m_running = false;
+};
+
+/// One instance with a scheduler of one job.
+struct DutyNode
+{
+    membership::State m_membership;
+    duty::State m_duty;
+    records::State m_records;
+    records::Batcher m_batcher;
+    fleet::TimePoint m_pausedUntil;
+    bool m_logReachable = true;
+    std::vector<bool> m_workerReachable;
+    /// The token under which this instance schedules; 0 while it does not.
+    std::uint64_t m_token = 0;
+    /// Where the job was reserved, started or found.
+    std::optional<int> m_worker;
+    bool m_started = false;
+    fleet::TimePoint m_sentAt;
+};
+
+/// The instances of one zone, its workers and the log, with cuts, pauses and a dead log. Watches that the one job never
+/// runs on two workers at once.
+class DutySite
+{
+public:
+    explicit DutySite(std::uint64_t seed);
+
+    void run();
+
+    const std::string &violation() const
+    {
+        return m_violation;
+    }
+
+    /// How often the job was started.
+    int starts() const
+    {
+        return m_starts;
+    }
+
+    /// How often a claim was accepted.
+    int claims() const
+    {
+        return m_claims;
+    }
+
+private:
+    void tick(int node);
+    void gossip(int node, const membership::Event &event);
+    void applyDuty(int node, const duty::Event &event);
+    void exchangeLog(int node);
+    void schedule(int node);
+    void command(int node, int worker, const std::string &kind);
+    void answer(int node, int worker, std::uint64_t token, const ModelWorker &report);
+    void whenAwake(int node, const std::function<void()> &action);
+    void changeFaults();
+    void watch();
+    bool isRunning(const ModelWorker &worker) const;
+
+    MessageQueue m_queue;
+    std::vector<DutyNode> m_nodes;
+    std::vector<ModelWorker> m_workers;
+    std::vector<std::string> m_log;
+    std::vector<std::vector<bool>> m_linked;
+    int m_starts = 0;
+    int m_claims = 0;
+    std::string m_violation;
+};
+
+}
+
+#endif
--- a/components/instances/request_site.cpp
+++ b/components/instances/request_site.cpp
@@ -101,7 +101,7 @@
             const auto [caller, sending] = m_waiters.at(moved->m_waiter.m_value);
             const int heir = m_nodes[static_cast<std::size_t>(node)].m_heir;
             if (heir >= 0) {
-                forward(node, heir, caller, sending, m_callers[static_cast<std::size_t>(caller)].m_request);
+                forward(node, heir, caller, sending, true);
             }
         }
     }
@@ -214,7 +214,7 @@
     if (const auto *answer = std::get_if<requests::Answer>(&route)) {
         answerCaller(caller, sending, *answer);
     } else if (const auto *other = std::get_if<requests::ForwardTo>(&route)) {
-        forward(node, std::stoi(other->m_instance.value().substr(1)), caller, sending, request);
+        forward(node, std::stoi(other->m_instance.value().substr(1)), caller, sending, false);
     } else {
         const std::uint64_t waiter = ++m_lastWaiter;
         m_waiters[waiter] = {caller, sending};
@@ -222,11 +222,12 @@
     }
 }
 
-void RequestSite::forward(int from, int to, int caller, int sending, const requests::Request &request)
+void RequestSite::forward(int from, int to, int caller, int sending, bool toHeir)
 {
+    const requests::Request request = m_callers[static_cast<std::size_t>(caller)].m_request;
     const Node &target = m_nodes[static_cast<std::size_t>(to)];
     if (!target.m_alive || from == to || m_queue.dice().chance(5)) {
-        answerCaller(caller, sending, requests::answerFailedForward(sending, false));
+        answerCaller(caller, sending, requests::answerFailedForward(sending, toHeir));
         return;
     }
     const std::uint64_t incarnation = target.m_incarnation;
--- a/components/instances/request_site.hpp
+++ b/components/instances/request_site.hpp
@@ -61,7 +61,7 @@
     void dispatch(int node, const requests::Dispatch &dispatch);
     void sendRequest(int caller);
     void arrive(int node, int caller, int sending, const requests::Request &request);
-    void forward(int from, int to, int caller, int sending, const requests::Request &request);
+    void forward(int from, int to, int caller, int sending, bool toHeir);
     void answerCaller(int caller, int sending, const requests::Answer &answer);
     void injectFault();
     void stopNode(int node);
--- a/components/membership/membership_test.cpp
+++ b/components/membership/membership_test.cpp
@@ -162,6 +162,7 @@
     const TakeOut takeOut {configuration::ChangeId("c1"), zone(2), fleet::OperatorId("op"), "flood", site.m_now};
     const Actions actions = step(site.m_states[0], TakeOutRequested {takeOut}, site.m_now);
     cr_assert_not(isConfirmed(site.m_states[0], takeOut.m_id));
+    cr_assert_eq(unconfirmed(site.m_states[0], takeOut).size(), 2U);
     site.deliver(actions);
     site.run(2);
     cr_assert(isConfirmed(site.m_states[0], takeOut.m_id));
--- a/components/membership/view.cpp
+++ b/components/membership/view.cpp
@@ -125,6 +125,18 @@
     });
 }
 
+std::vector<fleet::InstanceId> unconfirmed(const State &state, const TakeOut &takeOut)
+{
+    std::vector<fleet::InstanceId> missing;
+    for (const auto &[id, member] : state.m_members) {
+        const bool knows = std::find(member.m_takeOuts.begin(), member.m_takeOuts.end(), takeOut.m_id) != member.m_takeOuts.end();
+        if (member.m_zone == takeOut.m_zone && mayRun(member) && !knows) {
+            missing.push_back(id);
+        }
+    }
+    return missing;
+}
+
 bool isConfirmed(const State &state, const configuration::ChangeId &takeOut)
 {
     if (state.m_folded.contains(takeOut)) {
@@ -134,17 +146,11 @@
     if (known == state.m_takeOuts.end()) {
         return false;
     }
-    bool anyKnows = known->second.m_zone == state.m_zone;
-    for (const auto &[id, member] : state.m_members) {
-        if (member.m_zone != known->second.m_zone || !mayRun(member)) {
-            continue;
-        }
-        if (std::find(member.m_takeOuts.begin(), member.m_takeOuts.end(), takeOut) == member.m_takeOuts.end()) {
-            return false;
-        }
-        anyKnows = true;
-    }
-    return anyKnows;
+    const bool isOwnZone = known->second.m_zone == state.m_zone;
+    const bool hasInstance = std::any_of(state.m_members.begin(), state.m_members.end(), [&](const auto &entry) {
+        return entry.second.m_zone == known->second.m_zone && mayRun(entry.second);
+    });
+    return (isOwnZone || hasInstance) && unconfirmed(state, known->second).empty();
 }
 
 std::vector<fleet::ZoneId> provisionallyOut(const State &state)
--- a/components/membership/view.hpp
+++ b/components/membership/view.hpp
@@ -18,6 +18,7 @@
 {
 
 struct Member;
+struct TakeOut;
 struct State;
 
 /// True where the member was not heard lately, directly or by relay.
@@ -42,7 +43,10 @@
 /// True where another instance has a later configuration; fetch it from there.
 bool isBehind(const State &state);
 
-/// True where every instance of the taken-out zone that may run has said that it knows.
+/// Instances of the taken-out zone that may run and have not said that they know, this one left aside.
+std::vector<fleet::InstanceId> unconfirmed(const State &state, const TakeOut &takeOut);
+
+/// True where every instance of the taken-out zone that may run has said that it knows, or the log has the change.
 bool isConfirmed(const State &state, const configuration::ChangeId &takeOut);
 
 /// Zones taken out by take-outs that are not in the log yet.
--- a/components/requests/actions.hpp
+++ b/components/requests/actions.hpp
@@ -38,7 +38,8 @@
     bool operator==(const Reply &) const = default;
 };
 
-/// The request belongs to another instance since the handover; forward it there for this waiter.
+/// The request belongs to another instance since the handover; forward it there for this waiter. Where that fails the
+/// outcome is unknown, also for a first sending and where no byte was sent: another copy may have come through.
 struct SendToHeir
 {
     WaiterId m_waiter;
--- a/components/requests/settings.hpp
+++ b/components/requests/settings.hpp
@@ -20,7 +20,7 @@
     /// An attempt at an idempotent request that has no answer after this long is given up and retried elsewhere.
     fleet::Duration m_attemptTimeout = std::chrono::seconds(10);
     /// A second attempt at an idempotent request starts after this long without an answer; 0 for never.
-    fleet::Duration m_hedgeAfter {0};
+    fleet::Duration m_hedgeAfter {600};
     /// Retries allowed for each first attempt, by account and by runner.
     double m_retryRatio = 0.1;
     /// Most retries that an account or a runner can save up.
--- a/components/requests/submit.cpp
+++ b/components/requests/submit.cpp
@@ -93,15 +93,13 @@
         reply(event, unknownId, actions);
         return;
     }
-    if (state.m_handedOver) {
-        actions.emplace_back(SendToHeir {event.m_waiter, event.m_request.m_id});
-        return;
-    }
     const auto known = state.m_entries.find(event.m_request.m_id);
     if (known != state.m_entries.end()) {
         submitKnown(state, known->second, event, actions);
     } else if (event.m_minted.m_counter <= range->m_forgotten) {
         reply(event, unknownId, actions);
+    } else if (state.m_handedOver) {
+        actions.emplace_back(SendToHeir {event.m_waiter, event.m_request.m_id});
     } else if (event.m_minted.m_counter > range->m_issued) {
         reply(event, refusal("this id was never issued; ask for a new id"), actions);
     } else if (isFull(state)) {
