Interface under /v1 and the command line

Cause: callers and operators need one described way in before the daemon exists. Change: components/api reads every call into a typed value and writes typed replies, with strict members, error kinds with status and run state, and the operator token compared in constant time. components/cli and apps/foxtailcross hold the command line with documented exit codes. components/instance begins with the parts that need no other slice: log writer with group commit, command gate, worker links, scheduling duty. docs/interface.md describes the interface. Conclusion: the daemon can be joined on top of it.

--- /dev/null
+++ b/components/api/call.hpp
@@ -0,0 +1,33 @@
+#ifndef COMPONENTS_API_CALL_HPP
+#define COMPONENTS_API_CALL_HPP
+
+#include "components/api/caller_calls.hpp"
+#include "components/api/operator_calls.hpp"
+
+#include <variant>
+
+namespace api
+{
+
+/// Every call that the interface knows.
+using Call = std::variant<ShowHealth,
+                          ShowMetrics,
+                          SubmitJob,
+                          ShowJob,
+                          CancelJob,
+                          ListJobs,
+                          MintRequestIds,
+                          SendRequest,
+                          ShowRequest,
+                          ShowConfiguration,
+                          ChangeConfiguration,
+                          ShowStatus,
+                          ShowReport,
+                          ExplainJob>;
+
+/// True where the call needs the operator token.
+bool isOperatorCall(const Call &call);
+
+}
+
+#endif
--- /dev/null
+++ b/components/api/object_reader.cpp
@@ -0,0 +1,121 @@
+#include "components/api/object_reader.hpp"
+
+#include "components/api/error.hpp"
+
+#include <boost/json.hpp>
+
+#include <utility>
+
+namespace api
+{
+
+namespace
+{
+
+[[noreturn]] void refuse(const std::string &message)
+{
+    throw Error(ErrorKind::BadRequest, message);
+}
+
+}
+
+ObjectReader::ObjectReader(const boost::json::value &value, std::string what)
+    : m_object(value.if_object())
+    , m_what(std::move(what))
+{
+    if (!m_object) {
+        refuse(m_what + " is not a JSON object; send an object");
+    }
+}
+
+bool ObjectReader::has(std::string_view key) const
+{
+    return m_object->contains(key);
+}
+
+const boost::json::value &ObjectReader::member(std::string_view key)
+{
+    m_read.emplace(key);
+    const boost::json::value *found = m_object->if_contains(key);
+    if (!found) {
+        refuse(m_what + " has no member '" + std::string(key) + "'; add it");
+    }
+    return *found;
+}
+
+std::string ObjectReader::text(std::string_view key)
+{
+    const boost::json::value &value = member(key);
+    if (!value.is_string()) {
+        refuse(m_what + ": '" + std::string(key) + "' is not a string; put it in quotes");
+    }
+    return std::string(value.as_string());
+}
+
+std::string ObjectReader::text(std::string_view key, std::string_view absent)
+{
+    return has(key) ? text(key) : std::string(absent);
+}
+
+std::int64_t ObjectReader::integer(std::string_view key, std::int64_t lowest, std::int64_t highest)
+{
+    const boost::json::value &value = member(key);
+    boost::system::error_code error;
+    const auto number = value.to_number<std::int64_t>(error);
+    if (error || value.is_double() || number < lowest || number > highest) {
+        refuse(m_what + ": '" + std::string(key) + "' is not a whole number from " + std::to_string(lowest) + " to " + std::to_string(highest)
+               + "; correct it");
+    }
+    return number;
+}
+
+std::int64_t ObjectReader::integer(std::string_view key, std::int64_t lowest, std::int64_t highest, std::int64_t absent)
+{
+    return has(key) ? integer(key, lowest, highest) : absent;
+}
+
+double ObjectReader::number(std::string_view key, double absent)
+{
+    if (!has(key)) {
+        return absent;
+    }
+    const boost::json::value &value = member(key);
+    boost::system::error_code error;
+    const auto number = value.to_number<double>(error);
+    if (error) {
+        refuse(m_what + ": '" + std::string(key) + "' is not a number; correct it");
+    }
+    return number;
+}
+
+bool ObjectReader::flag(std::string_view key, bool absent)
+{
+    if (!has(key)) {
+        return absent;
+    }
+    const boost::json::value &value = member(key);
+    if (!value.is_bool()) {
+        refuse(m_what + ": '" + std::string(key) + "' is not true or false; correct it");
+    }
+    return value.as_bool();
+}
+
+const boost::json::array &ObjectReader::list(std::string_view key)
+{
+    const boost::json::value &value = member(key);
+    if (!value.is_array()) {
+        refuse(m_what + ": '" + std::string(key) + "' is not an array; put it in brackets");
+    }
+    return value.as_array();
+}
+
+void ObjectReader::finish() const
+{
+    for (const auto &member : *m_object) {
+        if (!m_read.contains(member.key())) {
+            refuse(m_what + " has the unknown member '" + std::string(member.key()) + "'; remove it or correct its name");
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/components/cli/options.hpp
@@ -0,0 +1,34 @@
+#ifndef COMPONENTS_CLI_OPTIONS_HPP
+#define COMPONENTS_CLI_OPTIONS_HPP
+
+#include "components/cli/output_format.hpp"
+
+#include <string>
+#include <vector>
+
+namespace cli
+{
+
+/// The part of the command line before the subcommand.
+struct Options
+{
+    bool m_help = false;
+    bool m_version = false;
+    bool m_checkSettings = false;
+    std::string m_settingsFile;
+    OutputFormat m_format = OutputFormat::Table;
+    /// The subcommand and everything after it.
+    std::vector<std::string> m_words;
+
+    bool operator==(const Options &) const = default;
+};
+
+/// @throws CommandError with code Usage.
+Options parseOptions(const std::vector<std::string> &arguments);
+
+/// The text of --help.
+std::string helpText();
+
+}
+
+#endif
--- /dev/null
+++ b/components/cli/output_format.hpp
@@ -0,0 +1,17 @@
+#ifndef COMPONENTS_CLI_OUTPUT_FORMAT_HPP
+#define COMPONENTS_CLI_OUTPUT_FORMAT_HPP
+
+#include <cstdint>
+
+namespace cli
+{
+
+enum class OutputFormat : std::uint8_t {
+    Table,
+    /// The instance's answer as it came.
+    Json,
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/cli/request_commands.hpp
@@ -0,0 +1,15 @@
+#ifndef COMPONENTS_CLI_REQUEST_COMMANDS_HPP
+#define COMPONENTS_CLI_REQUEST_COMMANDS_HPP
+
+#include "components/cli/command.hpp"
+
+#include <vector>
+
+namespace cli
+{
+
+std::vector<Command> requestCommands();
+
+}
+
+#endif
--- /dev/null
+++ b/components/instance/append_ticket.hpp
@@ -0,0 +1,20 @@
+#ifndef COMPONENTS_INSTANCE_APPEND_TICKET_HPP
+#define COMPONENTS_INSTANCE_APPEND_TICKET_HPP
+
+#include <compare>
+#include <cstdint>
+
+namespace instance
+{
+
+/// Names one record that this instance wants in the log. Tickets rise in the order of the appends to one stream.
+struct AppendTicket
+{
+    std::uint64_t m_value = 0;
+
+    auto operator<=>(const AppendTicket &) const = default;
+};
+
+}
+
+#endif
