Daemon: control loop, traffic threads and the instance program

Cause: the slices need one process that feeds them. Change: components/instance holds the control loop, its ports and events, the traffic threads and the peers' messages; apps/foxtailcrossd is the program.

--- a/components/api/error_kind.hpp
+++ b/components/api/error_kind.hpp
@@ -26,12 +26,8 @@
     Invalid,
     /// The job can never run as declared.
     CannotRun,
-    /// The queue of the account is full, the deadline cannot be met or the retry budget is spent.
-    Overloaded,
-    /// The caller's deadline passed before the request was sent to a runner.
-    DeadlinePassed,
-    /// The instance that issued the request id is gone and this is the first attempt.
-    IssuerGone,
+    /// The queue of the account is full, the deadline cannot be met, or the issuer of the id is gone at the first attempt.
+    RequestRefused,
     /// The platform's log cannot be written.
     LogUnavailable,
     /// The instance is stopping.
--- /dev/null
+++ b/components/instance/job_calls.hpp
@@ -0,0 +1,40 @@
+#ifndef COMPONENTS_INSTANCE_JOB_CALLS_HPP
+#define COMPONENTS_INSTANCE_JOB_CALLS_HPP
+
+#include "components/api/caller_calls.hpp"
+#include "components/api/job_view.hpp"
+#include "components/fleet/time.hpp"
+#include "components/records/ledger.hpp"
+#include "components/requests/waiter.hpp"
+
+namespace records
+{
+struct Record;
+}
+
+namespace instance
+{
+
+struct Core;
+
+/// Sends the job to the log. The caller is answered when it has been folded.
+void submitJob(Core &core, requests::WaiterId waiter, const api::SubmitJob &call, fleet::TimePoint now);
+
+void cancelJob(Core &core, requests::WaiterId waiter, const api::CancelJob &call, fleet::TimePoint now);
+
+void showJob(Core &core, requests::WaiterId waiter, const fleet::JobId &job, fleet::TimePoint now);
+
+void listJobs(Core &core, requests::WaiterId waiter, const api::ListJobs &call, fleet::TimePoint now);
+
+/// What is known of a job that is in the ledger.
+api::JobView viewJob(const Core &core, const records::Job &job, fleet::TimePoint now);
+
+/// Takes in one folded record: tells the scheduler, the reports and whoever waits for it. `at` is the time in the log.
+void noteRecord(Core &core, const records::Record &record, const records::RecordResult &result, fleet::TimePoint at, fleet::TimePoint now);
+
+/// Answers callers whose record was not folded in time.
+void expireJobCalls(Core &core, fleet::TimePoint now);
+
+}
+
+#endif
--- /dev/null
+++ b/components/instance/job_notes.cpp
@@ -0,0 +1,162 @@
+#include "components/instance/job_notes.hpp"
+
+#include "components/api/job_view.hpp"
+#include "components/instance/core.hpp"
+#include "components/records/record.hpp"
+#include "components/report/objective_targets.hpp"
+
+namespace instance
+{
+
+namespace
+{
+
+const report::ObjectiveTargets targets;
+
+void addLine(Core &core, const fleet::JobId &job, fleet::TimePoint at, const std::string &text)
+{
+    core.m_jobNotes.m_histories[job].push_back({at, text});
+}
+
+void count(Core &core, const fleet::AccountId &account, fleet::TimePoint at, const report::AccountFigures &figures)
+{
+    report::PeriodFigures period;
+    period.m_accounts[account] = figures;
+    report::addHour(core.m_jobNotes.m_figures, report::hourOf(at), period);
+}
+
+std::string workersText(const std::vector<fleet::WorkerId> &workers)
+{
+    std::string text;
+    for (const fleet::WorkerId &worker : workers) {
+        text += (text.empty() ? "" : ", ") + worker.value();
+    }
+    return text;
+}
+
+/// The accelerator time of the attempt that ends; the ledger has cleared its workers by now.
+std::uint64_t acceleratorMs(const records::Job &job, fleet::TimePoint at)
+{
+    const auto ran = std::max(at - job.m_attemptAt, fleet::Duration(0));
+    return static_cast<std::uint64_t>(ran.count() * job.m_spec.m_shape.total().m_accelerators);
+}
+
+void note(Core &core, const records::JobSubmitted &submitted, fleet::TimePoint at)
+{
+    addLine(core, submitted.m_spec.m_id, at, "submitted by " + submitted.m_spec.m_account.value() + " to zone " + submitted.m_zone.value());
+    report::AccountFigures figures;
+    figures.m_jobsSubmitted = 1;
+    count(core, submitted.m_spec.m_account, at, figures);
+}
+
+void note(Core &core, const records::JobCancelled &cancelled, fleet::TimePoint at)
+{
+    addLine(core, cancelled.m_job, at, "cancellation asked for");
+}
+
+void countFirstStart(Core &core, const records::Job &job, fleet::TimePoint at)
+{
+    const bool isFirst = core.m_jobNotes.m_firstStarts.emplace(job.m_spec.m_id, at).second;
+    if (isFirst && job.m_spec.m_urgency == fleet::Urgency::Urgent) {
+        report::AccountFigures figures;
+        figures.count(report::Objective::UrgentStart, at - job.m_spec.m_submittedAt <= targets.m_urgentStart);
+        count(core, job.m_spec.m_account, at, figures);
+    }
+}
+
+void note(Core &core, const records::AttemptStarted &started, fleet::TimePoint at)
+{
+    addLine(core, started.m_job, at, "attempt " + std::to_string(started.m_attempt) + " started on " + workersText(started.m_workers));
+    if (const records::Job *job = core.m_records.m_ledger.findJob(started.m_job)) {
+        countFirstStart(core, *job, at);
+    }
+}
+
+void note(Core &core, const records::AttemptEnded &ended, fleet::TimePoint at)
+{
+    addLine(core, ended.m_job, at, "attempt " + std::to_string(ended.m_attempt) + " ended: " + ended.m_reason);
+    const records::Job *job = core.m_records.m_ledger.findJob(ended.m_job);
+    if (job) {
+        report::AccountFigures figures;
+        figures.m_acceleratorMs = acceleratorMs(*job, at);
+        const auto kept = ended.m_checkpointed.count() * job->m_spec.m_shape.total().m_accelerators;
+        figures.m_wastedAcceleratorMs = figures.m_acceleratorMs - std::min(figures.m_acceleratorMs, static_cast<std::uint64_t>(kept));
+        count(core, job->m_spec.m_account, at, figures);
+    }
+}
+
+void countOutcome(report::AccountFigures &figures, const records::Job &job, fleet::TimePoint at)
+{
+    switch (job.m_outcome) {
+    case scheduler::JobOutcome::Done: {
+        const fleet::Duration completion = at - job.m_spec.m_submittedAt;
+        figures.m_jobsDone = 1;
+        figures.m_completionTime.add(completion);
+        figures.count(report::Objective::CompletionTime, completion - (at - job.m_attemptAt) <= targets.m_completionWait);
+        return;
+    }
+    case scheduler::JobOutcome::Failed:
+        figures.m_jobsFailed = 1;
+        figures.count(report::Objective::CompletionTime, false);
+        return;
+    case scheduler::JobOutcome::Cancelled:
+        figures.m_jobsCancelled = 1;
+        return;
+    case scheduler::JobOutcome::CannotRun:
+        figures.m_jobsRefused = 1;
+        return;
+    }
+}
+
+void note(Core &core, const records::JobEnded &ended, fleet::TimePoint at)
+{
+    const std::string reason = ended.m_reason.empty() ? "" : ": " + ended.m_reason;
+    addLine(core, ended.m_job, at, "ended as " + std::string(api::outcomeName(ended.m_outcome)) + reason);
+    const records::Job *job = core.m_records.m_ledger.findJob(ended.m_job);
+    if (!job) {
+        return;
+    }
+    report::AccountFigures figures;
+    countOutcome(figures, *job, at);
+    if (job->m_attempts > 0) {
+        figures.m_acceleratorMs = acceleratorMs(*job, at);
+    }
+    count(core, job->m_spec.m_account, at, figures);
+}
+
+void note(Core &core, const records::JobMoved &moved, fleet::TimePoint at)
+{
+    addLine(core, moved.m_job, at, "moved to zone " + moved.m_to.value());
+}
+
+void note(Core &core, const records::RequestsCounted &counted, fleet::TimePoint at)
+{
+    report::AccountFigures figures;
+    figures.m_requestsDone = static_cast<std::uint64_t>(counted.m_done);
+    figures.m_requestsRefused = static_cast<std::uint64_t>(counted.m_refused);
+    figures.m_requestsUnknown = static_cast<std::uint64_t>(counted.m_unknown);
+    figures.m_tallies[static_cast<std::size_t>(report::Objective::RequestSuccess)] = {
+        figures.m_requestsDone,
+        figures.m_requestsDone + figures.m_requestsRefused + figures.m_requestsUnknown,
+    };
+    count(core, counted.m_account, at, figures);
+}
+
+template<class Other>
+void note(Core &, const Other &, fleet::TimePoint)
+{
+    // Says nothing of a job.
+}
+
+}
+
+void noteHistory(Core &core, const records::Record &record, fleet::TimePoint at)
+{
+    std::visit(
+        [&](const auto &body) {
+            note(core, body, at);
+        },
+        record.m_body);
+}
+
+}
--- /dev/null
+++ b/components/instance/log_reader.hpp
@@ -0,0 +1,60 @@
+#ifndef COMPONENTS_INSTANCE_LOG_READER_HPP
+#define COMPONENTS_INSTANCE_LOG_READER_HPP
+
+#include "components/fleet/time.hpp"
+
+#include <optional>
+
+namespace instance
+{
+
+/// When one stream is read. At most one read is under way.
+struct LogReader
+{
+    bool m_inFlight = false;
+    /// When the read under way, or the last one, was sent.
+    fleet::TimePoint m_askedAt;
+    /// There is more to read, or an own record was appended: read again at once.
+    bool m_again = true;
+    bool m_failed = false;
+    /// Send time of the last read that reached the end of the stream; absent before the first.
+    std::optional<fleet::TimePoint> m_readToEndAt;
+
+    bool operator==(const LogReader &) const = default;
+};
+
+/// True where a read has to be sent now; notes that it was.
+inline bool beginRead(LogReader &reader, fleet::Duration interval, fleet::TimePoint now)
+{
+    const bool again = reader.m_again && !reader.m_failed;
+    if (reader.m_inFlight || (!again && now < reader.m_askedAt + interval)) {
+        return false;
+    }
+    reader.m_inFlight = true;
+    reader.m_again = false;
+    reader.m_askedAt = now;
+    return true;
+}
+
+/// Takes in the end of a read that gave a page.
+inline void endRead(LogReader &reader, bool reachedEnd)
+{
+    reader.m_inFlight = false;
+    reader.m_failed = false;
+    if (reachedEnd) {
+        reader.m_readToEndAt = reader.m_askedAt;
+    } else {
+        reader.m_again = true;
+    }
+}
+
+/// Takes in the end of a read that gave none.
+inline void failRead(LogReader &reader)
+{
+    reader.m_inFlight = false;
+    reader.m_failed = true;
+}
+
+}
+
+#endif
