--- a/components/instance/traffic.cpp
+++ b/components/instance/traffic.cpp
@@ -57,6 +57,7 @@
 std::vector<platform::TaskCommand> toTaskCommands(const std::vector<scheduler::WorkerCommand> &commands)
 {
     std::vector<platform::TaskCommand> list;
+    list.reserve(commands.size());
     for (const scheduler::WorkerCommand &command : commands) {
         list.push_back({command, fleet::Duration(0)});
     }
--- a/components/instance/waiters.hpp
+++ b/components/instance/waiters.hpp
@@ -2,6 +2,7 @@
 #define COMPONENTS_INSTANCE_WAITERS_HPP
 
 #include "components/http/responder.hpp"
+#include "components/http/response.hpp"
 #include "components/requests/waiter.hpp"
 
 #include <cstdint>
--- a/components/instance/zone_choice_view.cpp
+++ b/components/instance/zone_choice_view.cpp
@@ -88,6 +88,7 @@
     }
     addQueued(core, zones);
     std::vector<admission::ZoneSummary> summaries;
+    summaries.reserve(zones.size());
     for (const auto &[id, zone] : zones) {
         summaries.push_back(zone);
     }
--- a/components/instance/zone_scheduling.cpp
+++ b/components/instance/zone_scheduling.cpp
@@ -122,6 +122,7 @@
 std::vector<fleet::WorkerId> identifiersOf(const std::map<fleet::WorkerId, platform::WorkerEntry> &workers)
 {
     std::vector<fleet::WorkerId> identifiers;
+    identifiers.reserve(workers.size());
     for (const auto &[id, entry] : workers) {
         identifiers.push_back(id);
     }
--- a/components/instance/zone_view.cpp
+++ b/components/instance/zone_view.cpp
@@ -58,7 +58,7 @@
     view.m_isOut = isOut(core, core.m_settings.m_zone);
     view.m_hasConfiguration = core.m_configuration.m_complete;
     view.m_viewFreshAt = core.m_membership.m_viewFreshAt.value_or(fleet::TimePoint());
-    view.m_otherZonesHeardAt = membership::otherZonesHeardAt(core.m_membership, closedZones(core), now);
+    view.m_otherZonesHeardAt = membership::otherZonesHeardAt(core.m_membership, now);
     view.m_isBehind = membership::isBehind(core.m_membership);
     return zones::judgeStart(core.m_zoneSettings, view, now);
 }
--- a/components/wire/message_type.hpp
+++ b/components/wire/message_type.hpp
@@ -24,6 +24,9 @@
     FetchLedger = 8,
     /// records::Snapshot.
     LedgerSnapshot = 9,
+    /// instance::PeerCall by TCP, answered by PeerReply.
+    PeerCall = 10,
+    PeerReply = 11,
 };
 
 }
