--- a/components/platform/json_fields.cpp
+++ b/components/platform/json_fields.cpp
@@ -66,6 +66,21 @@
     return object.contains({name.data(), name.size()}) ? textField(object, name) : std::string(fallback);
 }
 
+std::vector<std::string> textsField(const boost::json::object &object, std::string_view name)
+{
+    std::vector<std::string> texts;
+    if (!object.contains({name.data(), name.size()})) {
+        return texts;
+    }
+    for (const auto &element : arrayField(object, name)) {
+        if (!element.is_string()) {
+            refuseField(name, "an array of texts");
+        }
+        texts.emplace_back(element.get_string().data(), element.get_string().size());
+    }
+    return texts;
+}
+
 std::int64_t countField(const boost::json::object &object, std::string_view name)
 {
     const auto *value = object.if_contains({name.data(), name.size()});
--- a/components/platform/json_fields.hpp
+++ b/components/platform/json_fields.hpp
@@ -8,6 +8,7 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace platform
 {
@@ -22,6 +23,8 @@
 const boost::json::array &arrayField(const boost::json::object &object, std::string_view name);
 std::string textField(const boost::json::object &object, std::string_view name);
 std::string textField(const boost::json::object &object, std::string_view name, std::string_view fallback);
+/// An array of texts; empty where the field is absent.
+std::vector<std::string> textsField(const boost::json::object &object, std::string_view name);
 /// A whole number from 0 up.
 std::int64_t countField(const boost::json::object &object, std::string_view name);
 std::int64_t countField(const boost::json::object &object, std::string_view name, std::int64_t fallback);
--- a/components/settings/daemon_settings.cpp
+++ b/components/settings/daemon_settings.cpp
@@ -26,6 +26,9 @@
 {
     settings.m_httpEndpoint = reader.requiredEndpoint("listen.http");
     settings.m_peerEndpoint = reader.requiredEndpoint("listen.peers");
+    if (reader.has("listen.advertised_peers")) {
+        settings.m_advertisedPeerEndpoint = reader.requiredEndpoint("listen.advertised_peers");
+    }
     settings.m_logEndpoint = reader.requiredEndpoint("platform.log");
     settings.m_listEndpoint = reader.requiredEndpoint("platform.list");
     if (settings.m_httpEndpoint.m_port != 0 && settings.m_httpEndpoint == settings.m_peerEndpoint) {
--- a/components/settings/daemon_settings.hpp
+++ b/components/settings/daemon_settings.hpp
@@ -7,6 +7,7 @@
 #include "components/settings/endpoint.hpp"
 #include "components/settings/peer_settings.hpp"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
     Endpoint m_httpEndpoint;
     /// Other instances, UDP and TCP on the same port number.
     Endpoint m_peerEndpoint;
+    /// Where the other instances reach m_peerEndpoint, where that is through another address.
+    std::optional<Endpoint> m_advertisedPeerEndpoint;
     Endpoint m_logEndpoint;
     Endpoint m_listEndpoint;
     std::vector<PeerSettings> m_peers;
--- a/components/standin/control_service.cpp
+++ b/components/standin/control_service.cpp
@@ -79,7 +79,7 @@
 http::Address ControlService::addRelay(const boost::json::object &order)
 {
     const auto target = addressField(order, "target");
-    return m_standIn.relay().add(platform::textField(order, "name"), target.m_host, target);
+    return m_standIn.relay().add(platform::textField(order, "name"), target.m_host, target, platform::textsField(order, "callers"));
 }
 
 }
--- a/components/standin/relay.cpp
+++ b/components/standin/relay.cpp
@@ -9,6 +9,7 @@
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <thread>
@@ -29,28 +30,60 @@
 constexpr std::size_t chunkBytes = 65536;
 constexpr int maxPortAttempts = 100;
 
-/// Moves bytes one way between two connections.
+struct Weather
+{
+    std::vector<std::string> m_callers;
+    RelayFaults m_faults;
+
+    std::string callerOf(std::string_view bytes) const
+    {
+        std::map<std::size_t, std::string> found;
+        for (const auto &caller : m_callers) {
+            found.emplace(bytes.find(caller), caller);
+        }
+        return found.empty() || found.begin()->first == std::string_view::npos ? std::string() : found.begin()->second;
+    }
+
+    bool isCut(bool forward, const std::string &caller) const
+    {
+        const auto &callers = forward ? m_faults.m_cutFrom : m_faults.m_cutTo;
+        return (forward ? m_faults.m_cutForward : m_faults.m_cutBackward) || std::find(callers.begin(), callers.end(), caller) != callers.end();
+    }
+};
+
+/// Both ends of a connection.
+struct Link
+{
+    std::shared_ptr<const Weather> m_weather;
+    tcp::socket m_caller;
+    tcp::socket m_target;
+    std::string m_name;
+};
+
+/// Moves bytes one way over a connection.
 struct Pump : public std::enable_shared_from_this<Pump>
 {
-    std::shared_ptr<tcp::socket> m_from;
-    std::shared_ptr<tcp::socket> m_to;
-    std::shared_ptr<const RelayFaults> m_faults;
+    std::shared_ptr<Link> m_link;
     bool m_forward;
-    boost::asio::steady_timer m_timer {m_from->get_executor()};
+    tcp::socket &m_from = m_forward ? m_link->m_caller : m_link->m_target;
+    tcp::socket &m_to = m_forward ? m_link->m_target : m_link->m_caller;
+    boost::asio::steady_timer m_timer {m_from.get_executor()};
     std::array<char, chunkBytes> m_bytes {};
 
-    Pump(std::shared_ptr<tcp::socket> from, std::shared_ptr<tcp::socket> to, std::shared_ptr<const RelayFaults> faults, bool forward)
-        : m_from(std::move(from))
-        , m_to(std::move(to))
-        , m_faults(std::move(faults))
+    Pump(std::shared_ptr<Link> link, bool forward)
+        : m_link(std::move(link))
         , m_forward(forward)
     {
     }
 
     void read()
     {
-        m_from->async_read_some(boost::asio::buffer(m_bytes), [self = shared_from_this()](const Error &error, std::size_t count) {
-            self->wait(self->m_faults->m_delay, error ? 0 : count);
+        m_from.async_read_some(boost::asio::buffer(m_bytes), [self = shared_from_this()](const Error &error, std::size_t count) {
+            auto &link = *self->m_link;
+            if (link.m_name.empty()) {
+                link.m_name = link.m_weather->callerOf({self->m_bytes.data(), count});
+            }
+            self->wait(link.m_weather->m_faults.m_delay, error ? 0 : count);
         });
     }
 
@@ -58,8 +91,7 @@
     {
         m_timer.expires_after(time);
         m_timer.async_wait([self = shared_from_this(), count](const Error &) {
-            const auto &faults = *self->m_faults;
-            if (self->m_forward ? faults.m_cutForward : faults.m_cutBackward) {
+            if (self->m_link->m_weather->isCut(self->m_forward, self->m_link->m_name)) {
                 self->wait(cutCheckInterval, count);
             } else {
                 self->write(count);
@@ -69,17 +101,16 @@
 
     void write(std::size_t count)
     {
-        Error ignored;
+        Error closed;
         if (count == 0) {
-            m_to->shutdown(tcp::socket::shutdown_send, ignored);
+            m_to.shutdown(tcp::socket::shutdown_send, closed);
             return;
         }
-        boost::asio::async_write(*m_to, boost::asio::buffer(m_bytes, count), [self = shared_from_this()](const Error &error, std::size_t) {
+        boost::asio::async_write(m_to, boost::asio::buffer(m_bytes, count), [self = shared_from_this()](const Error &error, std::size_t) {
             if (!error) {
                 self->read();
             } else {
-                Error alreadyClosed;
-                self->m_from->close(alreadyClosed);
+                self->m_from.close();
             }
         });
     }
@@ -89,10 +120,11 @@
 class Route : public std::enable_shared_from_this<Route>
 {
 public:
-    std::shared_ptr<RelayFaults> m_faults = std::make_shared<RelayFaults>();
+    std::shared_ptr<Weather> m_weather;
 
-    Route(boost::asio::io_context &io, const std::string &host, const http::Address &target, std::uint32_t seed)
-        : m_io(io)
+    Route(boost::asio::io_context &io, const std::string &host, const http::Address &target, std::uint32_t seed, Weather weather)
+        : m_weather(std::make_shared<Weather>(std::move(weather)))
+        , m_io(io)
         , m_host(boost::asio::ip::make_address(target.m_host))
         , m_port(target.m_port)
         , m_random(seed)
@@ -115,7 +147,7 @@
     {
         m_acceptor.async_accept([self = shared_from_this()](const Error &error, tcp::socket caller) {
             if (!error) {
-                self->connect(std::make_shared<tcp::socket>(std::move(caller)));
+                self->connect(std::move(caller));
                 self->accept();
             }
         });
@@ -124,21 +156,22 @@
     void receive()
     {
         m_datagrams.async_receive(boost::asio::buffer(m_bytes), [self = shared_from_this()](const Error &error, std::size_t count) {
-            for (int copies = error ? 0 : self->drawCopies(); copies > 0; --copies) {
-                self->forward(std::string(self->m_bytes.data(), count));
+            const std::string datagram(self->m_bytes.data(), error ? 0 : count);
+            for (int copies = self->drawCopies(datagram); copies > 0; --copies) {
+                self->forward(datagram);
             }
             self->receive();
         });
     }
 
 private:
-    void connect(const std::shared_ptr<tcp::socket> &caller)
+    void connect(tcp::socket caller)
     {
-        const auto target = std::make_shared<tcp::socket>(m_io);
-        target->async_connect({m_host, m_port}, [target, caller, faults = m_faults](const Error &error) {
+        const auto link = std::make_shared<Link>(Link {m_weather, std::move(caller), tcp::socket(m_io), {}});
+        link->m_target.async_connect({m_host, m_port}, [link](const Error &error) {
             if (!error) {
-                std::make_shared<Pump>(caller, target, faults, true)->read();
-                std::make_shared<Pump>(target, caller, faults, false)->read();
+                std::make_shared<Pump>(link, true)->read();
+                std::make_shared<Pump>(link, false)->read();
             }
         });
     }
@@ -148,16 +181,16 @@
         return boost::random::uniform_int_distribution<std::int64_t>(0, most)(m_random);
     }
 
-    int drawCopies()
+    int drawCopies(const std::string &datagram)
     {
-        const bool dropped = draw(99) < m_faults->m_dropPercent;
-        const bool doubled = draw(99) < m_faults->m_duplicatePercent;
-        return m_faults->m_cutForward || dropped ? 0 : 1 + (doubled ? 1 : 0);
+        const bool dropped = draw(99) < m_weather->m_faults.m_dropPercent;
+        const bool doubled = draw(99) < m_weather->m_faults.m_duplicatePercent;
+        return dropped || m_weather->isCut(true, m_weather->callerOf(datagram)) ? 0 : 1 + (doubled ? 1 : 0);
     }
 
     void forward(const std::string &datagram)
     {
-        const auto delay = m_faults->m_delay + fleet::Duration(draw(m_faults->m_jitter.count()));
+        const auto delay = m_weather->m_faults.m_delay + fleet::Duration(draw(m_weather->m_faults.m_jitter.count()));
         const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, delay);
         timer->async_wait([timer, datagram, self = shared_from_this()](const Error &) {
             Error lost;
@@ -195,9 +228,9 @@
     m_core->m_io.stop();
 }
 
-http::Address Relay::add(const std::string &name, const std::string &host, const http::Address &target)
+http::Address Relay::add(const std::string &name, const std::string &host, const http::Address &target, std::vector<std::string> callers)
 {
-    const auto route = std::make_shared<Route>(m_core->m_io, host, target, m_core->m_seed++);
+    const auto route = std::make_shared<Route>(m_core->m_io, host, target, m_core->m_seed++, Weather {std::move(callers), {}});
     m_core->m_routes[name] = route;
     boost::asio::post(m_core->m_io, [route] {
         route->accept();
@@ -218,7 +251,7 @@
         return false;
     }
     boost::asio::post(m_core->m_io, [route = found->second, faults] {
-        *route->m_faults = faults;
+        route->m_weather->m_faults = faults;
     });
     return true;
 }
--- a/components/standin/relay.hpp
+++ b/components/standin/relay.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace standin
 {
@@ -23,9 +24,10 @@
     Relay(const Relay &) = delete;
     Relay &operator=(const Relay &) = delete;
 
-    /// Adds a route for TCP and UDP alike, on one free port of `host`.
+    /// Adds a route for TCP and UDP alike, on one free port of `host`. A datagram or connection is from that one of
+    /// `callers` whose name comes first in its bytes.
     /// @return where callers reach the target through the relay.
-    http::Address add(const std::string &name, const std::string &host, const http::Address &target);
+    http::Address add(const std::string &name, const std::string &host, const http::Address &target, std::vector<std::string> callers = {});
 
     /// Returns false where there is no route of this name.
     bool setFaults(const std::string &name, const RelayFaults &faults);
--- a/components/standin/relay_faults.hpp
+++ b/components/standin/relay_faults.hpp
@@ -3,6 +3,9 @@
 
 #include "components/fleet/time.hpp"
 
+#include <string>
+#include <vector>
+
 namespace standin
 {
 
@@ -12,6 +15,9 @@
     /// TCP bytes wait until the cut ends; datagrams are lost.
     bool m_cutForward = false;
     bool m_cutBackward = false;
+    /// Names of callers that are cut in that direction only.
+    std::vector<std::string> m_cutFrom;
+    std::vector<std::string> m_cutTo;
     /// Added to every chunk of bytes or datagram, in both directions.
     fleet::Duration m_delay {0};
     /// A random part up to this is added for datagrams, which reorders them.
--- a/components/standin/relay_test.cpp
+++ b/components/standin/relay_test.cpp
@@ -125,6 +125,16 @@
     cr_assert_eq(bench.receive(), "kept");
 }
 
+Test(relay, oneCallerCut_othersPass)
+{
+    WebBench bench;
+    bench.m_address = bench.m_relay.add("peer", host, {host, bench.m_server.port()}, {"kochi-1", "thrissur-1"});
+    bench.m_relay.setFaults("peer", {false, false, {"kochi-1"}, {}});
+    cr_assert(bench.send("from kochi-1 to thrissur-1", shortTimeout).get().m_kind == http::ResultKind::Unknown);
+    cr_assert_eq(bench.send("from thrissur-1 to kochi-1", longTimeout).get().m_response.m_status, 200);
+    cr_assert_eq(bench.m_served, 1);
+}
+
 Test(relay, unknownRoute_isRefused)
 {
     standin::Relay relay(1);
