--- a/components/standin/event_loop.cpp
+++ b/components/standin/event_loop.cpp
@@ -53,7 +53,9 @@
         if (m_entries.empty()) {
             m_changed.wait(lock);
         } else if (m_entries.top().m_due > presentTime()) {
-            m_changed.wait_until(lock, m_entries.top().m_due);
+            // A copy, for the entries may move while this waits.
+            const auto due = m_entries.top().m_due;
+            m_changed.wait_until(lock, due);
         } else {
             const auto action = m_entries.top().m_action;
             m_entries.pop();
--- a/components/standin/stand_in.cpp
+++ b/components/standin/stand_in.cpp
@@ -149,8 +149,10 @@
 
 Service &StandIn::add(const std::string &name, std::unique_ptr<Service> service, const http::Address &bind)
 {
-    service->listen(bind);
-    return *(m_services[name] = std::move(service));
+    // Listening starts the threads that look services up.
+    auto &added = *(m_services[name] = std::move(service));
+    added.listen(bind);
+    return added;
 }
 
 }
