--- a/components/instance/configuration_calls.cpp
+++ b/components/instance/configuration_calls.cpp
@@ -60,6 +60,12 @@
 
 void showConfiguration(Core &core, requests::WaiterId waiter, fleet::TimePoint now)
 {
+    // A new instance would show an older version than the one that it replaced.
+    if (!core.m_configurationReader.m_readToEndAt) {
+        core.m_ports.m_reply(waiter,
+                             api::Refusal {api::ErrorKind::LogUnavailable, "this instance has not read the configuration yet; ask another or again later"});
+        return;
+    }
     core.m_ports.m_reply(waiter, api::ConfigurationShown {core.m_configuration.m_configuration, now});
 }
 
--- a/components/instance/core.cpp
+++ b/components/instance/core.cpp
@@ -77,8 +77,8 @@
     core.m_batcher.m_writer = {settings.m_instance, incarnation};
     core.m_batcher.m_settings.m_interval = settings.m_groupCommitDelay;
     core.m_batcher.m_settings.m_timeout = appendPatience;
-    core.m_membership
-        = membership::makeState(membershipSettings(settings), settings.m_instance, incarnation, settings.m_zone, settings::toString(settings.m_peerEndpoint));
+    const std::string advertised = settings::toString(settings.m_advertisedPeerEndpoint.value_or(settings.m_peerEndpoint));
+    core.m_membership = membership::makeState(membershipSettings(settings), settings.m_instance, incarnation, settings.m_zone, advertised);
     core.m_duty = duty::makeState(dutySettings(settings), core.m_batcher.m_writer, settings.m_zone);
     core.m_zoneSettings.m_viewFreshness = settings.m_viewFreshness;
     core.m_drain.m_settings = drainSettings(settings);
