--- a/apps/foxtailcross-load/command_line.cpp
+++ b/apps/foxtailcross-load/command_line.cpp
@@ -36,6 +36,7 @@
     add("seeds", value<std::uint64_t>()->default_value(5), "number of seeds");
     add("first-seed", value<std::uint64_t>()->default_value(1), "first seed");
     add("days", value<double>()->default_value(1.0), "days during which jobs arrive");
+    add("drain-days", value<double>()->default_value(1.0), "days at most that the run goes on after that, until all jobs have ended");
     add("faults", value<std::string>()->default_value("on"), "on or off");
     add("fault-scale", value<double>()->default_value(1.0), "factor on the rate of every fault");
     add("load", value<double>(), "accelerator time asked for as a share of capacity; the size's own by default");
@@ -74,6 +75,9 @@
     const double days = values["days"].as<double>();
     checkRange("days", days, 0.001, longestDays);
     command.m_options.m_horizon = fleet::Duration(std::llround(days * millisecondsPerDay));
+    const double drainDays = values["drain-days"].as<double>();
+    checkRange("drain-days", drainDays, 0.0, longestDays);
+    command.m_options.m_drain = fleet::Duration(std::llround(drainDays * millisecondsPerDay));
     const double scale = values["fault-scale"].as<double>();
     checkRange("fault-scale", scale, 0.0, 1'000.0);
     command.m_options.m_faultScale = choose("faults", values["faults"].as<std::string>(), "on", "off") ? scale : 0.0;
--- a/components/experiment/run.cpp
+++ b/components/experiment/run.cpp
@@ -15,7 +15,6 @@
 {
 
 constexpr fleet::Duration tickInterval = std::chrono::seconds(1);
-constexpr fleet::Duration longestDrain = std::chrono::hours(24);
 
 void addWorkers(RunState &run)
 {
@@ -114,7 +113,7 @@
     run.m_agenda.add(runStart + sampleInterval, [&run](fleet::TimePoint now) {
         keepSampling(run, now);
     });
-    const fleet::TimePoint latestEnd = runStart + run.m_horizon + longestDrain;
+    const fleet::TimePoint latestEnd = runStart + run.m_horizon + options.m_drain;
     while (run.m_openJobs > 0 && run.m_agenda.now() < latestEnd) {
         run.m_agenda.runNext();
     }
--- a/components/experiment/run_options.hpp
+++ b/components/experiment/run_options.hpp
@@ -12,8 +12,10 @@
 {
     Site m_site;
     scheduler::Settings m_scheduler;
-    /// Jobs arrive for this long. The run goes on until they have ended, at most a day more.
+    /// Jobs arrive for this long.
     fleet::Duration m_horizon = std::chrono::hours(24);
+    /// How long after that the run goes on at most.
+    fleet::Duration m_drain = std::chrono::hours(24);
     /// Multiplies the rate of every fault; 0 injects none.
     double m_faultScale = 1.0;
 };
--- a/components/experiment/run_test.cpp
+++ b/components/experiment/run_test.cpp
@@ -36,6 +36,16 @@
     cr_assert_eq(experiment::violationCount(summary), 0);
 }
 
+Test(experiment, memberLostJustAfterRenewal_runExperiment_endsTheRestWithinOneLease)
+{
+    Fixture fixture;
+    fixture.m_options.m_horizon = std::chrono::seconds(1'728);
+    fixture.m_options.m_drain = fixture.m_options.m_horizon;
+    for (const std::uint64_t seed : {10'048, 10'585, 10'589, 10'593}) {
+        cr_assert(experiment::runExperiment(fixture.m_options, seed).m_violations.empty(), "seed %lu", seed);
+    }
+}
+
 Test(experiment, sameSeedTwice_runExperiment_givesTheSameFigures)
 {
     Fixture fixture;
--- a/components/scheduler/gangs.cpp
+++ b/components/scheduler/gangs.cpp
@@ -19,6 +19,21 @@
     return kind == CommandKind::Reserve || kind == CommandKind::Start || kind == CommandKind::Renew;
 }
 
+/// A member may have been lost just after it was last heard of, and the rest of the gang must still end within one lease
+/// of that, so a renewal gives what is left of a lease from then on.
+fleet::Duration leaseFor(const Context &context, const Job &job, CommandKind kind)
+{
+    const fleet::Duration whole = context.m_state.m_settings.m_leaseLength;
+    if (kind != CommandKind::Renew) {
+        return whole;
+    }
+    fleet::TimePoint heardAt = context.m_now;
+    for (const TaskRun &task : job.m_attempt->m_tasks) {
+        heardAt = task.m_over ? heardAt : std::min(heardAt, task.m_confirmedAt);
+    }
+    return std::max(fleet::Duration {0}, whole - (context.m_now - heardAt));
+}
+
 bool allTasks(const Attempt &attempt, bool (*predicate)(const TaskRun &))
 {
     return std::all_of(attempt.m_tasks.begin(), attempt.m_tasks.end(), predicate);
@@ -304,7 +319,7 @@
     command.m_kind = kind;
     command.m_task = taskRef(job, task);
     if (givesLease(kind)) {
-        command.m_leaseLength = context.m_state.m_settings.m_leaseLength;
+        command.m_leaseLength = leaseFor(context, job, kind);
         run.m_leasedAt = context.m_now;
     }
     if (kind == CommandKind::Reserve) {
