--- a/CI/run_tidy.py
+++ b/CI/run_tidy.py
@@ -2,7 +2,11 @@
 """Runs clang-tidy over the sources of a build folder, skipping each source that passed with the same contents before.
 
 A source's key covers its own text, every project header it includes (from ninja's dependency log) and .clang-tidy.
+With --deep the path-sensitive checks of the clang analyzer run too, which take two to three times as long.
+
+Usage: run_tidy.py [--deep] [BUILD_FOLDER]
 """
+import argparse
 import concurrent.futures
 import hashlib
 import os
@@ -12,7 +16,12 @@
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-BUILD = ROOT / (sys.argv[1] if len(sys.argv) > 1 else "build/release")
+PARSER = argparse.ArgumentParser()
+PARSER.add_argument("--deep", action="store_true")
+PARSER.add_argument("build", nargs="?", default="build/release")
+OPTIONS = PARSER.parse_args()
+BUILD = ROOT / OPTIONS.build
+DEEP_CHECKS = ["--checks=clang-analyzer-core*,clang-analyzer-cplusplus*"] if OPTIONS.deep else []
 CACHE = pathlib.Path(os.environ.get("XDG_CACHE_HOME", pathlib.Path.home() / ".cache")) / "foxtailcross-tidy"
 
 
@@ -31,7 +40,7 @@
 
 
 def key_of(files):
-    digest = hashlib.sha256((ROOT / ".clang-tidy").read_bytes())
+    digest = hashlib.sha256((ROOT / ".clang-tidy").read_bytes() + " ".join(DEEP_CHECKS).encode())
     for file in sorted(set(files)):
         digest.update(str(file.relative_to(ROOT)).encode())
         digest.update(file.read_bytes())
@@ -42,7 +51,7 @@
     stamp = CACHE / key_of(files)
     if stamp.exists():
         return True
-    run = subprocess.run(["clang-tidy", "--quiet", "-p", str(BUILD), str(source)], capture_output=True, text=True)
+    run = subprocess.run(["clang-tidy", "--quiet", "-p", str(BUILD), *DEEP_CHECKS, str(source)], capture_output=True, text=True)
     if run.returncode == 0:
         stamp.touch()
     else:
