Counters of what an instance sends and takes in

Cause: /metrics was empty, and docs/CAPACITY.md needs slopes of messages, bytes and processor time. Change: counters around the ports, of events in the control loop, and of HTTP bytes in the client; the control thread's processor time as a gauge.

--- a/apps/foxtailcrossd/main.cpp
+++ b/apps/foxtailcrossd/main.cpp
@@ -1,5 +1,7 @@
 #include "components/instance/control.hpp"
 #include "components/instance/control_loop.hpp"
+#include "components/instance/event_meter.hpp"
+#include "components/instance/metered_ports.hpp"
 #include "components/instance/options.hpp"
 #include "components/instance/traffic.hpp"
 #include "components/logging/log.hpp"
@@ -51,10 +53,11 @@
     instance::EventQueue<instance::Event> queue;
     const fleet::Incarnation incarnation = drawIncarnation();
     instance::Traffic traffic(settings, incarnation, queue, registry);
-    instance::Control control(settings, incarnation, traffic.ports());
+    instance::Control control(settings, incarnation, instance::meter(traffic.ports(), registry));
+    instance::EventMeter meter(registry);
     log.info("Instance " + settings.m_instance.value() + " of zone " + settings.m_zone.value() + " serves.");
     int handled = 0;
-    runControlLoop(control, queue, [&] {
+    runControlLoop(control, queue, meter, [&] {
         for (; handled < stopSignals; ++handled) {
             queue.push(instance::StopRequested {});
         }
--- /dev/null
+++ b/components/http/byte_count.hpp
@@ -0,0 +1,19 @@
+#ifndef COMPONENTS_HTTP_BYTE_COUNT_HPP
+#define COMPONENTS_HTTP_BYTE_COUNT_HPP
+
+#include <atomic>
+#include <cstdint>
+
+namespace http
+{
+
+/// Bytes of HTTP messages, headers included, that crossed the sockets of one client. Safe from any thread.
+struct ByteCount
+{
+    std::atomic<std::uint64_t> m_sent {0};
+    std::atomic<std::uint64_t> m_received {0};
+};
+
+}
+
+#endif
--- a/components/http/client.cpp
+++ b/components/http/client.cpp
@@ -22,4 +22,9 @@
     m_core->send(target, std::move(request), timeout, std::move(callback));
 }
 
+const ByteCount &Client::byteCount() const
+{
+    return m_core->byteCount();
+}
+
 }
--- a/components/http/client.hpp
+++ b/components/http/client.hpp
@@ -11,6 +11,7 @@
 {
 
 class ClientCore;
+struct ByteCount;
 struct Address;
 struct Request;
 struct Result;
@@ -36,6 +37,9 @@
     /// Sends a request. `timeout` covers waiting for a connection, connecting, sending and reading the whole answer.
     void send(const Address &target, Request request, fleet::Duration timeout, Callback callback);
 
+    /// Counts from the start of the client; valid as long as the client.
+    const ByteCount &byteCount() const;
+
 private:
     std::shared_ptr<ClientCore> m_core;
 };
--- a/components/http/client_core.cpp
+++ b/components/http/client_core.cpp
@@ -36,7 +36,7 @@
 
 void ClientCore::send(const Address &target, Request request, fleet::Duration timeout, Client::Callback callback)
 {
-    auto exchange = std::make_shared<ClientExchange>(m_io, target, std::move(request), std::move(callback));
+    auto exchange = std::make_shared<ClientExchange>(m_io, m_byteCount, target, std::move(request), std::move(callback));
     {
         const std::lock_guard lock(m_stopMutex);
         if (!m_refusing) {
@@ -64,6 +64,11 @@
     m_thread.join();
 }
 
+const ByteCount &ClientCore::byteCount() const
+{
+    return m_byteCount;
+}
+
 void ClientCore::begin(const std::shared_ptr<ClientExchange> &exchange, fleet::Duration timeout)
 {
     auto &pool = m_pools[exchange->target()];
--- a/components/http/client_core.hpp
+++ b/components/http/client_core.hpp
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_HTTP_CLIENT_CORE_HPP
 #define COMPONENTS_HTTP_CLIENT_CORE_HPP
 
+#include "components/http/byte_count.hpp"
 #include "components/http/client_exchange.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -28,6 +29,7 @@
 
     void send(const Address &target, Request request, fleet::Duration timeout, Client::Callback callback);
     void stop();
+    const ByteCount &byteCount() const;
 
 private:
     struct Pool
@@ -47,6 +49,7 @@
     void abandonAll();
 
     ClientSettings m_settings;
+    ByteCount m_byteCount;
     boost::asio::io_context m_io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     boost::asio::steady_timer m_sweep;
--- a/components/http/client_exchange.cpp
+++ b/components/http/client_exchange.cpp
@@ -43,8 +43,9 @@
 
 }
 
-ClientExchange::ClientExchange(boost::asio::io_context &io, Address target, Request request, Client::Callback callback)
-    : m_timer(io)
+ClientExchange::ClientExchange(boost::asio::io_context &io, ByteCount &byteCount, Address target, Request request, Client::Callback callback)
+    : m_byteCount(byteCount)
+    , m_timer(io)
     , m_target(std::move(target))
     , m_request(toMessage(m_target, std::move(request)))
     , m_callback(std::move(callback))
@@ -130,6 +131,7 @@
 
 void ClientExchange::onWritten(const Error &error, std::size_t count)
 {
+    m_byteCount.m_sent += count;
     if (!error) {
         read();
         return;
@@ -146,7 +148,8 @@
 
 void ClientExchange::read()
 {
-    beasthttp::async_read(m_connection->m_socket, m_connection->m_buffer, *m_parser, [self = shared_from_this()](const Error &error, std::size_t) {
+    beasthttp::async_read(m_connection->m_socket, m_connection->m_buffer, *m_parser, [self = shared_from_this()](const Error &error, std::size_t count) {
+        self->m_byteCount.m_received += count;
         if (!self->m_ended) {
             self->onRead(error);
         }
--- a/components/http/client_exchange.hpp
+++ b/components/http/client_exchange.hpp
@@ -2,6 +2,7 @@
 #define COMPONENTS_HTTP_CLIENT_EXCHANGE_HPP
 
 #include "components/http/address.hpp"
+#include "components/http/byte_count.hpp"
 #include "components/http/client.hpp"
 #include "components/http/client_connection.hpp"
 #include "components/http/request.hpp"
@@ -27,7 +28,7 @@
     /// Called once at the end; gets the connection back where it can be used again, else nothing.
     using Released = std::function<void(std::unique_ptr<ClientConnection>)>;
 
-    ClientExchange(boost::asio::io_context &io, Address target, Request request, Client::Callback callback);
+    ClientExchange(boost::asio::io_context &io, ByteCount &byteCount, Address target, Request request, Client::Callback callback);
 
     /// Starts the timeout.
     void begin(fleet::Duration timeout);
@@ -50,6 +51,7 @@
     void onRead(const Error &error);
     void end(Result result, bool reusable);
 
+    ByteCount &m_byteCount;
     boost::asio::steady_timer m_timer;
     Address m_target;
     boost::beast::http::request<boost::beast::http::string_body> m_request;
--- /dev/null
+++ b/components/instance/event_meter.cpp
@@ -0,0 +1,59 @@
+#include "components/instance/event_meter.hpp"
+
+#include "components/instance/core.hpp"
+#include "components/metrics/registry.hpp"
+
+#include <ctime>
+
+namespace instance
+{
+
+namespace
+{
+
+std::int64_t threadProcessorMs()
+{
+    constexpr std::int64_t msPerSecond = 1000;
+    constexpr std::int64_t nsPerMs = 1'000'000;
+    timespec spent {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &spent);
+    return spent.tv_sec * msPerSecond + spent.tv_nsec / nsPerMs;
+}
+
+}
+
+EventMeter::EventMeter(metrics::Registry &registry)
+    : m_events(registry.counter("foxtailcross_control_events_total", "Events handled by the control thread."))
+    , m_datagrams(registry.counter("foxtailcross_heartbeats_received_total", "Datagrams received from other instances."))
+    , m_datagramBytes(registry.counter("foxtailcross_heartbeat_received_bytes_total", "Bytes of datagrams received."))
+    , m_records(registry.counter("foxtailcross_log_records_read_total", "Records read from the log."))
+    , m_processorTime(registry.gauge("foxtailcross_control_cpu_milliseconds", "Processor time of the control thread."))
+    , m_configurationVersion(registry.gauge("foxtailcross_configuration_version", "Version of the configuration in force here."))
+    , m_logReachable(registry.gauge("foxtailcross_log_reachable", "1 where the last reads of the log gave a page."))
+    , m_waitingJobs(registry.gauge("foxtailcross_jobs_waiting", "Jobs that wait in the zone that this instance schedules."))
+    , m_activeJobs(registry.gauge("foxtailcross_jobs_active", "Jobs with an attempt in the zone that this instance schedules."))
+{
+}
+
+void EventMeter::count(const Event &event)
+{
+    m_events.add();
+    if (const auto *datagram = std::get_if<DatagramReceived>(&event)) {
+        m_datagrams.add();
+        m_datagramBytes.add(datagram->m_bytes.size());
+    }
+    if (const auto *read = std::get_if<LogReadEnded>(&event); read != nullptr && read->m_result.m_page) {
+        m_records.add(read->m_result.m_page->m_records.size());
+    }
+}
+
+void EventMeter::show(const Core &core)
+{
+    m_processorTime.set(threadProcessorMs());
+    m_configurationVersion.set(static_cast<std::int64_t>(core.m_configuration.m_configuration.m_version.m_value));
+    m_logReachable.set(isLogReachable(core) ? 1 : 0);
+    m_waitingJobs.set(core.m_zone ? static_cast<std::int64_t>(core.m_zone->m_scheduler.m_waiting.size()) : 0);
+    m_activeJobs.set(core.m_zone ? static_cast<std::int64_t>(core.m_zone->m_scheduler.m_active.size()) : 0);
+}
+
+}
--- a/components/instance/traffic.cpp
+++ b/components/instance/traffic.cpp
@@ -1,6 +1,7 @@
 #include "components/instance/traffic.hpp"
 
 #include "components/api/write_reply.hpp"
+#include "components/http/byte_count.hpp"
 #include "components/http/client.hpp"
 #include "components/http/server.hpp"
 #include "components/instance/caller_front.hpp"
@@ -68,10 +69,12 @@
 
 struct Traffic::Sockets
 {
-    Sockets(const settings::DaemonSettings &settings, fleet::Incarnation incarnation, EventQueue<Event> &queue, const metrics::Registry &registry)
+    Sockets(const settings::DaemonSettings &settings, fleet::Incarnation incarnation, EventQueue<Event> &queue, metrics::Registry &registry)
         : m_instance(settings.m_instance)
         , m_queue(queue)
         , m_registry(registry)
+        , m_sentBytes(registry.gauge("foxtailcross_client_sent_bytes", "HTTP bytes sent to the platform, targets and other instances."))
+        , m_receivedBytes(registry.gauge("foxtailcross_client_received_bytes", "HTTP bytes received as answers of those."))
         , m_callerFront(settings.m_operatorToken, m_waiters, queue)
         , m_peerFront(settings, incarnation, m_waiters, queue)
         , m_log(m_client, toAddress(settings.m_logEndpoint))
@@ -162,7 +165,9 @@
 
     fleet::InstanceId m_instance;
     EventQueue<Event> &m_queue;
-    const metrics::Registry &m_registry;
+    metrics::Registry &m_registry;
+    metrics::Gauge &m_sentBytes;
+    metrics::Gauge &m_receivedBytes;
     Waiters m_waiters;
     CallerFront m_callerFront;
     PeerFront m_peerFront;
@@ -177,7 +182,7 @@
     http::Server m_callerServer;
 };
 
-Traffic::Traffic(const settings::DaemonSettings &settings, fleet::Incarnation incarnation, EventQueue<Event> &queue, const metrics::Registry &registry)
+Traffic::Traffic(const settings::DaemonSettings &settings, fleet::Incarnation incarnation, EventQueue<Event> &queue, metrics::Registry &registry)
     : m_sockets(std::make_unique<Sockets>(settings, incarnation, queue, registry))
 {
 }
@@ -225,6 +230,9 @@
         return boost::uuids::to_string(sockets.m_makeId());
     };
     ports.m_renderMetrics = [&sockets] {
+        const http::ByteCount &bytes = sockets.m_client.byteCount();
+        sockets.m_sentBytes.set(static_cast<std::int64_t>(bytes.m_sent.load()));
+        sockets.m_receivedBytes.set(static_cast<std::int64_t>(bytes.m_received.load()));
         return sockets.m_registry.render();
     };
     return ports;
--- a/components/instance/traffic.hpp
+++ b/components/instance/traffic.hpp
@@ -28,7 +28,7 @@
 public:
     /// Listens and serves at once. All references must outlive this object.
     /// @throws std::exception where an address cannot be bound.
-    Traffic(const settings::DaemonSettings &settings, fleet::Incarnation incarnation, EventQueue<Event> &queue, const metrics::Registry &registry);
+    Traffic(const settings::DaemonSettings &settings, fleet::Incarnation incarnation, EventQueue<Event> &queue, metrics::Registry &registry);
     ~Traffic();
 
     Traffic(const Traffic &) = delete;
