Scheduler: a job cannot be begun twice; displacement after a long wait; cheaper passes

Cause: a reserved job that was started by the ordinary pass could be begun a second time by repacking, which ended the program. Large jobs starved behind reservations that drained slowly, and every event walked the whole queue. Change: leaving the queue drops the reservation; a job that waited 30 minutes displaces what can checkpoint; four reservations; only groups that a job joined are tried while nothing was freed, and each shape once a pass. The fake zone checks bookings, quotas and repeated arrivals as well.

--- a/components/scheduler/admission.cpp
+++ b/components/scheduler/admission.cpp
@@ -3,6 +3,7 @@
 #include "components/scheduler/borrowed.hpp"
 #include "components/scheduler/covered.hpp"
 #include "components/scheduler/gangs.hpp"
+#include "components/scheduler/queue.hpp"
 #include "components/scheduler/reservations.hpp"
 
 #include <algorithm>
@@ -36,20 +37,27 @@
     }
 }
 
-bool hasSlots(const State &state, const fleet::AccountId &account)
+/// Accounts with a guaranteed shape that is not used up.
+std::set<fleet::AccountId> accountsWithRoom(const State &state)
 {
-    const auto found = state.m_accounts.find(account);
-    return found != state.m_accounts.end() && !found->second.m_guarantees.empty();
+    std::set<fleet::AccountId> accounts;
+    for (const auto &[id, slot] : state.m_guarantees.m_slots) {
+        if (guarantees::unusedPart(slot) != fleet::Resources {}) {
+            accounts.insert(slot.m_account);
+        }
+    }
+    return accounts;
 }
 
 /// Starts what guarantees cover, the most urgent first.
 void startAllCovered(Context &context)
 {
     State &state = context.m_state;
+    const std::set<fleet::AccountId> accounts = accountsWithRoom(state);
     std::vector<GroupKey> keys;
-    for (const auto &[key, group] : state.m_groups) {
-        if (hasSlots(state, key.m_account)) {
-            keys.push_back(key);
+    for (const GroupKey *key : groupsToTry(context)) {
+        if (accounts.contains(key->m_account)) {
+            keys.push_back(*key);
         }
     }
     std::stable_sort(keys.begin(), keys.end(), [](const GroupKey &a, const GroupKey &b) {
@@ -86,6 +94,7 @@
         return;
     }
     state.m_isDirty = false;
+    context.m_isFullPass = state.m_isFreed || context.m_isTick;
     if (context.m_isTick) {
         state.m_blockedReclaims.clear();
     }
@@ -98,6 +107,7 @@
     } else {
         admitGuaranteed(context);
     }
+    state.m_freshGroups.clear();
 }
 
 }
--- a/components/scheduler/borrowed.cpp
+++ b/components/scheduler/borrowed.cpp
@@ -5,6 +5,7 @@
 #include "components/scheduler/gangs.hpp"
 #include "components/scheduler/masks.hpp"
 #include "components/scheduler/progress.hpp"
+#include "components/scheduler/queue.hpp"
 #include "components/scheduler/reservations.hpp"
 #include "components/scheduler/urgency_budget.hpp"
 
@@ -16,13 +17,25 @@
 namespace
 {
 
+/// A group and the response ratio of its first job. The key is that of the state's map.
+struct RankedGroup
+{
+    double m_ratio = 0;
+    const GroupKey *m_key = nullptr;
+
+    bool operator<(const RankedGroup &other) const
+    {
+        return m_ratio != other.m_ratio ? m_ratio < other.m_ratio : *m_key < *other.m_key;
+    }
+};
+
 /// Groups of one account that may have a job to start, the best last.
 struct AccountQueue
 {
     fleet::AccountId m_account;
     /// Weighted share of what it uses.
     double m_share = 0;
-    std::vector<std::pair<double, GroupKey>> m_groups;
+    std::vector<RankedGroup> m_groups;
 };
 
 /// What one pass over the groups shares.
@@ -46,20 +59,37 @@
     return std::find(shapes.begin(), shapes.end(), shape) != shapes.end();
 }
 
+/// True where the shape fits nowhere, reservations aside. Each shape is tried once in a pass.
+bool isBlocked(State &state, const fleet::Shape &shape, std::vector<fleet::Shape> &fitting)
+{
+    if (contains(fitting, shape)) {
+        return false;
+    }
+    if (contains(state.m_blockedShapes, shape)) {
+        return true;
+    }
+    const bool fits = placement::place(state.m_pool, shape, placement::Rule::FirstFit).has_value();
+    (fits ? fitting : state.m_blockedShapes).push_back(shape);
+    return !fits;
+}
+
 std::vector<AccountQueue> makeQueues(Context &context, const Pass &pass)
 {
     State &state = context.m_state;
     std::vector<AccountQueue> queues;
-    for (const auto &[key, group] : state.m_groups) {
-        const Job &job = firstJob(state, group);
-        const bool isBlocked = contains(state.m_blockedShapes, key.m_shape);
-        if (isBlocked || effectiveUrgency(state, job, context.m_now) != pass.m_urgency) {
+    std::vector<fleet::Shape> fitting;
+    for (const GroupKey *key : groupsToTry(context)) {
+        if (isBlocked(state, key->m_shape, fitting)) {
+            continue;
+        }
+        const Job &job = firstJob(state, state.m_groups.at(*key));
+        if (effectiveUrgency(state, job, context.m_now) != pass.m_urgency) {
             continue;
         }
-        if (queues.empty() || queues.back().m_account != key.m_account) {
-            queues.push_back({key.m_account, weightedShare(state, key.m_account, pass.m_capacity), {}});
+        if (queues.empty() || queues.back().m_account != key->m_account) {
+            queues.push_back({key->m_account, weightedShare(state, key->m_account, pass.m_capacity), {}});
         }
-        queues.back().m_groups.emplace_back(responseRatio(state, job, context.m_now), key);
+        queues.back().m_groups.push_back({responseRatio(state, job, context.m_now), key});
     }
     for (AccountQueue &queue : queues) {
         std::sort(queue.m_groups.begin(), queue.m_groups.end());
@@ -125,7 +155,7 @@
 void tryBestGroup(Context &context, AccountQueue &queue, Pass &pass)
 {
     State &state = context.m_state;
-    const GroupKey key = queue.m_groups.back().second;
+    const GroupKey key = *queue.m_groups.back().m_key;
     queue.m_groups.pop_back();
     if (!startBorrower(context, firstJob(state, state.m_groups.at(key)), pass)) {
         return;
@@ -137,7 +167,7 @@
     }
     const Job &next = firstJob(state, group->second);
     if (effectiveUrgency(state, next, context.m_now) == pass.m_urgency) {
-        queue.m_groups.emplace_back(responseRatio(state, next, context.m_now), key);
+        queue.m_groups.push_back({responseRatio(state, next, context.m_now), &group->first});
         std::sort(queue.m_groups.begin(), queue.m_groups.end());
     }
 }
@@ -171,9 +201,9 @@
 {
     State &state = context.m_state;
     std::vector<GroupKey> keys;
-    for (const auto &[key, group] : state.m_groups) {
-        if (key.m_urgency == fleet::Urgency::Urgent) {
-            keys.push_back(key);
+    for (const GroupKey *key : groupsToTry(context)) {
+        if (key->m_urgency == fleet::Urgency::Urgent) {
+            keys.push_back(*key);
         }
     }
     for (const GroupKey &key : keys) {
--- a/components/scheduler/context.hpp
+++ b/components/scheduler/context.hpp
@@ -21,6 +21,8 @@
     std::set<fleet::JobId> m_touched;
     /// Costly searches that found nothing are repeated at a tick only.
     bool m_isTick = false;
+    /// Every waiting group is tried; otherwise only those that a job joined, as nothing was freed for the others.
+    bool m_isFullPass = false;
 };
 
 }
--- a/components/scheduler/fake_zone.hpp
+++ b/components/scheduler/fake_zone.hpp
@@ -32,6 +32,8 @@
     void removeWorker(int index);
     void submit(const fleet::JobSpec &spec, fleet::Duration runTime, bool isBad);
     void cancel(int index);
+    /// The arrival of a job comes again, as the scheduler still knows that it came before.
+    void repeatArrival(int index);
     void allowStarts(bool allowed);
     /// Another instance takes over: state is rebuilt from what was recorded and from the workers.
     void changeHolder();
--- a/components/scheduler/fake_zone_test.cpp
+++ b/components/scheduler/fake_zone_test.cpp
@@ -1,4 +1,5 @@
 #include "components/scheduler/fake_zone.hpp"
+#include "components/scheduler/status.hpp"
 
 #include <algorithm>
 #include <set>
@@ -168,6 +169,17 @@
     }
 }
 
+void FakeZone::repeatArrival(int index)
+{
+    if (m_specs.empty()) {
+        return;
+    }
+    const fleet::JobSpec &spec = std::next(m_specs.begin(), index % static_cast<int>(m_specs.size()))->second;
+    if (m_state.m_jobs.contains(spec.m_id) || m_state.m_ended.contains(spec.m_id)) {
+        apply(JobArrived {spec});
+    }
+}
+
 void FakeZone::allowStarts(bool allowed)
 {
     m_startsAllowed = allowed;
@@ -303,11 +315,34 @@
 
 void FakeZone::checkLedger()
 {
+    std::vector<fleet::Resources> free;
+    for (const placement::Node &node : m_state.m_pool.m_nodes) {
+        free.push_back(node.m_capacity);
+    }
+    for (const auto &[id, job] : m_state.m_jobs) {
+        for (std::size_t task = 0; job.m_attempt && task < job.m_attempt->m_tasks.size(); ++task) {
+            const TaskRun &run = job.m_attempt->m_tasks[task];
+            if (!run.m_over && run.m_worker != unknownWorker) {
+                free[run.m_worker] = free[run.m_worker] - job.m_spec.m_shape.m_perTask;
+            }
+        }
+    }
+    for (std::size_t worker = 0; worker < free.size(); ++worker) {
+        if (free[worker] != m_state.m_pool.m_nodes[worker].m_free) {
+            fail("what is booked is what attempts hold");
+        }
+    }
     for (const Worker &worker : m_state.m_workers) {
         if (!worker.m_leased.fitsIn(worker.m_info.m_capacity)) {
             fail("leases given out fit on their worker");
         }
     }
+    for (const AccountStatus &status : accountStatuses(m_state, m_now)) {
+        const bool isBounded = m_state.m_settings.m_policy == Policy::Guaranteed && m_state.m_accounts.contains(status.m_account);
+        if (isBounded && !status.m_borrowed.fitsIn(m_state.m_accounts.at(status.m_account).m_quota)) {
+            fail("an account borrows within its quota");
+        }
+    }
 }
 
 void FakeZone::checkGuarantees()
--- a/components/scheduler/properties_test.cpp
+++ b/components/scheduler/properties_test.cpp
@@ -30,6 +30,10 @@
 void setUp(FakeZone &zone, scheduler::Policy policy = scheduler::Policy::Guaranteed)
 {
     zone.m_state.m_settings.m_policy = policy;
+    zone.m_state.m_settings.m_repackInterval = 1s;
+    zone.m_state.m_settings.m_repackLeastRun = 3s;
+    zone.m_state.m_settings.m_reservationLongestWait = 20s;
+    zone.m_state.m_settings.m_reservationPatience = 10s;
     zone.m_accounts = makeAccounts();
     zone.apply(scheduler::PolicyChanged {zone.m_accounts});
     for (int worker = 0; worker < racks * workersPerRack; ++worker) {
@@ -71,7 +75,7 @@
 void applyAny(FakeZone &zone)
 {
     const int worker = *rc::gen::inRange(0, static_cast<int>(zone.m_workers.size()));
-    const int kind = *rc::gen::inRange(0, 24);
+    const int kind = *rc::gen::inRange(0, 26);
     if (kind < 13) {
         submitAny(zone);
     } else if (kind < 16) {
@@ -90,6 +94,8 @@
         zone.m_workers[worker].m_failsEverything = true;
     } else if (kind == 22) {
         zone.apply(scheduler::WorkerListed {zone.m_workers[worker].m_info, true});
+    } else if (kind < 25) {
+        zone.repeatArrival(*rc::gen::inRange(0, 1000));
     } else {
         zone.changeHolder();
     }
--- a/components/scheduler/queue.cpp
+++ b/components/scheduler/queue.cpp
@@ -24,6 +24,14 @@
     return {job.m_spec.m_submittedAt, job.m_spec.m_id};
 }
 
+void joinGroup(State &state, const Job &job)
+{
+    const GroupKey key = groupKey(job.m_spec);
+    state.m_groups[key].m_jobs.insert(waitingJob(job));
+    state.m_freshGroups.insert(key);
+    state.m_isDirty = true;
+}
+
 }
 
 void admitJob(Context &context, const JobArrived &event)
@@ -74,9 +82,6 @@
     state.m_active.erase(id);
     state.m_claims.erase(id);
     health::dropJob(state.m_health, id);
-    std::erase_if(state.m_reservations, [&id](const Reservation &reservation) {
-        return reservation.m_job == id;
-    });
     state.m_ended.insert_or_assign(id, context.m_now);
     state.m_jobs.erase(id);
 }
@@ -88,13 +93,15 @@
     if (job.m_notBefore > now) {
         state.m_delayed.insert({job.m_notBefore, job.m_spec.m_id});
     } else {
-        state.m_groups[groupKey(job.m_spec)].m_jobs.insert(entry);
-        state.m_isDirty = true;
+        joinGroup(state, job);
     }
 }
 
 void dequeue(State &state, const Job &job)
 {
+    std::erase_if(state.m_reservations, [&job](const Reservation &reservation) {
+        return reservation.m_job == job.m_spec.m_id;
+    });
     const WaitingJob entry = waitingJob(job);
     state.m_waiting.erase(entry);
     state.m_delayed.erase({job.m_notBefore, job.m_spec.m_id});
@@ -113,9 +120,28 @@
     while (!state.m_delayed.empty() && state.m_delayed.begin()->m_submittedAt <= now) {
         const Job &job = state.m_jobs.at(state.m_delayed.begin()->m_job);
         state.m_delayed.erase(state.m_delayed.begin());
-        state.m_groups[groupKey(job.m_spec)].m_jobs.insert(waitingJob(job));
-        state.m_isDirty = true;
+        joinGroup(state, job);
+    }
+}
+
+std::vector<const GroupKey *> groupsToTry(const Context &context)
+{
+    const State &state = context.m_state;
+    std::vector<const GroupKey *> keys;
+    if (context.m_isFullPass) {
+        keys.reserve(state.m_groups.size());
+        for (const auto &[key, group] : state.m_groups) {
+            keys.push_back(&key);
+        }
+        return keys;
+    }
+    for (const GroupKey &fresh : state.m_freshGroups) {
+        const auto group = state.m_groups.find(fresh);
+        if (group != state.m_groups.end()) {
+            keys.push_back(&group->first);
+        }
     }
+    return keys;
 }
 
 GroupKey groupKey(const fleet::JobSpec &spec)
--- a/components/scheduler/reservations.cpp
+++ b/components/scheduler/reservations.cpp
@@ -62,16 +62,29 @@
     return true;
 }
 
-/// When due, gangs that were let in after the reservation make room; after the patience, older borrowers too.
+/// True where the gang can checkpoint and has run long enough to be stopped for a job that has waited.
+bool canGiveWay(const Context &context, const Job &victim)
+{
+    const Attempt &attempt = *victim.m_attempt;
+    const bool hasRun = attempt.m_phase == AttemptPhase::Running && context.m_now - attempt.m_startedAt >= context.m_state.m_settings.m_repackLeastRun;
+    return victim.m_spec.m_checkpointable && hasRun;
+}
+
+/// When due, gangs that were let in after the reservation make room; after the patience, older borrowers too. A job that
+/// has waited long enough displaces what can checkpoint at any time.
 bool startByMakingRoom(Context &context, Job &job, const Reservation &reservation)
 {
-    if (!context.m_isTick || context.m_now < reservation.m_dueAt) {
+    const Settings &settings = context.m_state.m_settings;
+    const bool isDue = context.m_now >= reservation.m_dueAt;
+    const bool isPatienceOver = context.m_now >= reservation.m_dueAt + settings.m_reservationPatience;
+    const bool hasWaited = context.m_now - job.m_spec.m_submittedAt >= settings.m_reservationLongestWait;
+    if (!context.m_isTick || (!isDue && !hasWaited)) {
         return false;
     }
-    const bool isPatienceOver = context.m_now >= reservation.m_dueAt + context.m_state.m_settings.m_reservationPatience;
-    const auto mayStop = [&reservation, isPatienceOver](const Job &victim) {
-        const bool isLater = victim.m_attempt->m_placedAt >= reservation.m_madeAt;
-        return victim.m_attempt->m_urgency != fleet::Urgency::Urgent && (isLater || isPatienceOver);
+    const auto mayStop = [&](const Job &victim) {
+        const bool isLater = isDue && victim.m_attempt->m_placedAt >= reservation.m_madeAt;
+        const bool gives = isLater || isPatienceOver || (hasWaited && canGiveWay(context, victim));
+        return victim.m_attempt->m_urgency != fleet::Urgency::Urgent && gives;
     };
     const auto displacement = planDisplacement(context, job.m_spec.m_shape, wholeCapacity(context.m_state), mayStop);
     if (!displacement) {
@@ -184,13 +197,11 @@
     State &state = context.m_state;
     const Settings &settings = state.m_settings;
     Job &job = state.m_jobs.at(reservation.m_job);
-    if (!canStartNow(context, job)) {
+    if (job.m_attempt || !canStartNow(context, job)) {
         return false;
     }
     const auto mayMove = [&](const Job &victim) {
-        const Attempt &attempt = *victim.m_attempt;
-        const bool hasRun = attempt.m_phase == AttemptPhase::Running && context.m_now - attempt.m_startedAt >= settings.m_repackLeastRun;
-        return victim.m_spec.m_checkpointable && hasRun && attempt.m_urgency != fleet::Urgency::Urgent;
+        return canGiveWay(context, victim) && victim.m_attempt->m_urgency != fleet::Urgency::Urgent;
     };
     const auto displacement = planDisplacement(context, job.m_spec.m_shape, wholeCapacity(state), mayMove);
     if (!displacement) {
--- a/components/scheduler/settings.hpp
+++ b/components/scheduler/settings.hpp
@@ -33,13 +33,15 @@
     fleet::Duration m_restartCost {5'000};
 
     /// Jobs that hold a reservation at once.
-    int m_maxReservations = 2;
+    int m_maxReservations = 4;
     /// How long past its due time a reservation waits for gangs that were there before it, until they make room.
     fleet::Duration m_reservationPatience {120'000};
+    /// A reserved job that has waited this long displaces gangs that can checkpoint, also before its due time.
+    fleet::Duration m_reservationLongestWait {1'800'000};
     /// A reserved job starts earlier by moving other gangs where it gains this many times the work lost.
     double m_repackGain = 4.0;
     /// A gang is not moved again before it has run this long.
-    fleet::Duration m_repackLeastRun {60'000};
+    fleet::Duration m_repackLeastRun {300'000};
     fleet::Duration m_repackInterval {10'000};
     /// Background work that has waited this long counts as normal work.
     fleet::Duration m_backgroundAging {3'600'000};
--- a/components/scheduler/state.hpp
+++ b/components/scheduler/state.hpp
@@ -56,6 +56,8 @@
     std::set<WaitingJob> m_waiting;
     /// The same, without those in their retry wait, by what they have in common.
     std::map<GroupKey, Group> m_groups;
+    /// Groups that a job joined since the last pass over the queue.
+    std::set<GroupKey> m_freshGroups;
     /// Jobs in their retry wait, by its end.
     std::set<WaitingJob> m_delayed;
     /// Attempts that wait for gangs to make room.
--- a/components/scheduler/step.cpp
+++ b/components/scheduler/step.cpp
@@ -62,6 +62,7 @@
     for (auto &[key, group] : context.m_state.m_groups) {
         group.m_feasibleFor = 0;
     }
+    context.m_state.m_isFreed = true;
     context.m_state.m_isDirty = true;
 }
 
@@ -69,6 +70,7 @@
 {
     State &state = context.m_state;
     state.m_isDirty = state.m_isDirty || event.m_allowed != state.m_startsAllowed;
+    state.m_isFreed = state.m_isFreed || event.m_allowed != state.m_startsAllowed;
     state.m_startsAllowed = event.m_allowed;
     state.m_isSettled = state.m_isSettled || event.m_allowed;
     if (!event.m_allowed) {
@@ -124,7 +126,7 @@
 
 std::vector<Action> step(State &state, const Event &event, fleet::TimePoint now)
 {
-    Context context {state, now, {}, {}, false};
+    Context context {state, now, {}, {}, false, false};
     std::visit(
         [&context](const auto &one) {
             apply(context, one);
