--- a/CI/run_demo.sh
+++ b/CI/run_demo.sh
@@ -121,6 +121,9 @@
 until_true "the start of three daemons" everyone_ready
 echo "The stand-ins and three daemons run, and each availability zone has a scheduler."
 
+fx apply files/starting-configuration.json >/dev/null
+echo "The starting configuration of files/ is in force."
+
 echo "== 1. Accounts, defaults and an exception =="
 shape="tasks=8,accelerators=1,cores=2,memory-mb=4000,adjacency=same-rack"
 fx accounts put swaralaya --guarantee "$shape,zones=kochi/thrissur" >/dev/null
@@ -131,7 +134,7 @@
 fi
 echo "An exception without a reason was refused: ${refused#foxtailcross: }"
 fx exceptions put festival --account agencies --for "10 d" --urgent-per-hour 60 --reason "festival week at the agencies" >/dev/null
-[ "$(fx --output json accounts list | member 1.id)" = swaralaya ] || fail "the accounts are not listed"
+[ "$(fx --output json accounts list | member 2.id)" = swaralaya ] || fail "the accounts are not listed"
 fx accounts list
 fx exceptions list
 
--- a/apps/foxtailcrossd/main.cpp
+++ b/apps/foxtailcrossd/main.cpp
@@ -1,11 +1,8 @@
 #include "components/instance/control.hpp"
 #include "components/instance/control_loop.hpp"
-#include "components/instance/event_meter.hpp"
-#include "components/instance/metered_ports.hpp"
 #include "components/instance/options.hpp"
 #include "components/instance/traffic.hpp"
 #include "components/logging/log.hpp"
-#include "components/metrics/registry.hpp"
 #include "components/settings/daemon_settings.hpp"
 #include "components/settings/reader.hpp"
 #include "components/settings/settings_error.hpp"
@@ -49,15 +46,13 @@
     const logging::Log log("main");
     std::signal(SIGTERM, noteStopSignal);
     std::signal(SIGINT, noteStopSignal);
-    metrics::Registry registry;
     instance::EventQueue<instance::Event> queue;
     const fleet::Incarnation incarnation = drawIncarnation();
-    instance::Traffic traffic(settings, incarnation, queue, registry);
-    instance::Control control(settings, incarnation, instance::meter(traffic.ports(), registry));
-    instance::EventMeter meter(registry);
+    instance::Traffic traffic(settings, incarnation, queue);
+    instance::Control control(settings, incarnation, traffic.ports());
     log.info("Instance " + settings.m_instance.value() + " of zone " + settings.m_zone.value() + " serves.");
     int handled = 0;
-    runControlLoop(control, queue, meter, [&] {
+    runControlLoop(control, queue, [&] {
         for (; handled < stopSignals; ++handled) {
             queue.push(instance::StopRequested {});
         }
--- a/components/cli/operator_commands.cpp
+++ b/components/cli/operator_commands.cpp
@@ -10,6 +10,9 @@
 
 #include <boost/json.hpp>
 
+#include <fstream>
+#include <iterator>
+
 namespace cli
 {
 
@@ -55,6 +58,43 @@
     return "/v1/" + collection + "/" + http::percentEncode(name) + (verb.empty() ? "" : "/" + verb);
 }
 
+boost::json::value readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    boost::system::error_code error;
+    boost::json::value value = boost::json::parse(text, error);
+    if (!file || error || !value.is_object()) {
+        throw CommandError(ExitCode::Usage, path + " cannot be read as a JSON object; correct its name or its content");
+    }
+    return value;
+}
+
+/// Sends one part of a configuration file as a change of its own.
+void applyPart(const Session &session, const Arguments &arguments, const std::string &target, const boost::json::object &part)
+{
+    boost::json::object body = beginChange(session, arguments);
+    for (const auto &member : part) {
+        body[member.key()] = member.value();
+    }
+    body.erase("id");
+    sendChange(session, "PUT", target, body);
+}
+
+/// Sets the defaults and puts every account of a configuration file, one change each.
+void applyFile(const Session &session, const Arguments &arguments)
+{
+    const boost::json::object file = readFile(arguments.word("FILE")).as_object();
+    if (const boost::json::value *defaults = file.if_contains("defaults")) {
+        applyPart(session, arguments, "/v1/defaults", defaults->as_object());
+    }
+    if (const boost::json::value *accounts = file.if_contains("accounts")) {
+        for (const boost::json::value &account : accounts->as_array()) {
+            applyPart(session, arguments, pathOf("accounts", cell(account, "id")), account.as_object());
+        }
+    }
+}
+
 void listAccounts(const Session &session, const Arguments &)
 {
     const boost::json::value configuration = showConfiguration(session);
@@ -183,6 +223,7 @@
 std::vector<Command> operatorCommands()
 {
     return {
+        {"apply", "FILE", {{}, {}, {"FILE"}}, applyFile},
         {"accounts list", "", {}, listAccounts},
         {"accounts put", "ACCOUNT [--guarantee SHAPE]...", {{"guarantee", "made-from"}, {}, {"ACCOUNT"}}, putAccount},
         {"accounts remove", "ACCOUNT", {{"made-from"}, {}, {"ACCOUNT"}}, removeAccount},
--- a/components/instance/control.cpp
+++ b/components/instance/control.cpp
@@ -1,13 +1,17 @@
 #include "components/instance/control.hpp"
 
+#include "components/instance/answer_counts.hpp"
 #include "components/instance/configuration_calls.hpp"
 #include "components/instance/core.hpp"
+#include "components/instance/event_meter.hpp"
 #include "components/instance/job_calls.hpp"
 #include "components/instance/log_exchange.hpp"
+#include "components/instance/metrics_view.hpp"
 #include "components/instance/peer_calls.hpp"
 #include "components/instance/peer_view.hpp"
 #include "components/instance/platform_list_use.hpp"
 #include "components/instance/request_calls.hpp"
+#include "components/instance/state_copies.hpp"
 #include "components/instance/status_calls.hpp"
 #include "components/instance/stopping.hpp"
 #include "components/instance/zone_scheduling.hpp"
@@ -24,9 +28,9 @@
     core.m_ports.m_reply(waiter, api::Health {!isStopping(core)});
 }
 
-void serve(Core &core, requests::WaiterId waiter, const api::ShowMetrics &, fleet::TimePoint)
+void serve(Core &core, requests::WaiterId waiter, const api::ShowMetrics &, fleet::TimePoint now)
 {
-    core.m_ports.m_reply(waiter, api::MetricsText {core.m_ports.m_renderMetrics()});
+    core.m_ports.m_reply(waiter, api::MetricsText {renderMetrics(core, now)});
 }
 
 void serve(Core &core, requests::WaiterId waiter, const api::SubmitJob &call, fleet::TimePoint now)
@@ -157,6 +161,8 @@
     feedRequests(core, requests::Tick {}, now);
     expireChanges(core, now);
     expireJobCalls(core, now);
+    recordAnswers(core, now);
+    tickCopies(core, now);
     tickStop(core, now);
 }
 
@@ -164,6 +170,7 @@
 
 Control::Control(const settings::DaemonSettings &settings, fleet::Incarnation incarnation, Ports ports)
     : m_core(std::make_unique<Core>(makeCore(settings, incarnation, std::move(ports))))
+    , m_meter(std::make_unique<EventMeter>(*m_core->m_metrics))
 {
 }
 
@@ -171,6 +178,7 @@
 
 void Control::handle(const Event &event, fleet::TimePoint now)
 {
+    m_meter->count(event);
     std::visit(
         [&](const auto &value) {
             apply(*m_core, value, now);
--- a/components/instance/control_loop.cpp
+++ b/components/instance/control_loop.cpp
@@ -1,7 +1,6 @@
 #include "components/instance/control_loop.hpp"
 
 #include "components/instance/control.hpp"
-#include "components/instance/event_meter.hpp"
 
 #include <algorithm>
 
@@ -20,21 +19,19 @@
 
 }
 
-void runControlLoop(Control &control, EventQueue<Event> &queue, EventMeter &meter, const std::function<void()> &beforeTick)
+void runControlLoop(Control &control, EventQueue<Event> &queue, const std::function<void()> &beforeTick)
 {
     fleet::TimePoint nextTick = presentTime();
     while (!control.isStopped()) {
         const fleet::TimePoint before = presentTime();
         const std::vector<Event> events = queue.take(std::clamp(nextTick - before, fleet::Duration(0), tickInterval));
         for (const Event &event : events) {
-            meter.count(event);
             control.handle(event, presentTime());
         }
         const fleet::TimePoint now = presentTime();
         if (now >= nextTick || now + tickInterval < nextTick) {
             beforeTick();
             control.handle(Tick {}, now);
-            meter.show(control.core());
             nextTick = now + tickInterval;
         }
     }
--- a/components/instance/control_loop.hpp
+++ b/components/instance/control_loop.hpp
@@ -10,12 +10,11 @@
 {
 
 class Control;
-class EventMeter;
 
 /// Runs the control thread until the planned stop is complete. `beforeTick` is called before each passing of time.
 ///
 /// Takes the present time from the system clock and hands it to every decision.
-void runControlLoop(Control &control, EventQueue<Event> &queue, EventMeter &meter, const std::function<void()> &beforeTick);
+void runControlLoop(Control &control, EventQueue<Event> &queue, const std::function<void()> &beforeTick);
 
 }
 
--- a/components/instance/core.cpp
+++ b/components/instance/core.cpp
@@ -1,5 +1,7 @@
 #include "components/instance/core.hpp"
 
+#include "components/instance/metered_ports.hpp"
+
 #include "components/membership/step.hpp"
 
 #include <algorithm>
@@ -69,7 +71,8 @@
     Core core;
     core.m_settings = settings;
     core.m_incarnation = incarnation;
-    core.m_ports = std::move(ports);
+    core.m_metrics = std::make_unique<metrics::Registry>();
+    core.m_ports = meter(std::move(ports), *core.m_metrics);
     core.m_requestKeys.m_signing = settings.m_requestIdKey;
     core.m_peerKeys = toKeys(settings.m_peerKeys);
     // One record an append, so that each change has its own offset.
--- a/components/instance/core.hpp
+++ b/components/instance/core.hpp
@@ -14,6 +14,7 @@
 #include "components/instance/ports.hpp"
 #include "components/instance/worker_links.hpp"
 #include "components/membership/state.hpp"
+#include "components/metrics/registry.hpp"
 #include "components/platform/platform_list.hpp"
 #include "components/records/batcher.hpp"
 #include "components/records/stream_fold.hpp"
@@ -27,6 +28,7 @@
 #include "components/zones/start_permission.hpp"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -88,6 +90,24 @@
     report::Ledger m_figures;
 };
 
+/// Sendings of callers that were answered since they were last recorded, of one account.
+struct AnswerCounts
+{
+    std::int64_t m_done = 0;
+    std::int64_t m_refused = 0;
+    std::int64_t m_unknown = 0;
+};
+
+/// When snapshots are written and what other instances are asked for while the log is down.
+struct StateCopies
+{
+    fleet::TimePoint m_readingSince;
+    bool m_systemSnapshotInFlight = false;
+    fleet::TimePoint m_configurationSnapshotAt;
+    bool m_fetchInFlight = false;
+    fleet::TimePoint m_fetchedAt;
+};
+
 /// All control state of one instance. Only the control thread touches it.
 struct Core
 {
@@ -98,8 +118,6 @@
     wire::Keys m_peerKeys;
     wire::ReplayGuard m_datagramGuard;
     std::uint64_t m_lastDatagram = 0;
-    /// Datagrams that were no authentic new heartbeat.
-    std::uint64_t m_droppedDatagrams = 0;
 
     configuration::State m_configuration;
     LogReader m_configurationReader;
@@ -126,6 +144,10 @@
     std::vector<requests::AccountShare> m_shares;
     Forwards m_forwards;
     ListView m_platform;
+    std::map<fleet::AccountId, AnswerCounts> m_answerCounts;
+    fleet::TimePoint m_answersRecordedAt;
+    StateCopies m_copies;
+    std::unique_ptr<metrics::Registry> m_metrics;
 };
 
 /// The state of a new incarnation.
--- a/components/instance/event_meter.cpp
+++ b/components/instance/event_meter.cpp
@@ -1,6 +1,5 @@
 #include "components/instance/event_meter.hpp"
 
-#include "components/instance/core.hpp"
 #include "components/metrics/registry.hpp"
 
 #include <ctime>
@@ -28,10 +27,6 @@
     , m_datagramBytes(registry.counter("foxtailcross_heartbeat_received_bytes_total", "Bytes of datagrams received."))
     , m_records(registry.counter("foxtailcross_log_records_read_total", "Records read from the log."))
     , m_processorTime(registry.gauge("foxtailcross_control_cpu_milliseconds", "Processor time of the control thread."))
-    , m_configurationVersion(registry.gauge("foxtailcross_configuration_version", "Version of the configuration in force here."))
-    , m_logReachable(registry.gauge("foxtailcross_log_reachable", "1 where the last reads of the log gave a page."))
-    , m_waitingJobs(registry.gauge("foxtailcross_jobs_waiting", "Jobs that wait in the zone that this instance schedules."))
-    , m_activeJobs(registry.gauge("foxtailcross_jobs_active", "Jobs with an attempt in the zone that this instance schedules."))
 {
 }
 
@@ -45,15 +40,9 @@
     if (const auto *read = std::get_if<LogReadEnded>(&event); read != nullptr && read->m_result.m_page) {
         m_records.add(read->m_result.m_page->m_records.size());
     }
-}
-
-void EventMeter::show(const Core &core)
-{
-    m_processorTime.set(threadProcessorMs());
-    m_configurationVersion.set(static_cast<std::int64_t>(core.m_configuration.m_configuration.m_version.m_value));
-    m_logReachable.set(isLogReachable(core) ? 1 : 0);
-    m_waitingJobs.set(core.m_zone ? static_cast<std::int64_t>(core.m_zone->m_scheduler.m_waiting.size()) : 0);
-    m_activeJobs.set(core.m_zone ? static_cast<std::int64_t>(core.m_zone->m_scheduler.m_active.size()) : 0);
+    if (std::holds_alternative<Tick>(event)) {
+        m_processorTime.set(threadProcessorMs());
+    }
 }
 
 }
--- a/components/instance/event_meter.hpp
+++ b/components/instance/event_meter.hpp
@@ -13,9 +13,7 @@
 namespace instance
 {
 
-struct Core;
-
-/// Counts what the control loop takes in and shows some of its state as gauges. Used on the control thread only.
+/// Counts what the control loop takes in and how much processor time it spends. Used on the control thread only.
 class EventMeter
 {
 public:
@@ -23,8 +21,6 @@
     explicit EventMeter(metrics::Registry &registry);
 
     void count(const Event &event);
-    /// Brings the gauges up to date; call at each tick.
-    void show(const Core &core);
 
 private:
     metrics::Counter &m_events;
@@ -32,10 +28,6 @@
     metrics::Counter &m_datagramBytes;
     metrics::Counter &m_records;
     metrics::Gauge &m_processorTime;
-    metrics::Gauge &m_configurationVersion;
-    metrics::Gauge &m_logReachable;
-    metrics::Gauge &m_waitingJobs;
-    metrics::Gauge &m_activeJobs;
 };
 
 }
--- a/components/instance/forwards.hpp
+++ b/components/instance/forwards.hpp
@@ -19,6 +19,8 @@
     Query,
     /// This instance's table in a planned stop.
     Handover,
+    /// The state of both streams.
+    Fetch,
 };
 
 /// One call to another instance that has not ended.
--- a/components/instance/log_exchange.cpp
+++ b/components/instance/log_exchange.cpp
@@ -8,6 +8,7 @@
 #include "components/instance/peer_view.hpp"
 #include "components/instance/zone_scheduling.hpp"
 #include "components/instance/zone_view.hpp"
+#include "components/logging/log.hpp"
 #include "components/wire/codec_error.hpp"
 
 namespace instance
@@ -19,6 +20,12 @@
 /// The configuration stream's writer counts by itself.
 constexpr std::uint64_t noCounter = 0;
 
+const logging::Log &log()
+{
+    static const logging::Log log("log");
+    return log;
+}
+
 LogReader &readerOf(Core &core, LogStream stream)
 {
     return stream == LogStream::Configuration ? core.m_configurationReader : core.m_systemReader;
@@ -140,6 +147,8 @@
     readerOf(core, event.m_stream).m_again = readerOf(core, event.m_stream).m_again || appended;
     if (event.m_stream == LogStream::Configuration) {
         core.m_configurationWriter.endAppend(toOutcome(event.m_result.m_kind), now);
+    } else if (event.m_upTo == snapshotAppend) {
+        core.m_copies.m_systemSnapshotInFlight = false;
     } else if (appended) {
         records::noteAppended(core.m_batcher, event.m_upTo);
     } else {
@@ -152,6 +161,9 @@
 {
     LogReader &reader = readerOf(core, event.m_stream);
     if (!event.m_result.m_page) {
+        if (!reader.m_failed) {
+            log().warning("Stream " + std::string(streamName(event.m_stream)) + " cannot be read: " + event.m_result.m_reason + ".");
+        }
         failRead(reader);
         return;
     }
--- a/components/instance/log_exchange.hpp
+++ b/components/instance/log_exchange.hpp
@@ -4,11 +4,16 @@
 #include "components/fleet/time.hpp"
 #include "components/instance/events.hpp"
 
+#include <cstdint>
+
 namespace instance
 {
 
 struct Core;
 
+/// Stands in for the highest counter where an append holds a snapshot.
+constexpr std::uint64_t snapshotAppend = 0;
+
 /// Reads the streams that are due.
 void tickLog(Core &core, fleet::TimePoint now);
 
--- a/components/instance/metered_ports.cpp
+++ b/components/instance/metered_ports.cpp
@@ -24,7 +24,8 @@
         , m_datagrams(registry.counter("foxtailcross_heartbeats_total", "Heartbeats sent to other instances."))
         , m_datagramBytes(registry.counter("foxtailcross_heartbeat_bytes_total", "Bytes of heartbeats sent."))
         , m_peerCalls(registry.counter("foxtailcross_peer_calls_total", "Calls sent to other instances."))
-        , m_replies(registry.counter("foxtailcross_replies_total", "Answers given to callers and operators."))
+        , m_replies(registry.counter("foxtailcross_replies_total", "Replies to callers and operators."))
+        , m_refusals(registry.counter("foxtailcross_refusals_total", "Replies that refused a call or left its outcome unknown."))
     {
     }
 
@@ -38,6 +39,7 @@
     metrics::Counter &m_datagramBytes;
     metrics::Counter &m_peerCalls;
     metrics::Counter &m_replies;
+    metrics::Counter &m_refusals;
 };
 
 /// Puts a counting step before each call of `port`.
@@ -76,8 +78,9 @@
     countBefore(ports.m_callPeer, [counters](PeerCallId, const PeerTarget &, const PeerCall &, fleet::Duration) {
         counters->m_peerCalls.add();
     });
-    countBefore(ports.m_reply, [counters](requests::WaiterId, const api::Reply &) {
+    countBefore(ports.m_reply, [counters](requests::WaiterId, const api::Reply &reply) {
         counters->m_replies.add();
+        counters->m_refusals.add(std::holds_alternative<api::Refusal>(reply) ? 1 : 0);
     });
     return ports;
 }
--- /dev/null
+++ b/components/instance/metrics_view.hpp
@@ -0,0 +1,18 @@
+#ifndef COMPONENTS_INSTANCE_METRICS_VIEW_HPP
+#define COMPONENTS_INSTANCE_METRICS_VIEW_HPP
+
+#include "components/fleet/time.hpp"
+
+#include <string>
+
+namespace instance
+{
+
+struct Core;
+
+/// Text of /metrics: the counters, and gauges of the present state.
+std::string renderMetrics(Core &core, fleet::TimePoint now);
+
+}
+
+#endif
--- a/components/instance/peer_calls.cpp
+++ b/components/instance/peer_calls.cpp
@@ -3,6 +3,7 @@
 #include "components/instance/core.hpp"
 #include "components/instance/peer_view.hpp"
 #include "components/instance/request_calls.hpp"
+#include "components/instance/state_copies.hpp"
 #include "components/instance/stopping.hpp"
 #include "components/requests/minted_id.hpp"
 #include "components/requests/step.hpp"
@@ -53,6 +54,11 @@
     core.m_ports.m_replyToPeer(waiter, takeHandover(core, call, now));
 }
 
+void serve(Core &core, requests::WaiterId waiter, const FetchState &, fleet::TimePoint)
+{
+    core.m_ports.m_replyToPeer(waiter, copyState(core));
+}
+
 void endRequest(Core &core, const Forward &forward, const PeerCallEnded &event)
 {
     if (event.m_reply) {
@@ -138,6 +144,9 @@
     case ForwardKind::Handover:
         endHandover(core, forward.m_to, event, now);
         return;
+    case ForwardKind::Fetch:
+        endFetch(core, event, now);
+        return;
     }
 }
 
--- a/components/instance/peer_view.cpp
+++ b/components/instance/peer_view.cpp
@@ -91,7 +91,7 @@
     if (const auto heartbeat = openHeartbeat(core, event.m_bytes)) {
         feedMembership(core, membership::HeartbeatReceived {*heartbeat}, now);
     } else {
-        ++core.m_droppedDatagrams;
+        core.m_metrics->counter("foxtailcross_datagrams_dropped_total", "Datagrams that were no authentic new heartbeat.").add();
     }
 }
 
--- a/components/instance/ports.hpp
+++ b/components/instance/ports.hpp
@@ -25,6 +25,15 @@
     bool operator==(const PeerTarget &) const = default;
 };
 
+/// Bytes of HTTP sent to the platform, targets and other instances, and received as their answers.
+struct ClientBytes
+{
+    std::uint64_t m_sent = 0;
+    std::uint64_t m_received = 0;
+
+    bool operator==(const ClientBytes &) const = default;
+};
+
 /// Everything that the control loop does to the outside.
 ///
 /// Each function returns at once; its end comes back as an event, exactly once.
@@ -44,10 +53,10 @@
     std::function<void(requests::WaiterId, const PeerReply &)> m_replyToPeer;
     /// Accept no more connections of callers.
     std::function<void()> m_stopListening;
+    /// Bytes of HTTP that crossed the client's sockets so far. Absent where nothing counts them.
+    std::function<ClientBytes()> m_clientBytes;
     /// A new unique id.
     std::function<std::string()> m_makeId;
-    /// Text of /metrics.
-    std::function<std::string()> m_renderMetrics;
 };
 
 }
--- a/components/instance/request_calls.cpp
+++ b/components/instance/request_calls.cpp
@@ -1,5 +1,6 @@
 #include "components/instance/request_calls.hpp"
 
+#include "components/instance/answer_counts.hpp"
 #include "components/instance/core.hpp"
 #include "components/instance/peer_calls.hpp"
 #include "components/membership/view.hpp"
@@ -162,6 +163,7 @@
     if (sending == core.m_forwards.m_sendings.end()) {
         return;
     }
+    countAnswer(core, sending->second, answer);
     core.m_ports.m_reply(waiter, toReply(request, sending->second.m_sending, answer));
     core.m_forwards.m_sendings.erase(sending);
 }
--- a/components/instance/stopping.cpp
+++ b/components/instance/stopping.cpp
@@ -6,6 +6,7 @@
 #include "components/instance/peer_view.hpp"
 #include "components/instance/request_calls.hpp"
 #include "components/instance/zone_scheduling.hpp"
+#include "components/logging/log.hpp"
 #include "components/membership/view.hpp"
 #include "components/requests/step.hpp"
 
@@ -19,8 +20,15 @@
 
 void feedDrain(Core &core, const drain::Event &event, fleet::TimePoint now);
 
+const logging::Log &log()
+{
+    static const logging::Log log("stop");
+    return log;
+}
+
 void act(Core &core, const drain::BeginLeaving &, fleet::TimePoint now)
 {
+    log().info("The planned stop begins.");
     feedMembership(core, membership::StopRequested {}, now);
     feedDuty(core, duty::StopRequested {}, now);
     feedRequests(core, requests::StopRequested {}, now);
@@ -35,6 +43,7 @@
 {
     std::vector<requests::Action> actions;
     const requests::Handover handover = requests::handOver(core.m_requests, actions, now);
+    log().info("Request ids are handed over to " + send.m_heir.value() + ".");
     core.m_forwards.m_heir = send.m_heir;
     actOnRequests(core, actions, now);
     callPeer(core, {ForwardKind::Handover, {}, {}, 1, send.m_heir}, handover, handoverTimeout, now);
--- a/components/instance/traffic.cpp
+++ b/components/instance/traffic.cpp
@@ -7,7 +7,6 @@
 #include "components/instance/caller_front.hpp"
 #include "components/instance/peer_front.hpp"
 #include "components/instance/waiters.hpp"
-#include "components/metrics/registry.hpp"
 #include "components/peers/udp_socket.hpp"
 #include "components/platform/command_message.hpp"
 #include "components/platform/list_client.hpp"
@@ -69,12 +68,9 @@
 
 struct Traffic::Sockets
 {
-    Sockets(const settings::DaemonSettings &settings, fleet::Incarnation incarnation, EventQueue<Event> &queue, metrics::Registry &registry)
+    Sockets(const settings::DaemonSettings &settings, fleet::Incarnation incarnation, EventQueue<Event> &queue)
         : m_instance(settings.m_instance)
         , m_queue(queue)
-        , m_registry(registry)
-        , m_sentBytes(registry.gauge("foxtailcross_client_sent_bytes", "HTTP bytes sent to the platform, targets and other instances."))
-        , m_receivedBytes(registry.gauge("foxtailcross_client_received_bytes", "HTTP bytes received as answers of those."))
         , m_callerFront(settings.m_operatorToken, m_waiters, queue)
         , m_peerFront(settings, incarnation, m_waiters, queue)
         , m_log(m_client, toAddress(settings.m_logEndpoint))
@@ -165,9 +161,6 @@
 
     fleet::InstanceId m_instance;
     EventQueue<Event> &m_queue;
-    metrics::Registry &m_registry;
-    metrics::Gauge &m_sentBytes;
-    metrics::Gauge &m_receivedBytes;
     Waiters m_waiters;
     CallerFront m_callerFront;
     PeerFront m_peerFront;
@@ -182,8 +175,8 @@
     http::Server m_callerServer;
 };
 
-Traffic::Traffic(const settings::DaemonSettings &settings, fleet::Incarnation incarnation, EventQueue<Event> &queue, metrics::Registry &registry)
-    : m_sockets(std::make_unique<Sockets>(settings, incarnation, queue, registry))
+Traffic::Traffic(const settings::DaemonSettings &settings, fleet::Incarnation incarnation, EventQueue<Event> &queue)
+    : m_sockets(std::make_unique<Sockets>(settings, incarnation, queue))
 {
 }
 
@@ -226,15 +219,13 @@
     ports.m_stopListening = [&sockets] {
         sockets.m_callerServer.beginStop();
     };
+    ports.m_clientBytes = [&sockets] {
+        const http::ByteCount &bytes = sockets.m_client.byteCount();
+        return ClientBytes {bytes.m_sent.load(), bytes.m_received.load()};
+    };
     ports.m_makeId = [&sockets] {
         return boost::uuids::to_string(sockets.m_makeId());
     };
-    ports.m_renderMetrics = [&sockets] {
-        const http::ByteCount &bytes = sockets.m_client.byteCount();
-        sockets.m_sentBytes.set(static_cast<std::int64_t>(bytes.m_sent.load()));
-        sockets.m_receivedBytes.set(static_cast<std::int64_t>(bytes.m_received.load()));
-        return sockets.m_registry.render();
-    };
     return ports;
 }
 
--- a/components/instance/traffic.hpp
+++ b/components/instance/traffic.hpp
@@ -9,11 +9,6 @@
 
 #include <memory>
 
-namespace metrics
-{
-class Registry;
-}
-
 namespace settings
 {
 struct DaemonSettings;
@@ -28,7 +23,7 @@
 public:
     /// Listens and serves at once. All references must outlive this object.
     /// @throws std::exception where an address cannot be bound.
-    Traffic(const settings::DaemonSettings &settings, fleet::Incarnation incarnation, EventQueue<Event> &queue, metrics::Registry &registry);
+    Traffic(const settings::DaemonSettings &settings, fleet::Incarnation incarnation, EventQueue<Event> &queue);
     ~Traffic();
 
     Traffic(const Traffic &) = delete;
--- a/components/instance/zone_scheduling.cpp
+++ b/components/instance/zone_scheduling.cpp
@@ -6,6 +6,7 @@
 #include "components/instance/peer_view.hpp"
 #include "components/instance/scheduler_records.hpp"
 #include "components/instance/zone_view.hpp"
+#include "components/logging/log.hpp"
 #include "components/membership/view.hpp"
 #include "components/scheduler/step.hpp"
 
@@ -17,6 +18,12 @@
 
 constexpr fleet::Duration schedulerTick {500};
 
+const logging::Log &log()
+{
+    static const logging::Log log("scheduling");
+    return log;
+}
+
 /// A worker that is missing from the list for this long on top of a lease has been removed; the list lags.
 constexpr fleet::Duration removalDelay {60'000};
 
@@ -70,6 +77,7 @@
     const bool allowed = duty::mayStart(core.m_duty, now) && zones::isAllowed(startPermission(core, now));
     if (allowed != core.m_zone->m_startsAllowed) {
         core.m_zone->m_startsAllowed = allowed;
+        log().info(allowed ? "New tasks may start." : "No new task may start.");
         feedScheduler(core, scheduler::StartsAllowed {allowed}, now);
     }
 }
@@ -91,6 +99,7 @@
 
 void act(Core &core, const duty::Begin &begin, fleet::TimePoint now)
 {
+    log().info("This instance schedules zone " + core.m_settings.m_zone.value() + " under token " + std::to_string(begin.m_token.m_value) + ".");
     core.m_zone.emplace();
     core.m_zone->m_token = begin.m_token;
     core.m_zone->m_scheduler.m_settings.m_leaseLength = core.m_settings.m_leaseLength;
@@ -104,6 +113,7 @@
 
 void act(Core &core, const duty::End &, fleet::TimePoint)
 {
+    log().info("This instance schedules zone " + core.m_settings.m_zone.value() + " no more.");
     core.m_zone.reset();
 }
 
--- a/components/instance/zone_view.cpp
+++ b/components/instance/zone_view.cpp
@@ -74,15 +74,20 @@
     feedRequests(core, requests::ZonesClosed {closedZones(core)}, now);
 }
 
+void noteConfiguration(Core &core, fleet::TimePoint now)
+{
+    const configuration::Configuration &present = core.m_configuration.m_configuration;
+    feedMembership(core, membership::ConfigurationKnown {present.m_version, foldedChanges(present)}, now);
+    refreshRequestSlice(core, now);
+}
+
 void noteConfigurationRead(Core &core, fleet::TimePoint now)
 {
     if (!core.m_configuration.m_complete) {
         return;
     }
-    const configuration::Configuration &present = core.m_configuration.m_configuration;
-    feedMembership(core, membership::ConfigurationKnown {present.m_version, foldedChanges(present)}, now);
+    noteConfiguration(core, now);
     feedMembership(core, membership::LogRead {core.m_configurationReader.m_askedAt}, now);
-    refreshRequestSlice(core, now);
 }
 
 void takeOutProvisionally(Core &core, requests::WaiterId waiter, const configuration::Change &change, fleet::TimePoint now)
--- a/components/instance/zone_view.hpp
+++ b/components/instance/zone_view.hpp
@@ -18,6 +18,9 @@
 /// Whether a task may start in this instance's zone.
 zones::StartPermission startPermission(const Core &core, fleet::TimePoint now);
 
+/// Tells every slice that depends on it what the configuration is now.
+void noteConfiguration(Core &core, fleet::TimePoint now);
+
 /// The configuration stream was read to its end: tells every slice that depends on the configuration.
 void noteConfigurationRead(Core &core, fleet::TimePoint now);
 
--- a/components/site/path_test.cpp
+++ b/components/site/path_test.cpp
@@ -207,3 +207,56 @@
         cr_assert_eq(f.m_site.startsIn("kochi").size(), 8);
     });
 }
+
+Test(path, plannedStop_handsItsIdsOverAndARepeatedSendingGetsTheSameAnswer)
+{
+    forEachSeed([](PathFixture &f) {
+        const std::string id = f.mint(0);
+        const auto first = f.sendMatch(0, id, 1);
+        cr_assert(f.m_site.stop(0, 60s));
+        f.m_site.run(2s);
+        const auto again = f.sendMatch(2, id, 2);
+        cr_assert(first && again && std::holds_alternative<api::RequestView>(*again));
+        cr_assert(std::get<api::RequestView>(*again).m_body == std::get<api::RequestView>(*first).m_body);
+        cr_assert_eq(f.m_site.received(id), 1);
+    });
+}
+
+Test(path, everyInstanceReplacedInTurn_keepsJobsAndConfiguration)
+{
+    forEachSeed([](PathFixture &f) {
+        cr_assert(f.m_site.call(1, "POST", "/v1/jobs", gang + R"("g5","zone":"kochi"})").has_value());
+        for (std::size_t node = 0; node < f.m_site.m_nodes.size(); ++node) {
+            cr_assert(f.m_site.stop(node, 60s));
+            f.m_site.restart(node);
+            f.m_site.run(5s);
+        }
+        cr_assert(f.runsUntilDone("g5"));
+        cr_assert_eq(f.m_site.startsIn("kochi").size(), 8);
+        cr_assert_eq(f.m_site.configurationVersion(0), 2);
+    });
+}
+
+Test(path, recordsExpired_newIncarnationStartsFromSnapshots)
+{
+    PathFixture f(1);
+    f.m_site.m_log.m_retention = 50min;
+    cr_assert(f.m_site.call(1, "POST", "/v1/jobs", gang + R"("g6"})").has_value());
+    f.m_site.run(2h);
+    f.m_site.kill(0);
+    f.m_site.restart(0);
+    f.m_site.run(5s);
+    cr_assert_eq(f.m_site.configurationVersion(0), 2);
+    cr_assert(f.isDone(0, "g6"));
+}
+
+Test(path, logDown_newIncarnationTakesItsStateFromAPeer)
+{
+    forEachSeed([](PathFixture &f) {
+        f.m_site.m_logDown = true;
+        f.m_site.kill(0);
+        f.m_site.restart(0);
+        f.m_site.run(10s);
+        cr_assert_eq(f.m_site.configurationVersion(0), 2);
+    });
+}
--- a/components/site/site_fixture_test.cpp
+++ b/components/site/site_fixture_test.cpp
@@ -178,9 +178,6 @@
     ports.m_makeId = [&node] {
         return node.m_settings.m_instance.value() + "-id-" + std::to_string(++node.m_lastId);
     };
-    ports.m_renderMetrics = [] {
-        return std::string();
-    };
     return ports;
 }
 
@@ -229,6 +226,19 @@
     m_nodes.at(node).m_killed = true;
 }
 
+bool Site::stop(std::size_t node, fleet::Duration limit)
+{
+    Node &stopping = m_nodes.at(node);
+    tell(stopping, instance::StopRequested {});
+    const bool stopped = runUntil(
+        [&] {
+            return stopping.m_control->isStopped();
+        },
+        limit);
+    stopping.m_killed = true;
+    return stopped && stopping.m_control->isClean();
+}
+
 void Site::restart(std::size_t node)
 {
     startNode(m_nodes.at(node));
--- a/components/site/site_fixture_test.hpp
+++ b/components/site/site_fixture_test.hpp
@@ -52,6 +52,8 @@
 
     /// Ends the process without notice.
     void kill(std::size_t node);
+    /// Asks for a planned stop and lets time pass until the process exits, at most `limit`. False where it did not.
+    bool stop(std::size_t node, fleet::Duration limit);
     /// Starts a new incarnation in place of the instance.
     void restart(std::size_t node);
 
