A request moved to an heir is never refused as not run

Cause: an instance that had handed its ids over sent a first sending on to the heir as a first sending; where the heir could not be reached the caller was told it did not run, though the heir may have run it for another way that led there. Change: what goes to an heir counts as a later sending. Before: handover_test fails (did-not-run); after: it passes (outcome-unknown). Ruled out: refusing at the API, since callers already have to give the attempt.

--- a/components/instance/request_calls.cpp
+++ b/components/instance/request_calls.cpp
@@ -9,6 +9,8 @@
 #include "components/requests/routing.hpp"
 #include "components/requests/step.hpp"
 
+#include <algorithm>
+
 namespace instance
 {
 
@@ -18,6 +20,9 @@
 /// A runner's answer may arrive this long after the time at which the request slice gives an attempt up.
 constexpr fleet::Duration lateAnswer {500};
 
+/// Number of a sending that is not known to be the first of its id.
+constexpr int laterSending = 2;
+
 const api::Refusal notAnId {api::ErrorKind::Invalid, "this is not a request id of this site; get one from /v1/request-ids"};
 
 requests::Request toRequest(const api::RequestSubmission &submission, fleet::TimePoint now)
@@ -44,9 +49,13 @@
 void act(Core &core, const requests::SendToHeir &send, fleet::TimePoint now)
 {
     const auto sending = core.m_forwards.m_sendings.find(send.m_waiter);
-    if (sending != core.m_forwards.m_sendings.end()) {
-        forwardRequest(core, core.m_forwards.m_heir, send.m_waiter, sending->second, now);
+    if (sending == core.m_forwards.m_sendings.end()) {
+        return;
     }
+    // The heir may have run the id for another way that led there, so a failure on this one proves nothing.
+    OpenSending moved = sending->second;
+    moved.m_sending = std::max(moved.m_sending, laterSending);
+    forwardRequest(core, core.m_forwards.m_heir, send.m_waiter, moved, now);
 }
 
 void act(Core &, const requests::HandoverTaken &, fleet::TimePoint)
@@ -110,7 +119,6 @@
         return;
     }
     // A question is no first sending: it never makes an id unusable.
-    constexpr int laterSending = 2;
     const requests::Route route = requests::route(*minted, laterSending, core.m_settings.m_instance, membership::dispatchers(core.m_membership));
     if (const auto *forward = std::get_if<requests::ForwardTo>(&route)) {
         forwardQuery(core, forward->m_instance, waiter, call.m_id, now);
