--- a/components/settings/daemon_settings.hpp
+++ b/components/settings/daemon_settings.hpp
@@ -42,7 +42,7 @@
     std::int64_t m_maxBodyBytes = 1 << 20;
     std::int64_t m_maxHeaderBytes = 8 << 10;
 
-    fleet::Duration m_heartbeatInterval {500};
+    fleet::Duration m_heartbeatInterval {1000};
     /// A view of the configuration older than this permits no start.
     fleet::Duration m_viewFreshness {3000};
     fleet::Duration m_leaseLength {10000};
