An unchanged platform list is not transferred again

Cause: reading the list of 550 workers every 2 s took 46 KB/s of an instance, three times the whole budget of 16 KB/s. Change: the list carries an entity tag; the client asks with If-None-Match and keeps the last list. A list that does not know tags answers whole, as before. Ruled out: a longer poll, since leaving targets are learned from the list.

--- a/components/http/target.cpp
+++ b/components/http/target.cpp
@@ -1,6 +1,7 @@
 #include "components/http/target.hpp"
 
 #include "components/http/request.hpp"
+#include "components/http/response.hpp"
 
 #include <algorithm>
 #include <cctype>
@@ -52,6 +53,16 @@
     });
 }
 
+std::optional<std::string> findValue(const std::vector<Header> &headers, std::string_view name)
+{
+    for (const auto &header : headers) {
+        if (equalsWithoutCase(header.m_name, name)) {
+            return header.m_value;
+        }
+    }
+    return std::nullopt;
+}
+
 }
 
 std::string_view pathOf(std::string_view target)
@@ -103,12 +114,12 @@
 
 std::optional<std::string> headerValue(const Request &request, std::string_view name)
 {
-    for (const auto &header : request.m_headers) {
-        if (equalsWithoutCase(header.m_name, name)) {
-            return header.m_value;
-        }
-    }
-    return std::nullopt;
+    return findValue(request.m_headers, name);
+}
+
+std::optional<std::string> headerValue(const Response &response, std::string_view name)
+{
+    return findValue(response.m_headers, name);
 }
 
 }
--- a/components/http/target.hpp
+++ b/components/http/target.hpp
@@ -10,6 +10,7 @@
 {
 
 struct Request;
+struct Response;
 
 /// The path of a request target, without the query.
 std::string_view pathOf(std::string_view target);
@@ -25,6 +26,7 @@
 
 /// The value of a header field, compared without case, or nothing where it is absent.
 std::optional<std::string> headerValue(const Request &request, std::string_view name);
+std::optional<std::string> headerValue(const Response &response, std::string_view name);
 
 }
 
--- a/components/platform/list_client.cpp
+++ b/components/platform/list_client.cpp
@@ -2,25 +2,96 @@
 
 #include "components/http/client.hpp"
 #include "components/http/request.hpp"
+#include "components/http/target.hpp"
 #include "components/platform/fetched.hpp"
 #include "components/platform/list_codec.hpp"
 
+#include <charconv>
+#include <mutex>
 #include <utility>
 
 namespace platform
 {
 
+namespace
+{
+
+constexpr int statusNotModified = 304;
+
+std::optional<fleet::TimePoint> asOfHeader(const http::Response &response)
+{
+    const std::string text = http::headerValue(response, "As-Of").value_or("");
+    std::int64_t milliseconds = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    if (error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return fleet::fromMilliseconds(milliseconds);
+}
+
+bool isNotModified(const http::Result &result)
+{
+    return result.m_kind == http::ResultKind::Answered && result.m_response.m_status == statusNotModified;
+}
+
+}
+
+/// The last list that came with an entity tag. Used by the asking thread and the client's.
+struct ListClient::Memory
+{
+    std::string tag()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_tag;
+    }
+
+    ListResult take(const http::Result &result)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (isNotModified(result)) {
+            return takeUnchanged(result.m_response);
+        }
+        auto fetched = fetchedFrom(result, decodeList);
+        if (fetched.m_value) {
+            m_tag = http::headerValue(result.m_response, "ETag").value_or("");
+            m_list = *fetched.m_value;
+        }
+        return {std::move(fetched.m_value), std::move(fetched.m_reason)};
+    }
+
+private:
+    ListResult takeUnchanged(const http::Response &response)
+    {
+        const auto asOf = asOfHeader(response);
+        if (!asOf || http::headerValue(response, "ETag").value_or("") != m_tag) {
+            m_tag.clear();
+            return {std::nullopt, "answered that an unknown list has not changed; it is read whole next time"};
+        }
+        m_list.m_asOf = *asOf;
+        return {m_list, {}};
+    }
+
+    std::mutex m_mutex;
+    std::string m_tag;
+    PlatformList m_list;
+};
+
 ListClient::ListClient(http::Client &client, http::Address address)
     : m_client(client)
     , m_address(std::move(address))
+    , m_memory(std::make_shared<Memory>())
 {
 }
 
 void ListClient::fetch(fleet::Duration timeout, Callback callback) const
 {
-    m_client.send(m_address, {"GET", "/v1/list", {}, {}}, timeout, [callback = std::move(callback)](const http::Result &result) {
-        auto fetched = fetchedFrom(result, decodeList);
-        callback({std::move(fetched.m_value), std::move(fetched.m_reason)});
+    http::Request request {"GET", "/v1/list", {}, {}};
+    const std::string tag = m_memory->tag();
+    if (!tag.empty()) {
+        request.m_headers.push_back({"If-None-Match", tag});
+    }
+    m_client.send(m_address, std::move(request), timeout, [memory = m_memory, callback = std::move(callback)](const http::Result &result) {
+        callback(memory->take(result));
     });
 }
 
--- a/components/platform/list_client.hpp
+++ b/components/platform/list_client.hpp
@@ -6,6 +6,7 @@
 #include "components/platform/list_result.hpp"
 
 #include <functional>
+#include <memory>
 
 namespace http
 {
@@ -16,6 +17,8 @@
 {
 
 /// Reads the platform's list. Callbacks run on the HTTP client's thread.
+///
+/// Keeps the last list with its entity tag, so that an unchanged list is not transferred again.
 class ListClient
 {
 public:
@@ -27,8 +30,11 @@
     void fetch(fleet::Duration timeout, Callback callback) const;
 
 private:
+    struct Memory;
+
     http::Client &m_client;
     http::Address m_address;
+    std::shared_ptr<Memory> m_memory;
 };
 
 }
--- a/components/platform/list_codec.cpp
+++ b/components/platform/list_codec.cpp
@@ -8,6 +8,8 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
+#include <xxhash.h>
+
 namespace platform
 {
 
@@ -119,6 +121,12 @@
     return boost::json::serialize(object);
 }
 
+std::string listTag(const PlatformList &list)
+{
+    const std::string content = encodeList({{}, list.m_instances, list.m_workers, list.m_runners});
+    return '"' + std::to_string(XXH3_64bits(content.data(), content.size())) + '"';
+}
+
 PlatformList decodeList(std::string_view text)
 {
     const auto object = parseObject(text);
--- a/components/standin/list_service.cpp
+++ b/components/standin/list_service.cpp
@@ -1,6 +1,7 @@
 #include "components/standin/list_service.hpp"
 
 #include "components/http/error_response.hpp"
+#include "components/http/target.hpp"
 #include "components/platform/list_codec.hpp"
 #include "components/standin/routes.hpp"
 
@@ -32,7 +33,13 @@
         return;
     }
     const auto shown = m_frozen ? *m_frozen : listAt(m_table, now - m_lag - m_extraLag);
-    reply({200, platform::encodeList(shown), "application/json", {}});
+    const std::string tag = platform::listTag(shown);
+    const std::vector<http::Header> headers {{"ETag", tag}, {"As-Of", std::to_string(fleet::toMilliseconds(shown.m_asOf))}};
+    if (http::headerValue(request, "If-None-Match") == tag) {
+        reply({304, {}, "application/json", headers});
+        return;
+    }
+    reply({200, platform::encodeList(shown), "application/json", headers});
 }
 
 void ListService::onFaults(const Faults &faults, fleet::TimePoint now)
--- a/components/standin/stand_in_test.cpp
+++ b/components/standin/stand_in_test.cpp
@@ -1,7 +1,9 @@
+#include "components/http/byte_count.hpp"
 #include "components/http/client.hpp"
 #include "components/http/request.hpp"
 #include "components/http/result.hpp"
 #include "components/platform/list_client.hpp"
+#include "components/platform/list_codec.hpp"
 #include "components/platform/log_client.hpp"
 #include "components/platform/runner_client.hpp"
 #include "components/platform/worker_client.hpp"
@@ -139,6 +141,19 @@
     cr_assert(bench.list().m_workers.front().m_leaving);
 }
 
+Test(stand_in, unchangedList_isNotTransferredAgainAndStaysCurrent)
+{
+    Bench bench;
+    const auto first = bench.list();
+    const std::uint64_t before = bench.m_client.byteCount().m_received;
+    const auto second = bench.list();
+    cr_assert_lt(bench.m_client.byteCount().m_received - before, platform::encodeList(first).size());
+    cr_assert(second.m_workers == first.m_workers);
+    cr_assert_geq(fleet::toMilliseconds(second.m_asOf), fleet::toMilliseconds(first.m_asOf));
+    bench.control("/v1/leaving", R"({"id": "worker-1", "leaving": true})");
+    cr_assert(bench.list().m_workers.front().m_leaving);
+}
+
 Test(stand_in, workersOfAList_areInRacksOfTheirZonesAndReport)
 {
     Bench bench;
