Gangs of a zone renew together

Cause: with 528 tasks on 8 of 50 workers a scheduler took 101.5 KB/s, since gangs renewed at different moments and each message brings the worker's whole report back. Change: renewals fall on common multiples of the renew interval, so that one message carries all of a worker's.

--- a/components/scheduler/gang_timing.cpp
+++ b/components/scheduler/gang_timing.cpp
@@ -72,10 +72,18 @@
     return mayCheckpoint && context.m_now - std::max(attempt.m_startedAt, attempt.m_checkpointAskedAt) >= interval;
 }
 
+/// All gangs renew at the same multiples of the renew interval, so that the commands to one worker share one message
+/// and its report of every lease is sent once an interval.
+bool isRenewalDue(const Context &context, const Attempt &attempt)
+{
+    const fleet::Duration interval = context.m_state.m_settings.m_renewInterval;
+    return context.m_now.time_since_epoch() / interval != attempt.m_renewedAt.time_since_epoch() / interval;
+}
+
 void renewGang(Context &context, Job &job)
 {
     Attempt &attempt = *job.m_attempt;
-    if (context.m_now - attempt.m_renewedAt < context.m_state.m_settings.m_renewInterval) {
+    if (!isRenewalDue(context, attempt)) {
         return;
     }
     const bool isConfirmed = std::all_of(attempt.m_tasks.begin(), attempt.m_tasks.end(), [](const TaskRun &task) {
