--- a/components/scheduler/gangs_test.cpp
+++ b/components/scheduler/gangs_test.cpp
@@ -22,6 +22,8 @@
     Zone()
     {
         m_state.m_settings.m_policy = scheduler::Policy::FirstFitFifo;
+        m_state.m_settings.m_leaseLength = 10s;
+        m_state.m_settings.m_renewInterval = 3s;
         for (const char *name : {"w0", "w1"}) {
             apply(scheduler::WorkerListed {{fleet::WorkerId(name), fleet::ZoneId("z"), fleet::RackId("r"), {1000, 1000, 1}}}, start);
         }
--- a/components/scheduler/settings.hpp
+++ b/components/scheduler/settings.hpp
@@ -14,8 +14,8 @@
     Policy m_policy = Policy::Guaranteed;
 
     /// A worker ends a task this long after the last Reserve, Start or Renew it received.
-    fleet::Duration m_leaseLength {10'000};
-    fleet::Duration m_renewInterval {3'000};
+    fleet::Duration m_leaseLength {30'000};
+    fleet::Duration m_renewInterval {5'000};
     /// Added to the lease length before a silent lease counts as lapsed: longest delivery time of a command plus clock drift.
     fleet::Duration m_lapseMargin {3'000};
     /// A Reserve or Start that some worker of the gang has not confirmed within this time is given up. Shorter than the lease.
--- a/components/settings/daemon_settings.hpp
+++ b/components/settings/daemon_settings.hpp
@@ -45,8 +45,8 @@
     fleet::Duration m_heartbeatInterval {1000};
     /// A view of the configuration older than this permits no start.
     fleet::Duration m_viewFreshness {3000};
-    fleet::Duration m_leaseLength {10000};
-    fleet::Duration m_renewInterval {3000};
+    fleet::Duration m_leaseLength {30000};
+    fleet::Duration m_renewInterval {5000};
     /// A scheduler that reached neither the log nor a peer of its zone for this long stops starting and renewing.
     fleet::Duration m_holderAuthority {15000};
     fleet::Duration m_logPollInterval {500};
