One position rule for the folds of both streams

Cause: the folds of the configuration and the system's stream each had the same code for where reading began and for gaps. Change: both call fleet::noteOffset; an include block in the instance core is joined. Behaviour is the same.

--- a/components/configuration/fold.cpp
+++ b/components/configuration/fold.cpp
@@ -1,6 +1,7 @@
 #include "components/configuration/fold.hpp"
 
 #include "components/configuration/apply.hpp"
+#include "components/fleet/stream_position.hpp"
 #include "components/wire/codec_error.hpp"
 
 #include <algorithm>
@@ -12,21 +13,6 @@
 namespace
 {
 
-/// Notes where reading began, or that records in between were missed.
-void noteOffset(State &state, std::uint64_t offset)
-{
-    if (!state.m_started) {
-        state.m_started = true;
-        state.m_start = offset;
-        state.m_complete = offset == 0;
-    } else if (offset > state.m_next) {
-        state.m_start = offset;
-        state.m_complete = false;
-        state.m_waiting.clear();
-    }
-    state.m_next = offset + 1;
-}
-
 /// Takes over the snapshot's configuration. False where the one in force is later, which never reverts.
 bool replaceConfiguration(State &state, const Snapshot &snapshot)
 {
@@ -82,7 +68,7 @@
     if (state.m_started && offset < state.m_next) {
         return std::nullopt;
     }
-    noteOffset(state, offset);
+    fleet::noteOffset(state, offset);
     try {
         const Record record = decodeRecord(bytes);
         return std::visit(
--- /dev/null
+++ b/components/fleet/stream_position.hpp
@@ -0,0 +1,29 @@
+#ifndef COMPONENTS_FLEET_STREAM_POSITION_HPP
+#define COMPONENTS_FLEET_STREAM_POSITION_HPP
+
+#include <cstdint>
+
+namespace fleet
+{
+
+/// Moves the fold of a stream past `offset`, noting where reading began or that records in between were missed.
+///
+/// `State` has m_started, m_start, m_next, m_complete and m_waiting; a gap makes it incomplete until a snapshot closes it.
+template<class State>
+void noteOffset(State &state, std::uint64_t offset)
+{
+    if (!state.m_started) {
+        state.m_started = true;
+        state.m_start = offset;
+        state.m_complete = offset == 0;
+    } else if (offset > state.m_next) {
+        state.m_start = offset;
+        state.m_complete = false;
+        state.m_waiting.clear();
+    }
+    state.m_next = offset + 1;
+}
+
+}
+
+#endif
--- a/components/instance/core.cpp
+++ b/components/instance/core.cpp
@@ -1,7 +1,6 @@
 #include "components/instance/core.hpp"
 
 #include "components/instance/metered_ports.hpp"
-
 #include "components/membership/step.hpp"
 
 #include <algorithm>
--- a/components/records/stream_fold.cpp
+++ b/components/records/stream_fold.cpp
@@ -1,5 +1,6 @@
 #include "components/records/stream_fold.hpp"
 
+#include "components/fleet/stream_position.hpp"
 #include "components/wire/codec.hpp"
 
 #include <utility>
@@ -22,20 +23,6 @@
     return results;
 }
 
-void noteOffset(State &state, std::uint64_t offset)
-{
-    if (!state.m_started) {
-        state.m_started = true;
-        state.m_start = offset;
-        state.m_complete = offset == 0;
-    } else if (offset > state.m_next) {
-        state.m_start = offset;
-        state.m_complete = false;
-        state.m_waiting.clear();
-    }
-    state.m_next = offset + 1;
-}
-
 std::vector<RecordResult> startFrom(State &state, const Snapshot &snapshot)
 {
     state.m_ledger = snapshot.m_ledger;
@@ -93,7 +80,7 @@
     if (state.m_started && offset < state.m_next) {
         return {};
     }
-    noteOffset(state, offset);
+    fleet::noteOffset(state, offset);
     try {
         Entry entry = decodeEntry(bytes);
         return std::visit(
