--- /dev/null
+++ b/apps/foxtailcross-node/main.cpp
@@ -0,0 +1,104 @@
+#include "components/node/clocks.hpp"
+#include "components/node/control.hpp"
+#include "components/settings/node_settings.hpp"
+#include "components/settings/reader.hpp"
+#include "components/settings/settings_error.hpp"
+#include "platform/adapter.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <random>
+
+namespace
+{
+
+constexpr int exitUnclean = 1;
+constexpr int exitUsage = 2;
+constexpr int exitSettings = 3;
+
+/// Answers that are already decided get this long to leave.
+constexpr fleet::Duration closeLimit {400};
+
+volatile std::sig_atomic_t stopSignals = 0;
+
+void noteStopSignal(int)
+{
+    stopSignals = stopSignals + 1;
+}
+
+http::Address toAddress(const settings::Endpoint &endpoint)
+{
+    return {endpoint.m_address, endpoint.m_port};
+}
+
+node::Settings toControlSettings(const settings::NodeSettings &settings)
+{
+    node::Settings control;
+    control.m_instance = settings.m_instance;
+    control.m_incarnation.m_value = (static_cast<std::uint64_t>(std::random_device()()) << 32U) | std::random_device()();
+    control.m_zone = settings.m_zone;
+    control.m_peerAddress = settings::toString(settings.m_peers);
+    control.m_dispatch.m_leaseLimit = settings.m_leaseLimit;
+    control.m_dispatch.m_stopGrace = settings.m_stopGrace;
+    control.m_keyRevocation = settings.m_keyRevocation;
+    control.m_catalogInForce = settings.m_catalogInForce;
+    control.m_statusRetention = settings.m_statusRetention;
+    control.m_stopLimit = settings.m_stopLimit;
+    return control;
+}
+
+int serve(const settings::NodeSettings &settings)
+{
+    std::signal(SIGTERM, noteStopSignal);
+    std::signal(SIGINT, noteStopSignal);
+    std::signal(SIGHUP, SIG_IGN);
+    std::signal(SIGPIPE, SIG_IGN);
+    node::EventQueue queue;
+    platform::Adapter adapter({toAddress(settings.m_callers), toAddress(settings.m_readiness), toAddress(settings.m_store)}, queue);
+    node::Control control(toControlSettings(settings), adapter);
+    fleet::BootTime nextTick;
+    while (!control.isStopped()) {
+        const fleet::Now before = node::presentTime();
+        for (const node::Event &event : queue.take(std::max(fleet::Duration(0), nextTick - before.m_boot))) {
+            control.handle(event, node::presentTime());
+        }
+        const fleet::Now now = node::presentTime();
+        if (stopSignals > 0) {
+            control.handle(node::StopRequested {}, now);
+        }
+        if (now.m_boot >= nextTick) {
+            control.tick(now);
+            nextTick = control.nextTick(now);
+        }
+    }
+    adapter.close(closeLimit);
+    return 0;
+}
+
+int fail(int code, const char *message)
+{
+    std::cerr << "foxtailcross-node: " << message << '\n';
+    return code;
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    try {
+        const char *named = std::getenv("FOXTAILCROSS_SETTINGS");
+        const std::string file = argc > 1 ? argv[1] : named != nullptr ? named : "";
+        if (file.empty()) {
+            return fail(exitUsage, "name the settings file");
+        }
+        settings::Reader reader = settings::Reader::fromFile(file);
+        return serve(settings::readNodeSettings(reader));
+    } catch (const settings::SettingsError &error) {
+        return fail(exitSettings, error.what());
+    } catch (const std::exception &error) {
+        return fail(exitUnclean, error.what());
+    }
+}
--- /dev/null
+++ b/components/callers/reply_kind.hpp
@@ -0,0 +1,29 @@
+#ifndef COMPONENTS_CALLERS_REPLY_KIND_HPP
+#define COMPONENTS_CALLERS_REPLY_KIND_HPP
+
+#include <cstdint>
+
+namespace callers
+{
+
+enum class ReplyKind : std::uint8_t {
+    /// The job is stored.
+    Accepted,
+    State,
+    Waiting,
+    Cancelled,
+    NoSuchJob,
+    NoSuchQueue,
+    /// The key is not known.
+    KeyRefused,
+    /// The call cannot be read.
+    Malformed,
+    /// Nothing was done and nothing will be; the caller may come back.
+    Refused,
+    /// The outcome could not be found out; the caller should ask again.
+    Unknown,
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/catalog/operator_change.hpp
@@ -0,0 +1,18 @@
+#ifndef COMPONENTS_CATALOG_OPERATOR_CHANGE_HPP
+#define COMPONENTS_CATALOG_OPERATOR_CHANGE_HPP
+
+#include "components/catalog/catalog.hpp"
+#include "components/catalog/wave_change.hpp"
+#include "components/catalog/zone_change.hpp"
+
+#include <variant>
+
+namespace catalog
+{
+
+/// One thing that the operators set.
+using OperatorChange = std::variant<Catalog, ZoneChange, WaveChange>;
+
+}
+
+#endif
--- /dev/null
+++ b/components/catalog/upkeep_wave.hpp
@@ -0,0 +1,27 @@
+#ifndef COMPONENTS_CATALOG_UPKEEP_WAVE_HPP
+#define COMPONENTS_CATALOG_UPKEEP_WAVE_HPP
+
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/time.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace catalog
+{
+
+/// Machines that the operators want taken down for upkeep once each, within a time.
+struct UpkeepWave
+{
+    std::uint64_t m_number = 0;
+    std::vector<fleet::MachineId> m_machines;
+    fleet::Duration m_within {0};
+    /// Most machines of the wave that may be down at the same time.
+    std::uint32_t m_mostAtOnce = 1;
+
+    bool operator==(const UpkeepWave &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/dispatch/candidates.cpp
@@ -0,0 +1,121 @@
+#include "components/dispatch/candidates.hpp"
+
+#include "components/dispatch/context.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace dispatch
+{
+
+namespace
+{
+
+/// Longest chain of the job's steps, by the caller's estimates.
+fleet::Duration longestChain(const jobs::JobSpec &spec)
+{
+    std::vector<fleet::Duration> ends;
+    fleet::Duration longest {0};
+    for (const jobs::StepSpec &step : spec.m_steps) {
+        fleet::Duration start {0};
+        for (const std::uint16_t earlier : step.m_dependsOn) {
+            start = std::max(start, ends[earlier]);
+        }
+        ends.push_back(start + step.m_estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+fleet::TimePoint objectiveOf(const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence)
+{
+    const jobs::Schedule &schedule = job.m_spec.m_schedule;
+    const fleet::TimePoint begin = schedule.isTimed() ? schedule.dueTime(occurrence) : job.m_acceptedAt;
+    const double stretched = static_cast<double>(longestChain(job.m_spec).count()) * queue.m_stretch;
+    return begin + fleet::Duration(static_cast<std::int64_t>(stretched)) + queue.m_slack;
+}
+
+/// Tasks of the step that are neither done nor running; for a gang all of them or none.
+std::vector<std::uint16_t> startableTasks(const jobs::StepSpec &spec, const journal::StepRecord *record)
+{
+    std::vector<std::uint16_t> tasks;
+    for (std::uint16_t i = 0; i < spec.m_tasks; ++i) {
+        const bool isFree = record == nullptr || (!record->m_tasks[i].m_isDone && record->m_tasks[i].m_open.empty());
+        if (isFree) {
+            tasks.push_back(i);
+        }
+    }
+    const bool isPart = spec.m_isGang && tasks.size() < spec.m_tasks;
+    return isPart ? std::vector<std::uint16_t>() : tasks;
+}
+
+bool areDependenciesDone(const journal::JobRecord &job, std::uint32_t occurrence, const jobs::StepSpec &step)
+{
+    return std::all_of(step.m_dependsOn.begin(), step.m_dependsOn.end(), [&](std::uint16_t earlier) {
+        return journal::isStepDone(job, occurrence, earlier);
+    });
+}
+
+void addOccurrence(
+    const Context &context, const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence, std::vector<Candidate> &candidates)
+{
+    for (std::uint16_t i = 0; i < job.m_spec.m_steps.size(); ++i) {
+        const jobs::StepSpec &spec = job.m_spec.m_steps[i];
+        const jobs::StepId id {job.m_spec.m_id, occurrence, i};
+        if (journal::isStepDone(job, occurrence, i) || !areDependenciesDone(job, occurrence, spec)) {
+            continue;
+        }
+        std::vector<std::uint16_t> tasks = startableTasks(spec, journal::findStep(job, id));
+        if (tasks.empty()) {
+            continue;
+        }
+        fleet::Resources perTask = spec.m_perTask;
+        perTask.m_milliCores = spec.m_usesIdleProcessor ? 0 : perTask.m_milliCores;
+        candidates.push_back({id, &spec, &queue, std::move(tasks), perTask, objectiveOf(job, queue, occurrence)});
+    }
+}
+
+std::uint32_t dueOccurrences(const journal::JobRecord &job, fleet::TimePoint now)
+{
+    const jobs::Schedule &schedule = job.m_spec.m_schedule;
+    if (!schedule.isTimed()) {
+        return 1;
+    }
+    if (now < schedule.m_firstDue) {
+        return 0;
+    }
+    if (schedule.m_interval.count() <= 0) {
+        return schedule.m_occurrences;
+    }
+    const auto passed = (now - schedule.m_firstDue) / schedule.m_interval + 1;
+    return static_cast<std::uint32_t>(std::min<std::int64_t>(passed, schedule.m_occurrences));
+}
+
+bool goesBefore(const Candidate &a, const Candidate &b)
+{
+    return std::tie(a.m_queue->m_priority, a.m_objective, a.m_step) < std::tie(b.m_queue->m_priority, b.m_objective, b.m_step);
+}
+
+}
+
+std::vector<Candidate> findCandidates(const Context &context)
+{
+    std::vector<Candidate> candidates;
+    for (const jobs::JobId &id : context.m_state.m_active) {
+        const journal::JobRecord &job = context.m_ledger.m_jobs.at(id);
+        const catalog::Queue *queue = catalog::findQueue(context.m_catalog, job.m_spec.m_queue);
+        if (queue == nullptr || job.isOver()) {
+            continue;
+        }
+        const std::uint32_t due = dueOccurrences(job, context.m_now.m_wall);
+        for (std::uint32_t occurrence = 0; occurrence < due; ++occurrence) {
+            if (!job.m_doneOccurrences.contains(occurrence)) {
+                addOccurrence(context, job, *queue, occurrence, candidates);
+            }
+        }
+    }
+    std::sort(candidates.begin(), candidates.end(), goesBefore);
+    return candidates;
+}
+
+}
--- /dev/null
+++ b/components/dispatch/orders.cpp
@@ -0,0 +1,150 @@
+#include "components/dispatch/orders.hpp"
+
+#include "components/dispatch/context.hpp"
+#include "components/dispatch/runs.hpp"
+
+#include <algorithm>
+
+namespace dispatch
+{
+
+namespace
+{
+
+/// Pause before an order without an answer is sent again; doubled for each silence up to the longest.
+constexpr fleet::Duration shortestRetry {100};
+constexpr fleet::Duration longestRetry {1000};
+/// While ends are not stored, a worker is looked at this often just to keep its lease.
+constexpr fleet::Duration plainLookInterval {1000};
+
+fleet::Duration retryPause(int tries)
+{
+    constexpr int mostDoublings = 4;
+    return std::min(longestRetry, shortestRetry * (1 << std::min(tries, mostDoublings)));
+}
+
+void sendStart(Context &context, const jobs::RunId &id, RunState &run, WorkerState &worker)
+{
+    const auto lease = leaseEnd(context, worker, context.m_state.m_settings.m_startLease);
+    if (!lease) {
+        return;
+    }
+    const journal::JobRecord &job = context.m_ledger.m_jobs.at(id.m_task.m_step.m_job);
+    worker.m_promisedUntilMs = std::max(worker.m_promisedUntilMs, *lease);
+    run.m_startInFlight = true;
+    ++run.m_startTries;
+    run.m_nextStartAt = context.m_now.m_boot + retryPause(run.m_startTries);
+    context.m_out.m_starts.push_back(
+        {run.m_on, worker.m_registration.m_address, id, job.m_spec.m_payload, *lease, context.m_state.m_token, run.m_checkpoint, run.m_ticket});
+}
+
+void sendStop(Context &context, const jobs::RunId &id, RunState &run, const WorkerState &worker)
+{
+    run.m_stopInFlight = true;
+    ++run.m_stopTries;
+    run.m_nextStopAt = context.m_now.m_boot + retryPause(run.m_stopTries);
+    context.m_out.m_stops.push_back({run.m_on, worker.m_registration.m_address, id, context.m_state.m_token});
+}
+
+bool isStartDue(const Context &context, const RunState &run)
+{
+    return run.m_phase == RunPhase::Starting && !run.m_stopWanted && !run.m_startInFlight && !run.m_isOverThere && context.m_now.m_boot >= run.m_nextStartAt;
+}
+
+bool isStopDue(const Context &context, const RunState &run)
+{
+    return run.m_phase != RunPhase::Recording && run.m_stopWanted && !run.m_stopInFlight && !run.m_stopAnswered && context.m_now.m_boot >= run.m_nextStopAt;
+}
+
+bool isLookDue(const Context &context, const WorkerState &worker)
+{
+    const bool hasEndsToForget = worker.m_endsStored > worker.m_endsForgotten;
+    const bool isAnyStarted = std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
+        const RunState &state = context.m_state.m_runs.at(run);
+        return state.m_phase == RunPhase::Running || state.m_isOverThere || state.m_isUncertain || state.m_stopAnswered;
+    });
+    if (worker.m_lookInFlight || context.m_now.m_boot < worker.m_nextLookAt || worker.m_registration.m_address.empty()) {
+        return false;
+    }
+    return isAnyStarted || hasEndsToForget;
+}
+
+void sendLook(Context &context, WorkerState &worker)
+{
+    const bool hasUnstoredEnds = worker.m_endsTaken > worker.m_endsStored;
+    const bool isOverSomewhere = std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
+        const RunState &state = context.m_state.m_runs.at(run);
+        return state.m_isOverThere || state.m_stopAnswered;
+    });
+    workers::LookOrder order;
+    order.m_on = worker.m_registration.m_life;
+    order.m_address = worker.m_registration.m_address;
+    order.m_token = context.m_state.m_token;
+    order.m_forgetUpTo = worker.m_endsStored;
+    if (!worker.m_runs.empty()) {
+        order.m_leaseUntilMs = leaseEnd(context, worker, context.m_state.m_settings.m_leaseLimit);
+        // An end that is listed and may not be forgotten yet would end the wait at once.
+        const bool waits = !hasUnstoredEnds && worker.m_isFenced && !isOverSomewhere;
+        order.m_wait = waits ? context.m_state.m_settings.m_lookWait : fleet::Duration(0);
+    }
+    if (order.m_leaseUntilMs) {
+        worker.m_promisedUntilMs = std::max(worker.m_promisedUntilMs, *order.m_leaseUntilMs);
+    }
+    worker.m_lookInFlight = true;
+    worker.m_lookSentAt = context.m_now.m_boot;
+    worker.m_nextLookAt = context.m_now.m_boot + (hasUnstoredEnds ? plainLookInterval : fleet::Duration(0));
+    context.m_out.m_looks.push_back(std::move(order));
+}
+
+}
+
+std::optional<std::int64_t> leaseEnd(const Context &context, const WorkerState &worker, fleet::Duration length)
+{
+    if (!worker.m_clockMs) {
+        return std::nullopt;
+    }
+    return *worker.m_clockMs + (context.m_now.m_boot - worker.m_clockAt).count() + length.count();
+}
+
+void sendDueOrders(Context &context)
+{
+    for (auto &[id, run] : context.m_state.m_runs) {
+        WorkerState *worker = findWorker(context, run.m_on);
+        if (worker == nullptr || worker->m_registration.m_address.empty()) {
+            continue;
+        }
+        if (isStartDue(context, run)) {
+            sendStart(context, id, run, *worker);
+        } else if (isStopDue(context, run)) {
+            sendStop(context, id, run, *worker);
+        }
+    }
+}
+
+void sendDueLooks(Context &context)
+{
+    for (auto &[id, worker] : context.m_state.m_workers) {
+        if (isLookDue(context, worker)) {
+            sendLook(context, worker);
+        }
+    }
+}
+
+void endLapsedRuns(Context &context)
+{
+    std::vector<jobs::RunId> lapsed;
+    for (const auto &[id, worker] : context.m_state.m_workers) {
+        if (!worker.m_runs.empty() && hasLeaseLapsed(worker, context.m_now.m_boot)) {
+            std::copy_if(worker.m_runs.begin(), worker.m_runs.end(), std::back_inserter(lapsed), [&](const jobs::RunId &run) {
+                return context.m_state.m_runs.at(run).m_phase != RunPhase::Recording && context.m_state.m_runs.at(run).m_startTries > 0;
+            });
+        }
+    }
+    for (const jobs::RunId &run : lapsed) {
+        context.m_out.m_log.push_back("lapse task=" + toString(run.m_task) + " run=" + std::to_string(run.m_run)
+                                      + " worker=" + findRun(context, run)->m_on.m_worker.value());
+        endRun(context, run, jobs::RunEnd::Lapsed, {});
+    }
+}
+
+}
--- /dev/null
+++ b/components/dispatch/outbox.hpp
@@ -0,0 +1,32 @@
+#ifndef COMPONENTS_DISPATCH_OUTBOX_HPP
+#define COMPONENTS_DISPATCH_OUTBOX_HPP
+
+#include "components/journal/record.hpp"
+#include "components/workers/look_order.hpp"
+#include "components/workers/start_order.hpp"
+#include "components/workers/stop_order.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace dispatch
+{
+
+/// What the holder wants done.
+struct Outbox
+{
+    /// Records of one append, stored as a whole under this number; 0 where there are none.
+    std::uint64_t m_batch = 0;
+    std::vector<journal::Record> m_records;
+    std::vector<workers::StartOrder> m_starts;
+    std::vector<workers::StopOrder> m_stops;
+    std::vector<workers::LookOrder> m_looks;
+    /// A worker has seen a higher token: another holder gives orders.
+    bool m_isFenced = false;
+    std::vector<std::string> m_log;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/dispatch/reports.cpp
@@ -0,0 +1,336 @@
+#include "components/dispatch/reports.hpp"
+
+#include "components/dispatch/context.hpp"
+#include "components/dispatch/runs.hpp"
+
+#include <algorithm>
+
+namespace dispatch
+{
+
+namespace
+{
+
+/// Pause after a look without an answer.
+constexpr fleet::Duration lookRetry {200};
+/// A worker that refuses a start, or does not answer, gets no new runs for this long.
+constexpr fleet::Duration noRoomPause {300};
+constexpr fleet::Duration unwellPause {1500};
+
+void avoid(WorkerState &worker, fleet::BootTime until)
+{
+    worker.m_avoidUntil = std::max(worker.m_avoidUntil, until);
+}
+
+void noteAnswer(WorkerState &worker, std::optional<std::int64_t> clockMs, fleet::BootTime now)
+{
+    worker.m_lastAnswerAt = now;
+    worker.m_silences = 0;
+    if (clockMs) {
+        noteClock(worker, *clockMs, now);
+    }
+}
+
+void noteSilence(WorkerState &worker, fleet::BootTime now)
+{
+    ++worker.m_silences;
+    avoid(worker, now + unwellPause);
+}
+
+void beginLife(WorkerState &worker, const workers::Registration &registration)
+{
+    const std::set<jobs::RunId> runs = worker.m_runs;
+    const fleet::Resources booked = worker.m_booked;
+    worker = WorkerState();
+    worker.m_runs = runs;
+    worker.m_booked = booked;
+    worker.m_registration = registration;
+}
+
+/// A worker came back under its id. What the life before ran is gone; a start without an answer may still reach the new
+/// life, which has seen no token, so it is stopped there first.
+void moveToNewLife(Context &context, WorkerState &worker, const workers::Registration &registration)
+{
+    beginLife(worker, registration);
+    const std::set<jobs::RunId> runs = worker.m_runs;
+    for (const jobs::RunId &id : runs) {
+        RunState &run = context.m_state.m_runs.at(id);
+        run.m_on = registration.m_life;
+        run.m_startInFlight = false;
+        run.m_stopInFlight = false;
+        run.m_stopAnswered = false;
+        if (run.m_phase == RunPhase::Recording) {
+            wantStop(context, id, "worker-reborn");
+        } else if (run.m_isUncertain && run.m_phase == RunPhase::Starting) {
+            wantStop(context, id, "worker-reborn");
+        } else {
+            context.m_out.m_log.push_back("lost task=" + toString(id.m_task) + " run=" + std::to_string(id.m_run)
+                                          + " worker=" + registration.m_life.m_worker.value() + " why=worker-reborn");
+            endRun(context, id, jobs::RunEnd::LostWithRunner, {});
+        }
+    }
+}
+
+void takeRegistration(Context &context, const workers::Registration &registration)
+{
+    WorkerState &worker = context.m_state.m_workers[registration.m_life.m_worker];
+    const workers::Life &known = worker.m_registration.m_life;
+    if (known.m_born == 0) {
+        worker.m_registration = registration;
+        context.m_state.m_planIsDue = true;
+    } else if (registration.m_life.m_born > known.m_born) {
+        moveToNewLife(context, worker, registration);
+        context.m_state.m_planIsDue = true;
+    } else if (registration.m_life.m_born < known.m_born) {
+        return;
+    }
+    worker.m_registration = registration;
+    worker.m_isListed = true;
+    worker.m_listedAt = context.m_now.m_boot;
+    if (registration.m_clockMs && !worker.m_clockMs) {
+        worker.m_clockMs = registration.m_clockMs;
+        worker.m_clockAt = context.m_now.m_boot;
+    }
+}
+
+/// The machine of a worker that is no longer listed carries another one now, so the worker is gone.
+void endRunsOfReplaced(Context &context)
+{
+    std::map<fleet::MachineId, const WorkerState *> newest;
+    for (const auto &[id, worker] : context.m_state.m_workers) {
+        const fleet::MachineId &machine = worker.m_registration.m_machine;
+        if (worker.m_isListed && !machine.empty()) {
+            newest[machine] = &worker;
+        }
+    }
+    std::vector<jobs::RunId> lost;
+    for (const auto &[id, worker] : context.m_state.m_workers) {
+        const auto other = newest.find(worker.m_registration.m_machine);
+        const bool isReplaced = !worker.m_isListed && !worker.m_runs.empty() && other != newest.end()
+            && other->second->m_registration.m_life.m_born > worker.m_registration.m_life.m_born;
+        if (isReplaced) {
+            lost.insert(lost.end(), worker.m_runs.begin(), worker.m_runs.end());
+        }
+    }
+    for (const jobs::RunId &run : lost) {
+        endRun(context, run, jobs::RunEnd::LostWithRunner, {});
+    }
+}
+
+void takeEnds(Context &context, WorkerState &worker, const std::vector<workers::EndedTask> &ended)
+{
+    for (const workers::EndedTask &task : ended) {
+        if (task.m_number <= worker.m_endsTaken) {
+            continue;
+        }
+        worker.m_endsTaken = task.m_number;
+        context.m_endNumbers[worker.m_registration.m_life] = task.m_number;
+        const RunState *run = findRun(context, task.m_run);
+        if (run != nullptr && run->m_on == worker.m_registration.m_life) {
+            context.m_out.m_log.push_back("end task=" + toString(task.m_run.m_task) + " run=" + std::to_string(task.m_run.m_run) + " worker="
+                                          + worker.m_registration.m_life.m_worker.value() + " how=" + std::to_string(static_cast<int>(task.m_end)));
+            endRun(context, task.m_run, task.m_end, task.m_checkpoint);
+        }
+    }
+}
+
+void takeRunning(Context &context, const workers::Life &on, const workers::RunningTask &task)
+{
+    RunState *run = findRun(context, task.m_run);
+    if (run == nullptr || run->m_on != on) {
+        // A late order was carried out after the run had been given up.
+        const workers::Life life = on;
+        context.m_out.m_log.push_back("stray task=" + toString(task.m_run.m_task) + " run=" + std::to_string(task.m_run.m_run)
+                                      + " worker=" + life.m_worker.value());
+        const WorkerState *worker = findWorker(context, life);
+        context.m_out.m_stops.push_back({life, worker->m_registration.m_address, task.m_run, context.m_state.m_token});
+        return;
+    }
+    if (run->m_phase != RunPhase::Running) {
+        run->m_phase = RunPhase::Running;
+        run->m_startedAt = context.m_now.m_boot;
+        run->m_percentAt = context.m_now.m_boot;
+    }
+    run->m_isUncertain = false;
+    if (task.m_percent != run->m_percent) {
+        run->m_percent = task.m_percent;
+        run->m_percentAt = context.m_now.m_boot;
+    }
+    if (!task.m_checkpoint.empty()) {
+        run->m_checkpoint = task.m_checkpoint;
+    }
+}
+
+/// Settles the runs that the worker lists neither as running nor as ended.
+void settleAbsent(Context &context, const WorkerState &worker, const std::vector<workers::RunningTask> &running, fleet::BootTime sentAt)
+{
+    std::set<jobs::RunId> present;
+    for (const workers::RunningTask &task : running) {
+        present.insert(task.m_run);
+    }
+    const std::set<jobs::RunId> runs = worker.m_runs;
+    for (const jobs::RunId &id : runs) {
+        RunState &run = context.m_state.m_runs.at(id);
+        if (present.contains(id)) {
+            continue;
+        }
+        if (run.m_phase == RunPhase::Starting && run.m_nextStartAt == fleet::BootTime::max()) {
+            // Taken over and not begun. The token of this holder now bars every order of the one before.
+            run.m_isUncertain = false;
+            run.m_nextStartAt = context.m_now.m_boot;
+        }
+        const bool wasThere = run.m_phase == RunPhase::Running && run.m_startedAt < sentAt;
+        const bool isSettledThere = (run.m_isOverThere && run.m_overSince < sentAt) || (run.m_stopAnswered && run.m_overSince < sentAt);
+        if (wasThere || isSettledThere) {
+            endRun(context, id, run.m_phase == RunPhase::Running ? jobs::RunEnd::LostWithRunner : jobs::RunEnd::NeverBegan, {});
+        }
+    }
+}
+
+/// The run is not on the worker and this order left nothing behind; an earlier one without an answer may have.
+void giveUpStart(Context &context, const jobs::RunId &id, RunState &run, const std::string &why)
+{
+    if (run.m_isUncertain) {
+        wantStop(context, id, why);
+        return;
+    }
+    context.m_out.m_log.push_back("refused task=" + toString(id.m_task) + " run=" + std::to_string(id.m_run) + " worker=" + run.m_on.m_worker.value()
+                                  + " why=" + why);
+    endRun(context, id, jobs::RunEnd::NeverBegan, {});
+}
+
+}
+
+void takeList(Context &context, const std::vector<workers::Registration> &registrations)
+{
+    std::set<fleet::WorkerId> listed;
+    for (const workers::Registration &registration : registrations) {
+        listed.insert(registration.m_life.m_worker);
+        takeRegistration(context, registration);
+    }
+    for (auto entry = context.m_state.m_workers.begin(); entry != context.m_state.m_workers.end();) {
+        WorkerState &worker = entry->second;
+        worker.m_isListed = listed.contains(entry->first);
+        const bool isForgotten = !worker.m_isListed && worker.m_runs.empty() && !worker.m_lookInFlight;
+        entry = isForgotten ? context.m_state.m_workers.erase(entry) : std::next(entry);
+    }
+    endRunsOfReplaced(context);
+}
+
+void takeLook(Context &context, const workers::LookOrder &order, fleet::BootTime sentAt, const workers::LookResult &result)
+{
+    WorkerState *worker = findWorker(context, order.m_on);
+    if (worker == nullptr) {
+        return;
+    }
+    const fleet::BootTime now = context.m_now.m_boot;
+    worker->m_lookInFlight = false;
+    switch (result.m_outcome) {
+    case workers::LookOutcome::Fenced:
+        context.m_out.m_isFenced = true;
+        return;
+    case workers::LookOutcome::NoAnswer:
+    case workers::LookOutcome::OtherLife:
+    case workers::LookOutcome::Unhealthy:
+        noteSilence(*worker, now);
+        worker->m_nextLookAt = now + lookRetry;
+        return;
+    case workers::LookOutcome::Answered:
+        break;
+    }
+    if (result.m_born && *result.m_born > order.m_on.m_born) {
+        workers::Registration registration = worker->m_registration;
+        registration.m_life.m_born = *result.m_born;
+        moveToNewLife(context, *worker, registration);
+    }
+    noteAnswer(*worker, result.m_clockMs, now);
+    if (!worker->m_isFenced) {
+        // What the holder before granted is at most one lease from now.
+        worker->m_promisedUntilMs = std::max(worker->m_promisedUntilMs, result.m_clockMs + context.m_state.m_settings.m_leaseLimit.count());
+        worker->m_isFenced = true;
+    }
+    worker->m_endsForgotten = std::max(worker->m_endsForgotten, order.m_forgetUpTo);
+    const workers::Life life = worker->m_registration.m_life;
+    takeEnds(context, *worker, result.m_ended);
+    for (const workers::RunningTask &task : result.m_running) {
+        takeRunning(context, life, task);
+    }
+    settleAbsent(context, *worker, result.m_running, sentAt);
+}
+
+void takeStart(Context &context, const workers::StartOrder &order, const workers::OrderResult &result)
+{
+    RunState *run = findRun(context, order.m_run);
+    WorkerState *worker = findWorker(context, order.m_on);
+    if (run == nullptr || worker == nullptr || run->m_on != order.m_on) {
+        return;
+    }
+    const fleet::BootTime now = context.m_now.m_boot;
+    run->m_startInFlight = false;
+    if (result.m_outcome == workers::OrderOutcome::Unknown || result.m_outcome == workers::OrderOutcome::NotSent) {
+        run->m_isUncertain = run->m_isUncertain || result.m_outcome == workers::OrderOutcome::Unknown;
+        noteSilence(*worker, now);
+        if (result.m_outcome == workers::OrderOutcome::NotSent && !run->m_isUncertain && run->m_phase == RunPhase::Starting) {
+            giveUpStart(context, order.m_run, *run, "unreachable");
+        }
+        return;
+    }
+    noteAnswer(*worker, result.m_clockMs, now);
+    switch (result.m_outcome) {
+    case workers::OrderOutcome::Done:
+        if (run->m_phase == RunPhase::Starting) {
+            run->m_phase = RunPhase::Running;
+            run->m_startedAt = now;
+            run->m_percentAt = now;
+        }
+        break;
+    case workers::OrderOutcome::Fenced:
+        context.m_out.m_isFenced = true;
+        break;
+    case workers::OrderOutcome::RunIsOver:
+        run->m_isOverThere = true;
+        run->m_overSince = now;
+        break;
+    case workers::OrderOutcome::LeaseLapsed:
+        run->m_nextStartAt = now;
+        break;
+    case workers::OrderOutcome::NoRoom:
+        avoid(*worker, now + noRoomPause);
+        giveUpStart(context, order.m_run, *run, "no-room");
+        break;
+    case workers::OrderOutcome::OtherLife:
+        avoid(*worker, now + unwellPause);
+        run->m_isUncertain = false;
+        giveUpStart(context, order.m_run, *run, "other-life");
+        break;
+    default:
+        avoid(*worker, now + unwellPause);
+        giveUpStart(context, order.m_run, *run, "outcome-" + std::to_string(static_cast<int>(result.m_outcome)));
+        break;
+    }
+}
+
+void takeStop(Context &context, const workers::StopOrder &order, const workers::OrderResult &result)
+{
+    RunState *run = findRun(context, order.m_run);
+    WorkerState *worker = findWorker(context, order.m_on);
+    if (run == nullptr || worker == nullptr || run->m_on != order.m_on) {
+        return;
+    }
+    run->m_stopInFlight = false;
+    if (result.m_outcome == workers::OrderOutcome::Unknown || result.m_outcome == workers::OrderOutcome::NotSent) {
+        noteSilence(*worker, context.m_now.m_boot);
+        return;
+    }
+    noteAnswer(*worker, result.m_clockMs, context.m_now.m_boot);
+    if (result.m_outcome == workers::OrderOutcome::Fenced) {
+        context.m_out.m_isFenced = true;
+    } else if (result.m_outcome == workers::OrderOutcome::OtherLife) {
+        endRun(context, order.m_run, jobs::RunEnd::LostWithRunner, {});
+    } else if (result.m_outcome == workers::OrderOutcome::Done || result.m_outcome == workers::OrderOutcome::RunIsOver) {
+        run->m_stopAnswered = true;
+        run->m_overSince = context.m_now.m_boot;
+    }
+}
+
+}
--- /dev/null
+++ b/components/dispatch/run_phase.hpp
@@ -0,0 +1,20 @@
+#ifndef COMPONENTS_DISPATCH_RUN_PHASE_HPP
+#define COMPONENTS_DISPATCH_RUN_PHASE_HPP
+
+#include <cstdint>
+
+namespace dispatch
+{
+
+enum class RunPhase : std::uint8_t {
+    /// The launch is not stored yet; no order was sent.
+    Recording,
+    /// Orders to start are sent until one is answered.
+    Starting,
+    /// The worker confirmed the start or reported the run.
+    Running,
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/dispatch/runs.cpp
@@ -0,0 +1,208 @@
+#include "components/dispatch/runs.hpp"
+
+#include "components/dispatch/context.hpp"
+#include "components/journal/changes.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dispatch
+{
+
+namespace
+{
+
+/// A worker's steady clock runs at least this fast; its bound is 2% slow.
+constexpr double slowestClock = 0.98;
+/// Failed runs in a row after which a worker is avoided, and for how long.
+constexpr int failuresToAvoid = 2;
+constexpr fleet::Duration avoidance {8000};
+
+const jobs::StepSpec &stepOf(const journal::JobRecord &job, const jobs::StepId &step)
+{
+    return job.m_spec.m_steps[step.m_step];
+}
+
+int priorityOf(const Context &context, const journal::JobRecord &job)
+{
+    const catalog::Queue *queue = catalog::findQueue(context.m_catalog, job.m_spec.m_queue);
+    return queue == nullptr ? 0 : queue->m_priority;
+}
+
+fleet::Resources bookingFor(const jobs::StepSpec &step)
+{
+    fleet::Resources booking = step.m_perTask;
+    if (step.m_usesIdleProcessor) {
+        booking.m_milliCores = 0;
+    }
+    return booking;
+}
+
+void noteHealth(WorkerState &worker, jobs::RunEnd end, fleet::BootTime now)
+{
+    if (end == jobs::RunEnd::Done) {
+        worker.m_failuresInRow = 0;
+    } else if (end == jobs::RunEnd::Failed && ++worker.m_failuresInRow >= failuresToAvoid) {
+        worker.m_avoidUntil = now + avoidance;
+    }
+}
+
+/// Open runs of one step of the job.
+std::vector<jobs::RunId> openRuns(const journal::StepRecord &record, const jobs::StepId &step)
+{
+    std::vector<jobs::RunId> runs;
+    for (std::uint16_t i = 0; i < record.m_tasks.size(); ++i) {
+        for (const journal::OpenRun &open : record.m_tasks[i].m_open) {
+            runs.push_back({{step, i}, open.m_run});
+        }
+    }
+    return runs;
+}
+
+/// A gang whose member ended without being done cannot go on; a task that is done needs no copies.
+std::vector<jobs::RunId> needlessRuns(const journal::JobRecord &job, const journal::StepRecord &record, const jobs::StepId &step)
+{
+    std::vector<jobs::RunId> needless;
+    const std::vector<jobs::RunId> open = openRuns(record, step);
+    if (job.isOver()) {
+        return open;
+    }
+    if (stepOf(job, step).m_isGang) {
+        const bool isWhole = open.size() == record.m_tasks.size();
+        // The members of a gang that is done end by themselves.
+        return isWhole || record.isDone() ? needless : open;
+    }
+    std::copy_if(open.begin(), open.end(), std::back_inserter(needless), [&](const jobs::RunId &run) {
+        return record.m_tasks[run.m_task.m_index].m_isDone;
+    });
+    return needless;
+}
+
+}
+
+WorkerState *findWorker(Context &context, const workers::Life &life)
+{
+    const auto found = context.m_state.m_workers.find(life.m_worker);
+    const bool isSame = found != context.m_state.m_workers.end() && found->second.m_registration.m_life == life;
+    return isSame ? &found->second : nullptr;
+}
+
+RunState *findRun(Context &context, const jobs::RunId &run)
+{
+    const auto found = context.m_state.m_runs.find(run);
+    return found == context.m_state.m_runs.end() ? nullptr : &found->second;
+}
+
+std::optional<std::int64_t> leastClock(const WorkerState &worker, fleet::BootTime now)
+{
+    if (!worker.m_clockMs) {
+        return std::nullopt;
+    }
+    const double elapsed = static_cast<double>((now - worker.m_clockAt).count()) * slowestClock;
+    return *worker.m_clockMs + static_cast<std::int64_t>(std::floor(elapsed));
+}
+
+bool hasLeaseLapsed(const WorkerState &worker, fleet::BootTime now)
+{
+    if (!worker.m_isFenced && now < worker.m_foreignLeaseUntil) {
+        return false;
+    }
+    if (worker.m_promisedUntilMs == 0) {
+        return true;
+    }
+    const auto clock = leastClock(worker, now);
+    return clock && *clock >= worker.m_promisedUntilMs;
+}
+
+void noteClock(WorkerState &worker, std::int64_t clockMs, fleet::BootTime now)
+{
+    const auto least = leastClock(worker, now);
+    // Answers may overtake one another; an older reading tells nothing new.
+    if (!least || clockMs >= *least) {
+        worker.m_clockMs = clockMs;
+        worker.m_clockAt = now;
+    }
+}
+
+void launch(Context &context, const jobs::RunId &run, const workers::Life &on, const std::string &ticket)
+{
+    const journal::JobRecord &job = context.m_ledger.m_jobs.at(run.m_task.m_step.m_job);
+    RunState state;
+    state.m_on = on;
+    state.m_booked = bookingFor(stepOf(job, run.m_task.m_step));
+    state.m_priority = priorityOf(context, job);
+    state.m_launchedAt = context.m_now.m_boot;
+    state.m_ticket = ticket;
+    const journal::TaskRecord *task = journal::findTask(job, run.m_task);
+    state.m_checkpoint = task == nullptr ? std::string() : task->m_checkpoint;
+    WorkerState &worker = *findWorker(context, on);
+    worker.m_booked = worker.m_booked + state.m_booked;
+    worker.m_runs.insert(run);
+    context.m_state.m_runs.emplace(run, std::move(state));
+    context.m_launched.push_back({run, on});
+    journal::Changes changes;
+    journal::apply(context.m_ledger, journal::RunsLaunched {{{run, on}}}, changes);
+}
+
+void endRun(Context &context, const jobs::RunId &run, jobs::RunEnd end, const std::string &checkpoint)
+{
+    const auto found = context.m_state.m_runs.find(run);
+    if (found == context.m_state.m_runs.end()) {
+        return;
+    }
+    const workers::Life on = found->second.m_on;
+    const std::string &newest = checkpoint.empty() ? found->second.m_checkpoint : checkpoint;
+    const journal::EndedRun ended {run, on, end, newest};
+    const auto worker = context.m_state.m_workers.find(on.m_worker);
+    if (worker != context.m_state.m_workers.end()) {
+        worker->second.m_booked = worker->second.m_booked - found->second.m_booked;
+        worker->second.m_runs.erase(run);
+        noteHealth(worker->second, end, context.m_now.m_boot);
+    }
+    context.m_state.m_runs.erase(found);
+    context.m_ended.push_back(ended);
+    journal::Changes changes;
+    journal::apply(context.m_ledger, journal::RunsEnded {{ended}, context.m_now.m_wall}, changes);
+    context.m_touched.insert(run.m_task.m_step.m_job);
+    context.m_state.m_planIsDue = true;
+}
+
+void wantStop(Context &context, const jobs::RunId &run, const std::string &why)
+{
+    RunState *state = findRun(context, run);
+    if (state == nullptr || state->m_stopWanted) {
+        return;
+    }
+    context.m_out.m_log.push_back("stop task=" + toString(run.m_task) + " run=" + std::to_string(run.m_run) + " worker=" + state->m_on.m_worker.value()
+                                  + " percent=" + std::to_string(state->m_percent) + " why=" + why);
+    state->m_stopWanted = true;
+    state->m_stopWantedAt = context.m_now.m_boot;
+    state->m_nextStopAt = context.m_now.m_boot;
+    if (state->m_startTries == 0) {
+        endRun(context, run, jobs::RunEnd::NeverBegan, {});
+    }
+}
+
+void settleJob(Context &context, jobs::JobId id)
+{
+    const journal::JobRecord *job = journal::findJob(context.m_ledger, id);
+    if (job == nullptr) {
+        return;
+    }
+    std::vector<jobs::RunId> needless;
+    for (const auto &[number, occurrence] : job->m_occurrences) {
+        for (std::uint16_t i = 0; i < occurrence.m_steps.size(); ++i) {
+            const jobs::StepId step {id, number, i};
+            const std::vector<jobs::RunId> runs = needlessRuns(*job, occurrence.m_steps[i], step);
+            needless.insert(needless.end(), runs.begin(), runs.end());
+        }
+    }
+    for (const jobs::RunId &run : needless) {
+        wantStop(context, run, job->isOver() ? "job-over" : "not-needed");
+    }
+    if (job->isOver()) {
+        context.m_state.m_active.erase(id);
+    }
+}
+
+}
--- /dev/null
+++ b/components/dispatch/settings.hpp
@@ -0,0 +1,29 @@
+#ifndef COMPONENTS_DISPATCH_SETTINGS_HPP
+#define COMPONENTS_DISPATCH_SETTINGS_HPP
+
+#include "components/fleet/time.hpp"
+
+namespace dispatch
+{
+
+/// Times of the scheduling duty. The defaults of the first four are bounds of the deployment and come from its settings.
+struct Settings
+{
+    /// Longest lease that a worker grants.
+    fleet::Duration m_leaseLimit {6000};
+    /// Longest time from an order to stop until the run is over.
+    fleet::Duration m_stopGrace {200};
+    /// How long a worker waits for an end before it answers a look. At most a third of the lease, so that one lost
+    /// look does not end the runs.
+    fleet::Duration m_lookWait {1500};
+    /// Lease that an order to start gives; short, so that an order without an answer is settled early.
+    fleet::Duration m_startLease {3000};
+    /// How long a holder may go on renewing leases after it last reached the store.
+    fleet::Duration m_holderAuthority {15000};
+
+    bool operator==(const Settings &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/dispatch/state.hpp
@@ -0,0 +1,37 @@
+#ifndef COMPONENTS_DISPATCH_STATE_HPP
+#define COMPONENTS_DISPATCH_STATE_HPP
+
+#include "components/dispatch/reservation.hpp"
+#include "components/dispatch/run_state.hpp"
+#include "components/dispatch/settings.hpp"
+#include "components/dispatch/stored_note.hpp"
+#include "components/dispatch/worker_state.hpp"
+#include "components/fleet/fencing_token.hpp"
+#include "components/jobs/step_id.hpp"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace dispatch
+{
+
+/// All that the holder of the scheduling duty knows beside the journal.
+struct State
+{
+    Settings m_settings;
+    fleet::FencingToken m_token;
+    std::map<fleet::WorkerId, WorkerState> m_workers;
+    std::map<jobs::RunId, RunState> m_runs;
+    /// Jobs that are not over.
+    std::set<jobs::JobId> m_active;
+    std::map<jobs::StepId, Reservation> m_reservations;
+    std::deque<StoredNote> m_unstored;
+    std::uint64_t m_nextBatch = 1;
+    /// Something changed that may let a step start.
+    bool m_planIsDue = true;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/dispatch/step.cpp
@@ -0,0 +1,211 @@
+#include "components/dispatch/step.hpp"
+
+#include "components/dispatch/context.hpp"
+#include "components/dispatch/orders.hpp"
+#include "components/dispatch/plan.hpp"
+#include "components/dispatch/reports.hpp"
+#include "components/dispatch/runs.hpp"
+#include "components/journal/ledger.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dispatch
+{
+
+namespace
+{
+
+Context makeContext(State &state, const Surroundings &around, fleet::Now now)
+{
+    return {state, around.m_ledger, around.m_catalog, around.m_zonesOut, now, {}, {}, {}, {}, {}};
+}
+
+void settleTouched(Context &context)
+{
+    while (!context.m_touched.empty()) {
+        const std::set<jobs::JobId> touched = std::exchange(context.m_touched, {});
+        for (const jobs::JobId &job : touched) {
+            settleJob(context, job);
+        }
+    }
+}
+
+void noteStored(State &state, const StoredNote &note, fleet::BootTime now)
+{
+    for (const jobs::RunId &id : note.m_launched) {
+        const auto run = state.m_runs.find(id);
+        if (run != state.m_runs.end() && run->second.m_phase == RunPhase::Recording) {
+            run->second.m_phase = RunPhase::Starting;
+            run->second.m_nextStartAt = now;
+        }
+    }
+    for (const auto &[life, number] : note.m_ends) {
+        const auto worker = state.m_workers.find(life.m_worker);
+        if (worker != state.m_workers.end() && worker->second.m_registration.m_life == life) {
+            worker->second.m_endsStored = std::max(worker->second.m_endsStored, number);
+            worker->second.m_nextLookAt = now;
+        }
+    }
+}
+
+/// Ends that the journal has already: the worker may forget them as soon as all records made before are stored.
+void noteKnownEnds(Context &context)
+{
+    std::deque<StoredNote> &unstored = context.m_state.m_unstored;
+    if (unstored.empty()) {
+        noteStored(context.m_state, {0, {}, context.m_endNumbers}, context.m_now.m_boot);
+        return;
+    }
+    for (const auto &[life, number] : context.m_endNumbers) {
+        unstored.back().m_ends[life] = number;
+    }
+}
+
+/// Gathers what the step recorded into one batch and notes what may go on once it is stored.
+void recordStep(Context &context)
+{
+    if (context.m_ended.empty() && context.m_launched.empty()) {
+        noteKnownEnds(context);
+        return;
+    }
+    StoredNote note;
+    note.m_batch = context.m_state.m_nextBatch++;
+    note.m_ends = context.m_endNumbers;
+    if (!context.m_ended.empty()) {
+        context.m_out.m_records.emplace_back(journal::RunsEnded {context.m_ended, context.m_now.m_wall});
+    }
+    if (!context.m_launched.empty()) {
+        for (const journal::Launch &launched : context.m_launched) {
+            note.m_launched.push_back(launched.m_run);
+        }
+        context.m_out.m_records.emplace_back(journal::RunsLaunched {context.m_launched});
+    }
+    context.m_out.m_batch = note.m_batch;
+    context.m_state.m_unstored.push_back(std::move(note));
+}
+
+Outbox finish(Context &context)
+{
+    settleTouched(context);
+    if (context.m_state.m_planIsDue) {
+        context.m_state.m_planIsDue = false;
+        plan(context);
+        settleTouched(context);
+    }
+    recordStep(context);
+    sendDueOrders(context);
+    sendDueLooks(context);
+    return std::move(context.m_out);
+}
+
+void adopt(Context &context, const journal::JobRecord &job, const jobs::TaskId &task, const journal::TaskRecord &record, fleet::BootTime foreignLeaseUntil)
+{
+    for (const journal::OpenRun &open : record.m_open) {
+        WorkerState &worker = context.m_state.m_workers[open.m_on.m_worker];
+        const jobs::StepSpec &step = job.m_spec.m_steps[task.m_step.m_step];
+        worker.m_registration.m_life = open.m_on;
+        worker.m_foreignLeaseUntil = foreignLeaseUntil;
+        RunState run;
+        run.m_on = open.m_on;
+        run.m_booked = step.m_perTask;
+        run.m_booked.m_milliCores = step.m_usesIdleProcessor ? 0 : run.m_booked.m_milliCores;
+        const catalog::Queue *queue = catalog::findQueue(context.m_catalog, job.m_spec.m_queue);
+        run.m_priority = queue == nullptr ? 0 : queue->m_priority;
+        run.m_phase = RunPhase::Starting;
+        run.m_launchedAt = context.m_now.m_boot;
+        run.m_checkpoint = record.m_checkpoint;
+        // The holder before may have sent an order that is still on its way.
+        run.m_isUncertain = true;
+        run.m_startTries = 1;
+        // The worker's lists come first: they tell whether a start is needed.
+        run.m_nextStartAt = fleet::BootTime::max();
+        worker.m_booked = worker.m_booked + run.m_booked;
+        worker.m_runs.insert({task, open.m_run});
+        context.m_state.m_runs.emplace(jobs::RunId {task, open.m_run}, std::move(run));
+    }
+}
+
+}
+
+Outbox takeOver(State &state, const Surroundings &around, fleet::BootTime foreignLeaseUntil, fleet::Now now)
+{
+    Context context = makeContext(state, around, now);
+    for (const auto &[id, job] : around.m_ledger.m_jobs) {
+        if (!job.isOver()) {
+            state.m_active.insert(id);
+        }
+        for (const auto &[number, occurrence] : job.m_occurrences) {
+            for (std::uint16_t i = 0; i < occurrence.m_steps.size(); ++i) {
+                for (std::uint16_t k = 0; k < occurrence.m_steps[i].m_tasks.size(); ++k) {
+                    adopt(context, job, {{id, number, i}, k}, occurrence.m_steps[i].m_tasks[k], foreignLeaseUntil);
+                }
+            }
+        }
+        context.m_touched.insert(id);
+    }
+    return finish(context);
+}
+
+Outbox onListRead(State &state, const Surroundings &around, const std::vector<workers::Registration> &registrations, fleet::Now now)
+{
+    Context context = makeContext(state, around, now);
+    takeList(context, registrations);
+    return finish(context);
+}
+
+Outbox onLookEnded(
+    State &state, const Surroundings &around, const workers::LookOrder &order, fleet::BootTime sentAt, const workers::LookResult &result, fleet::Now now)
+{
+    Context context = makeContext(state, around, now);
+    takeLook(context, order, sentAt, result);
+    return finish(context);
+}
+
+Outbox onStartEnded(State &state, const Surroundings &around, const workers::StartOrder &order, const workers::OrderResult &result, fleet::Now now)
+{
+    Context context = makeContext(state, around, now);
+    takeStart(context, order, result);
+    return finish(context);
+}
+
+Outbox onStopEnded(State &state, const Surroundings &around, const workers::StopOrder &order, const workers::OrderResult &result, fleet::Now now)
+{
+    Context context = makeContext(state, around, now);
+    takeStop(context, order, result);
+    return finish(context);
+}
+
+Outbox onStored(State &state, const Surroundings &around, std::uint64_t batch, fleet::Now now)
+{
+    Context context = makeContext(state, around, now);
+    while (!state.m_unstored.empty() && state.m_unstored.front().m_batch <= batch) {
+        noteStored(state, state.m_unstored.front(), now.m_boot);
+        state.m_unstored.pop_front();
+    }
+    return finish(context);
+}
+
+Outbox onJobsChanged(State &state, const Surroundings &around, const std::vector<jobs::JobId> &jobs, fleet::Now now)
+{
+    Context context = makeContext(state, around, now);
+    for (const jobs::JobId &id : jobs) {
+        const journal::JobRecord *job = journal::findJob(around.m_ledger, id);
+        if (job != nullptr && !job->isOver()) {
+            state.m_active.insert(id);
+        }
+        context.m_touched.insert(id);
+    }
+    state.m_planIsDue = true;
+    return finish(context);
+}
+
+Outbox onTick(State &state, const Surroundings &around, fleet::Now now)
+{
+    Context context = makeContext(state, around, now);
+    endLapsedRuns(context);
+    state.m_planIsDue = true;
+    return finish(context);
+}
+
+}
--- /dev/null
+++ b/components/dispatch/step.hpp
@@ -0,0 +1,39 @@
+#ifndef COMPONENTS_DISPATCH_STEP_HPP
+#define COMPONENTS_DISPATCH_STEP_HPP
+
+#include "components/dispatch/outbox.hpp"
+#include "components/dispatch/state.hpp"
+#include "components/dispatch/surroundings.hpp"
+#include "components/fleet/now.hpp"
+#include "components/workers/look_result.hpp"
+#include "components/workers/order_result.hpp"
+
+#include <vector>
+
+namespace dispatch
+{
+
+/// Takes over what the journal says is open. Workers that do not answer may hold leases of the holder before until
+/// `foreignLeaseUntil`.
+Outbox takeOver(State &state, const Surroundings &around, fleet::BootTime foreignLeaseUntil, fleet::Now now);
+
+/// The platform's list of workers was read; `registrations` is all of it.
+Outbox onListRead(State &state, const Surroundings &around, const std::vector<workers::Registration> &registrations, fleet::Now now);
+
+Outbox onLookEnded(
+    State &state, const Surroundings &around, const workers::LookOrder &order, fleet::BootTime sentAt, const workers::LookResult &result, fleet::Now now);
+Outbox onStartEnded(State &state, const Surroundings &around, const workers::StartOrder &order, const workers::OrderResult &result, fleet::Now now);
+Outbox onStopEnded(State &state, const Surroundings &around, const workers::StopOrder &order, const workers::OrderResult &result, fleet::Now now);
+
+/// The records of a batch are stored.
+Outbox onStored(State &state, const Surroundings &around, std::uint64_t batch, fleet::Now now);
+
+/// Jobs were accepted or cancelled.
+Outbox onJobsChanged(State &state, const Surroundings &around, const std::vector<jobs::JobId> &jobs, fleet::Now now);
+
+/// Time passed: leases, retries, due occurrences, and the plan.
+Outbox onTick(State &state, const Surroundings &around, fleet::Now now);
+
+}
+
+#endif
--- a/components/http/client.cpp
+++ b/components/http/client.cpp
@@ -1,6 +1,7 @@
 #include "components/http/client.hpp"
 
 #include "components/http/client_core.hpp"
+#include "components/http/io_thread.hpp"
 
 #include <utility>
 
@@ -8,10 +9,17 @@
 {
 
 Client::Client(const ClientSettings &settings)
-    : m_core(std::make_shared<ClientCore>(settings))
+    : Client(settings, std::make_shared<IoThread>())
 {
 }
 
+Client::Client(const ClientSettings &settings, std::shared_ptr<IoThread> thread)
+    : m_thread(std::move(thread))
+    , m_core(std::make_shared<ClientCore>(settings, m_thread->context()))
+{
+    m_core->start();
+}
+
 Client::~Client()
 {
     m_core->stop();
--- a/components/http/client_core.cpp
+++ b/components/http/client_core.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <future>
 #include <utility>
 
 namespace http
@@ -15,23 +16,20 @@
 
 }
 
-ClientCore::ClientCore(const ClientSettings &settings)
+ClientCore::ClientCore(const ClientSettings &settings, boost::asio::io_context &io)
     : m_settings(settings)
-    , m_io(1)
-    , m_work(m_io.get_executor())
+    , m_io(io)
     , m_sweep(m_io)
-    , m_thread([this] {
-        m_io.run();
-    })
 {
-    boost::asio::post(m_io, [this] {
-        sweepIdleLater();
-    });
 }
 
-ClientCore::~ClientCore()
+ClientCore::~ClientCore() = default;
+
+void ClientCore::start()
 {
-    stop();
+    boost::asio::post(m_io, [self = shared_from_this()] {
+        self->sweepIdleLater();
+    });
 }
 
 void ClientCore::send(const Address &target, Request request, fleet::Duration timeout, Client::Callback callback)
@@ -40,8 +38,8 @@
     {
         const std::lock_guard lock(m_stopMutex);
         if (!m_refusing) {
-            boost::asio::post(m_io, [this, exchange, timeout] {
-                begin(exchange, timeout);
+            boost::asio::post(m_io, [self = shared_from_this(), exchange, timeout] {
+                self->begin(exchange, timeout);
             });
             return;
         }
@@ -51,17 +49,22 @@
 
 void ClientCore::stop()
 {
+    std::promise<void> done;
     {
         const std::lock_guard lock(m_stopMutex);
         if (std::exchange(m_refusing, true)) {
             return;
         }
-        boost::asio::post(m_io, [this] {
+        if (m_io.get_executor().running_in_this_thread()) {
             abandonAll();
+            return;
+        }
+        boost::asio::post(m_io, [self = shared_from_this(), &done] {
+            self->abandonAll();
+            done.set_value();
         });
     }
-    m_work.reset();
-    m_thread.join();
+    done.get_future().wait();
 }
 
 const ByteCount &ClientCore::byteCount() const
@@ -101,8 +104,8 @@
 {
     ++pool.m_busy;
     m_running.insert(exchange);
-    exchange->run(takeConnection(pool, exchange->isPost()), m_settings, [this, exchange](std::unique_ptr<ClientConnection> connection) {
-        release(exchange, std::move(connection));
+    exchange->run(takeConnection(pool, exchange->isPost()), m_settings, [self = shared_from_this(), exchange](std::unique_ptr<ClientConnection> connection) {
+        self->release(exchange, std::move(connection));
     });
 }
 
@@ -116,8 +119,8 @@
         pool.m_idle.push_back(std::move(connection));
     }
     if (!pool.m_waiting.empty()) {
-        boost::asio::post(m_io, [this, target = exchange->target()] {
-            serveWaiting(target);
+        boost::asio::post(m_io, [self = shared_from_this(), target = exchange->target()] {
+            self->serveWaiting(target);
         });
     }
 }
@@ -143,10 +146,10 @@
         return;
     }
     m_sweep.expires_after(sweepInterval);
-    m_sweep.async_wait([this](const boost::system::error_code &cancelled) {
+    m_sweep.async_wait([self = shared_from_this()](const boost::system::error_code &cancelled) {
         if (!cancelled) {
-            sweepIdle();
-            sweepIdleLater();
+            self->sweepIdle();
+            self->sweepIdleLater();
         }
     });
 }
--- a/components/http/client_core.hpp
+++ b/components/http/client_core.hpp
@@ -4,30 +4,31 @@
 #include "components/http/byte_count.hpp"
 #include "components/http/client_exchange.hpp"
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <deque>
 #include <map>
 #include <mutex>
 #include <set>
-#include <thread>
 #include <vector>
 
 namespace http
 {
 
-/// The client's thread and its connections by address. Includes Asio; meant for the client's own sources.
-class ClientCore
+/// The client's connections by address. Includes Asio; meant for the client's own sources.
+class ClientCore : public std::enable_shared_from_this<ClientCore>
 {
 public:
-    explicit ClientCore(const ClientSettings &settings);
+    ClientCore(const ClientSettings &settings, boost::asio::io_context &io);
     ~ClientCore();
 
     ClientCore(const ClientCore &) = delete;
     ClientCore &operator=(const ClientCore &) = delete;
 
+    void start();
     void send(const Address &target, Request request, fleet::Duration timeout, Client::Callback callback);
+    /// Abandons what is under way and waits until that is done.
     void stop();
     const ByteCount &byteCount() const;
 
@@ -50,15 +51,13 @@
 
     ClientSettings m_settings;
     ByteCount m_byteCount;
-    boost::asio::io_context m_io;
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    boost::asio::io_context &m_io;
     boost::asio::steady_timer m_sweep;
     std::map<Address, Pool> m_pools;
     std::set<std::shared_ptr<ClientExchange>> m_running;
     bool m_stopped = false;
     std::mutex m_stopMutex;
     bool m_refusing = false;
-    std::thread m_thread;
 };
 
 }
--- a/components/http/client_exchange.cpp
+++ b/components/http/client_exchange.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <netinet/tcp.h>
 #include <utility>
 
 namespace http
@@ -73,7 +74,7 @@
     if (m_connection->m_socket.is_open()) {
         write();
     } else {
-        connect();
+        connect(settings.m_unacknowledgedLimit);
     }
 }
 
@@ -97,7 +98,7 @@
     return m_target;
 }
 
-void ClientExchange::connect()
+void ClientExchange::connect(fleet::Duration unacknowledgedLimit)
 {
     Error error;
     const auto host = boost::asio::ip::make_address(m_target.m_host, error);
@@ -105,6 +106,15 @@
         abandon("'" + m_target.m_host + "' is not an IP address; use one");
         return;
     }
+    using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    m_connection->m_socket.open(host.is_v4() ? boost::asio::ip::tcp::v4() : boost::asio::ip::tcp::v6(), error);
+    if (!error && unacknowledgedLimit.count() > 0) {
+        m_connection->m_socket.set_option(UserTimeout(static_cast<int>(unacknowledgedLimit.count())), error);
+    }
+    if (error) {
+        abandon("cannot open a socket for " + toString(m_target) + ": " + error.message());
+        return;
+    }
     m_connection->m_socket.async_connect({host, m_target.m_port}, [self = shared_from_this()](const Error &failure) {
         if (self->m_ended) {
             return;
--- a/components/http/client_exchange.hpp
+++ b/components/http/client_exchange.hpp
@@ -44,7 +44,7 @@
 private:
     using Error = boost::beast::error_code;
 
-    void connect();
+    void connect(fleet::Duration unacknowledgedLimit);
     void write();
     void onWritten(const Error &error, std::size_t count);
     void read();
--- a/components/http/client_settings.hpp
+++ b/components/http/client_settings.hpp
@@ -19,6 +19,8 @@
     fleet::Duration m_idleLimit {20'000};
     /// An idle connection is used for a POST only within this time; an older one may have been closed by the peer.
     fleet::Duration m_postIdleLimit {2'000};
+    /// The kernel closes a connection whose sent bytes stay unacknowledged for this long. 0 leaves the kernel's default.
+    fleet::Duration m_unacknowledgedLimit {0};
     /// Bytes.
     std::size_t m_headerLimit = 16UL * 1024;
     /// Bytes.
--- a/components/http/server.cpp
+++ b/components/http/server.cpp
@@ -1,5 +1,6 @@
 #include "components/http/server.hpp"
 
+#include "components/http/io_thread.hpp"
 #include "components/http/server_core.hpp"
 
 #include <utility>
@@ -8,7 +9,13 @@
 {
 
 Server::Server(const ServerSettings &settings, Handler handler)
-    : m_core(std::make_shared<ServerCore>(settings, std::move(handler)))
+    : Server(settings, std::move(handler), std::make_shared<IoThread>(settings.m_threads))
+{
+}
+
+Server::Server(const ServerSettings &settings, Handler handler, std::shared_ptr<IoThread> thread)
+    : m_thread(std::move(thread))
+    , m_core(std::make_shared<ServerCore>(settings, std::move(handler), m_thread->context()))
 {
     m_core->start();
 }
--- a/components/http/server.hpp
+++ b/components/http/server.hpp
@@ -14,9 +14,10 @@
 namespace http
 {
 
+class IoThread;
 class ServerCore;
 
-/// An HTTP/1.1 server with its own threads.
+/// An HTTP/1.1 server.
 class Server
 {
 public:
@@ -26,6 +27,8 @@
     /// Binds, listens and serves at once.
     /// @throws ServerError where the address cannot be bound.
     Server(const ServerSettings &settings, Handler handler);
+    /// On a thread shared with other clients and servers.
+    Server(const ServerSettings &settings, Handler handler, std::shared_ptr<IoThread> thread);
 
     /// Stops without waiting for requests in flight.
     ~Server();
@@ -47,6 +50,7 @@
     bool stop(fleet::Duration limit);
 
 private:
+    std::shared_ptr<IoThread> m_thread;
     std::shared_ptr<ServerCore> m_core;
 };
 
--- a/components/http/server_core.cpp
+++ b/components/http/server_core.cpp
@@ -23,11 +23,10 @@
 
 }
 
-ServerCore::ServerCore(const ServerSettings &settings, Server::Handler handler)
+ServerCore::ServerCore(const ServerSettings &settings, Server::Handler handler, boost::asio::io_context &io)
     : m_settings(settings)
     , m_handler(std::move(handler))
-    , m_io(settings.m_threads)
-    , m_work(m_io.get_executor())
+    , m_io(io)
     , m_acceptStrand(m_io.get_executor())
     , m_acceptor(m_acceptStrand)
     , m_acceptRetry(m_acceptStrand)
@@ -44,21 +43,13 @@
     }
 }
 
-ServerCore::~ServerCore()
-{
-    terminate();
-}
+ServerCore::~ServerCore() = default;
 
 void ServerCore::start()
 {
-    boost::asio::post(m_acceptStrand, [this] {
-        accept();
+    boost::asio::post(m_acceptStrand, [self = shared_from_this()] {
+        self->accept();
     });
-    for (int i = 0; i < m_settings.m_threads; ++i) {
-        m_threads.emplace_back([this] {
-            m_io.run();
-        });
-    }
 }
 
 void ServerCore::beginStop()
@@ -66,8 +57,8 @@
     if (m_stopping.exchange(true)) {
         return;
     }
-    boost::asio::post(m_acceptStrand, [this] {
-        closeListener();
+    boost::asio::post(m_acceptStrand, [self = shared_from_this()] {
+        self->closeListener();
     });
 }
 
@@ -139,8 +130,8 @@
 
 void ServerCore::accept()
 {
-    m_acceptor.async_accept(boost::asio::make_strand(m_io), [this](const boost::system::error_code &error, tcp::socket socket) {
-        onAccepted(error, std::move(socket));
+    m_acceptor.async_accept(boost::asio::make_strand(m_io), [self = shared_from_this()](const boost::system::error_code &error, tcp::socket socket) {
+        self->onAccepted(error, std::move(socket));
     });
 }
 
@@ -162,9 +153,9 @@
 void ServerCore::acceptLater()
 {
     m_acceptRetry.expires_after(acceptRetryInterval);
-    m_acceptRetry.async_wait([this](const boost::system::error_code &cancelled) {
-        if (!cancelled && m_acceptor.is_open()) {
-            accept();
+    m_acceptRetry.async_wait([self = shared_from_this()](const boost::system::error_code &cancelled) {
+        if (!cancelled && self->m_acceptor.is_open()) {
+            self->accept();
         }
     });
 }
@@ -204,19 +195,16 @@
 
 void ServerCore::terminate()
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        m_terminated = true;
-        for (const auto &session : m_sessions) {
-            session->cut();
-        }
+    std::unique_lock lock(m_mutex);
+    m_terminated = true;
+    for (const auto &session : m_sessions) {
+        session->cut();
     }
-    m_work.reset();
-    for (auto &thread : m_threads) {
-        thread.join();
+    if (!m_io.get_executor().running_in_this_thread()) {
+        m_emptied.wait(lock, [this] {
+            return m_listenerClosed && m_sessions.empty();
+        });
     }
-    m_threads.clear();
-    m_sessions.clear();
 }
 
 }
--- a/components/http/server_core.hpp
+++ b/components/http/server_core.hpp
@@ -3,7 +3,6 @@
 
 #include "components/http/server.hpp"
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -13,19 +12,17 @@
 #include <condition_variable>
 #include <mutex>
 #include <set>
-#include <thread>
-#include <vector>
 
 namespace http
 {
 
 class ServerSession;
 
-/// Threads, listening socket and open connections of one server. Includes Asio; meant for the server's own sources.
+/// Listening socket and open connections of one server. Includes Asio; meant for the server's own sources.
 class ServerCore : public std::enable_shared_from_this<ServerCore>
 {
 public:
-    ServerCore(const ServerSettings &settings, Server::Handler handler);
+    ServerCore(const ServerSettings &settings, Server::Handler handler, boost::asio::io_context &io);
     ~ServerCore();
 
     ServerCore(const ServerCore &) = delete;
@@ -59,8 +56,7 @@
 
     ServerSettings m_settings;
     Server::Handler m_handler;
-    boost::asio::io_context m_io;
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    boost::asio::io_context &m_io;
     boost::asio::strand<boost::asio::io_context::executor_type> m_acceptStrand;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_acceptRetry;
@@ -68,11 +64,11 @@
     std::atomic<bool> m_stopping {false};
     std::atomic<std::size_t> m_inFlight {0};
     std::mutex m_mutex;
+    /// Notified when the last session ends and when the listener closes.
     std::condition_variable m_emptied;
     std::set<std::shared_ptr<ServerSession>> m_sessions;
     bool m_listenerClosed = false;
     bool m_terminated = false;
-    std::vector<std::thread> m_threads;
 };
 
 }
--- /dev/null
+++ b/components/jobs/run_end.hpp
@@ -0,0 +1,30 @@
+#ifndef COMPONENTS_JOBS_RUN_END_HPP
+#define COMPONENTS_JOBS_RUN_END_HPP
+
+#include <cstdint>
+
+namespace jobs
+{
+
+/// How a run ended.
+enum class RunEnd : std::uint8_t {
+    Done,
+    /// By the task's own fault or the runner's; counts as an attempt.
+    Failed,
+    /// On an order.
+    Stopped,
+    /// Its lease was not renewed in time.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The rest of its gang did not come in time.
+    Alone,
+    /// The start was refused, or is certain never to be carried out.
+    NeverBegan,
+    /// Its runner ended with it.
+    LostWithRunner,
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/jobs/run_id.hpp
@@ -0,0 +1,29 @@
+#ifndef COMPONENTS_JOBS_RUN_ID_HPP
+#define COMPONENTS_JOBS_RUN_ID_HPP
+
+#include "components/jobs/task_id.hpp"
+
+#include <compare>
+#include <cstdint>
+
+namespace jobs
+{
+
+/// One run of a task. Runs of a task are numbered from 1 and rise; the members of a gang share the number.
+struct RunId
+{
+    TaskId m_task;
+    std::uint32_t m_run = 0;
+
+    auto operator<=>(const RunId &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_task, m_run);
+    }
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/journal/changes.hpp
@@ -0,0 +1,26 @@
+#ifndef COMPONENTS_JOURNAL_CHANGES_HPP
+#define COMPONENTS_JOURNAL_CHANGES_HPP
+
+#include "components/jobs/job_id.hpp"
+
+#include <vector>
+
+namespace journal
+{
+
+/// Jobs whose standing a record changed.
+struct Changes
+{
+    std::vector<jobs::JobId> m_accepted;
+    std::vector<jobs::JobId> m_cancelled;
+    /// Every job that a record touched, in the order of the records.
+    std::vector<jobs::JobId> m_touched;
+    bool m_holderChanged = false;
+    bool m_holderSeen = false;
+
+    bool operator==(const Changes &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/journal/ended_run.hpp
@@ -0,0 +1,33 @@
+#ifndef COMPONENTS_JOURNAL_ENDED_RUN_HPP
+#define COMPONENTS_JOURNAL_ENDED_RUN_HPP
+
+#include "components/jobs/run_end.hpp"
+#include "components/jobs/run_id.hpp"
+#include "components/workers/life.hpp"
+
+#include <string>
+
+namespace journal
+{
+
+/// A run that is certainly over.
+struct EndedRun
+{
+    jobs::RunId m_run;
+    workers::Life m_on;
+    jobs::RunEnd m_end = jobs::RunEnd::Done;
+    /// From where the next run may go on; empty where there is no checkpoint.
+    std::string m_checkpoint;
+
+    bool operator==(const EndedRun &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_run, m_on, m_end, m_checkpoint);
+    }
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/journal/holder_record.hpp
@@ -0,0 +1,26 @@
+#ifndef COMPONENTS_JOURNAL_HOLDER_RECORD_HPP
+#define COMPONENTS_JOURNAL_HOLDER_RECORD_HPP
+
+#include "components/fleet/fencing_token.hpp"
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/incarnation.hpp"
+
+namespace journal
+{
+
+/// Who holds the scheduling duty.
+struct HolderRecord
+{
+    /// 0 before the first claim.
+    fleet::FencingToken m_token;
+    fleet::InstanceId m_instance;
+    fleet::Incarnation m_incarnation;
+    bool m_hasResigned = false;
+    fleet::ZoneId m_avoidZone;
+
+    bool operator==(const HolderRecord &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/journal/instance_record.hpp
@@ -0,0 +1,24 @@
+#ifndef COMPONENTS_JOURNAL_INSTANCE_RECORD_HPP
+#define COMPONENTS_JOURNAL_INSTANCE_RECORD_HPP
+
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/incarnation.hpp"
+
+#include <string>
+
+namespace journal
+{
+
+/// The newest incarnation of one instance.
+struct InstanceRecord
+{
+    fleet::Incarnation m_incarnation;
+    fleet::ZoneId m_zone;
+    std::string m_peerAddress;
+
+    bool operator==(const InstanceRecord &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/journal/instance_started.hpp
@@ -0,0 +1,32 @@
+#ifndef COMPONENTS_JOURNAL_INSTANCE_STARTED_HPP
+#define COMPONENTS_JOURNAL_INSTANCE_STARTED_HPP
+
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/incarnation.hpp"
+
+#include <string>
+
+namespace journal
+{
+
+/// A new incarnation of an instance; what was told to the one before is void.
+struct InstanceStarted
+{
+    fleet::InstanceId m_instance;
+    fleet::Incarnation m_incarnation;
+    fleet::ZoneId m_zone;
+    /// Where other instances reach it by UDP, IP number and port.
+    std::string m_peerAddress;
+
+    bool operator==(const InstanceStarted &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_instance, m_incarnation, m_zone, m_peerAddress);
+    }
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/journal/job_record.cpp
@@ -0,0 +1,42 @@
+#include "components/journal/job_record.hpp"
+
+namespace journal
+{
+
+jobs::JobState stateOf(const JobRecord &job)
+{
+    if (job.isCompleted()) {
+        return jobs::JobState::Completed;
+    }
+    if (job.m_hasFailed) {
+        return jobs::JobState::Failed;
+    }
+    if (job.m_isCancelled) {
+        return jobs::JobState::Cancelled;
+    }
+    return job.m_hasBegun ? jobs::JobState::Running : jobs::JobState::Queued;
+}
+
+const StepRecord *findStep(const JobRecord &job, const jobs::StepId &step)
+{
+    const auto occurrence = job.m_occurrences.find(step.m_occurrence);
+    const bool isKnown = occurrence != job.m_occurrences.end() && step.m_step < occurrence->second.m_steps.size();
+    return isKnown ? &occurrence->second.m_steps[step.m_step] : nullptr;
+}
+
+const TaskRecord *findTask(const JobRecord &job, const jobs::TaskId &task)
+{
+    const StepRecord *step = findStep(job, task.m_step);
+    return step != nullptr && task.m_index < step->m_tasks.size() ? &step->m_tasks[task.m_index] : nullptr;
+}
+
+bool isStepDone(const JobRecord &job, std::uint32_t occurrence, std::uint16_t step)
+{
+    if (job.m_doneOccurrences.contains(occurrence)) {
+        return true;
+    }
+    const StepRecord *record = findStep(job, {job.m_spec.m_id, occurrence, step});
+    return record != nullptr && record->isDone();
+}
+
+}
--- /dev/null
+++ b/components/journal/ledger.cpp
@@ -0,0 +1,234 @@
+#include "components/journal/ledger.hpp"
+
+#include "components/journal/changes.hpp"
+
+#include <algorithm>
+
+namespace journal
+{
+
+namespace
+{
+
+OccurrenceRecord &occurrenceOf(JobRecord &job, std::uint32_t number)
+{
+    const auto [found, isNew] = job.m_occurrences.try_emplace(number);
+    if (isNew) {
+        for (const jobs::StepSpec &step : job.m_spec.m_steps) {
+            found->second.m_steps.push_back({std::vector<TaskRecord>(step.m_tasks)});
+        }
+    }
+    return found->second;
+}
+
+/// True where the task belongs to the job as it was handed in.
+bool isTaskOf(const JobRecord &job, const jobs::TaskId &task)
+{
+    const bool isStep = task.m_step.m_occurrence < job.occurrenceCount() && task.m_step.m_step < job.m_spec.m_steps.size();
+    return isStep && task.m_index < job.m_spec.m_steps[task.m_step.m_step].m_tasks;
+}
+
+void applyBody(Ledger &ledger, const JobAccepted &record, Changes &changes)
+{
+    const auto [found, isNew] = ledger.m_jobs.try_emplace(record.m_spec.m_id);
+    if (!isNew) {
+        return;
+    }
+    found->second.m_spec = record.m_spec;
+    found->second.m_mostAttempts = record.m_mostAttempts;
+    found->second.m_acceptedAt = record.m_at;
+    changes.m_accepted.push_back(record.m_spec.m_id);
+    changes.m_touched.push_back(record.m_spec.m_id);
+}
+
+void applyBody(Ledger &ledger, const JobCancelled &record, Changes &changes)
+{
+    const auto found = ledger.m_jobs.find(record.m_job);
+    if (found == ledger.m_jobs.end() || found->second.isOver()) {
+        return;
+    }
+    found->second.m_isCancelled = true;
+    found->second.m_endedAt = record.m_at;
+    ledger.m_ended.emplace(record.m_at, record.m_job);
+    changes.m_cancelled.push_back(record.m_job);
+    changes.m_touched.push_back(record.m_job);
+}
+
+void applyLaunch(Ledger &ledger, const Launch &launch, Changes &changes)
+{
+    const jobs::TaskId &task = launch.m_run.m_task;
+    const auto found = ledger.m_jobs.find(task.m_step.m_job);
+    if (found == ledger.m_jobs.end() || !isTaskOf(found->second, task) || found->second.m_doneOccurrences.contains(task.m_step.m_occurrence)) {
+        return;
+    }
+    JobRecord &job = found->second;
+    TaskRecord &record = occurrenceOf(job, task.m_step.m_occurrence).m_steps[task.m_step.m_step].m_tasks[task.m_index];
+    if (launch.m_run.m_run <= record.m_lastRun) {
+        return;
+    }
+    record.m_lastRun = launch.m_run.m_run;
+    record.m_open.push_back({launch.m_run.m_run, launch.m_on});
+    job.m_hasBegun = true;
+    ++job.m_openRuns;
+    changes.m_touched.push_back(task.m_step.m_job);
+}
+
+void applyBody(Ledger &ledger, const RunsLaunched &record, Changes &changes)
+{
+    for (const Launch &launch : record.m_launches) {
+        applyLaunch(ledger, launch, changes);
+    }
+}
+
+void countFailure(JobRecord &job, StepRecord &step, TaskRecord &task, const EndedRun &ended)
+{
+    const jobs::StepSpec &spec = job.m_spec.m_steps[ended.m_run.m_task.m_step.m_step];
+    ++task.m_failures;
+    if (spec.m_isGang && ended.m_run.m_run > step.m_lastFailedRun) {
+        step.m_lastFailedRun = ended.m_run.m_run;
+        ++step.m_gangFailures;
+    }
+    const std::uint32_t failures = spec.m_isGang ? step.m_gangFailures : task.m_failures;
+    if (failures >= job.m_mostAttempts && !spec.m_isLasting && !task.m_isDone && !job.isOver()) {
+        job.m_hasFailed = true;
+    }
+}
+
+void markDone(JobRecord &job, const jobs::TaskId &id)
+{
+    const auto occurrence = job.m_occurrences.find(id.m_step.m_occurrence);
+    StepRecord &step = occurrence->second.m_steps[id.m_step.m_step];
+    const bool isGang = job.m_spec.m_steps[id.m_step.m_step].m_isGang;
+    // The members of a gang end together; the end of one stands for all.
+    for (std::uint16_t i = 0; i < step.m_tasks.size(); ++i) {
+        if ((isGang || i == id.m_index) && !step.m_tasks[i].m_isDone) {
+            step.m_tasks[i].m_isDone = true;
+            ++step.m_doneTasks;
+            occurrence->second.m_doneSteps += step.isDone() ? 1 : 0;
+        }
+    }
+}
+
+void retireOccurrence(JobRecord &job, std::uint32_t number)
+{
+    const auto occurrence = job.m_occurrences.find(number);
+    if (occurrence == job.m_occurrences.end() || occurrence->second.m_doneSteps < occurrence->second.m_steps.size()) {
+        return;
+    }
+    job.m_doneOccurrences.insert(number);
+    const bool hasOpenRun = std::any_of(occurrence->second.m_steps.begin(), occurrence->second.m_steps.end(), [](const StepRecord &step) {
+        return std::any_of(step.m_tasks.begin(), step.m_tasks.end(), [](const TaskRecord &task) {
+            return !task.m_open.empty();
+        });
+    });
+    if (!hasOpenRun) {
+        job.m_occurrences.erase(occurrence);
+    }
+}
+
+void applyEnd(Ledger &ledger, const EndedRun &ended, fleet::TimePoint at, Changes &changes)
+{
+    const jobs::TaskId &id = ended.m_run.m_task;
+    const auto found = ledger.m_jobs.find(id.m_step.m_job);
+    if (found == ledger.m_jobs.end() || !isTaskOf(found->second, id)) {
+        return;
+    }
+    JobRecord &job = found->second;
+    const auto occurrence = job.m_occurrences.find(id.m_step.m_occurrence);
+    if (occurrence == job.m_occurrences.end()) {
+        return;
+    }
+    StepRecord &step = occurrence->second.m_steps[id.m_step.m_step];
+    TaskRecord &task = step.m_tasks[id.m_index];
+    const auto open = std::find_if(task.m_open.begin(), task.m_open.end(), [&](const OpenRun &run) {
+        return run.m_run == ended.m_run.m_run;
+    });
+    if (open == task.m_open.end()) {
+        return;
+    }
+    const bool wasOver = job.isOver();
+    task.m_open.erase(open);
+    --job.m_openRuns;
+    if (!ended.m_checkpoint.empty()) {
+        task.m_checkpoint = ended.m_checkpoint;
+    }
+    if (ended.m_end == jobs::RunEnd::Done && !job.m_spec.m_steps[id.m_step.m_step].m_isLasting) {
+        markDone(job, id);
+    } else if (ended.m_end == jobs::RunEnd::Failed) {
+        countFailure(job, step, task, ended);
+    }
+    retireOccurrence(job, id.m_step.m_occurrence);
+    if (!wasOver && job.isOver()) {
+        job.m_endedAt = at;
+        ledger.m_ended.emplace(at, job.m_spec.m_id);
+    }
+    changes.m_touched.push_back(id.m_step.m_job);
+}
+
+void applyBody(Ledger &ledger, const RunsEnded &record, Changes &changes)
+{
+    for (const EndedRun &ended : record.m_runs) {
+        applyEnd(ledger, ended, record.m_at, changes);
+    }
+}
+
+void applyBody(Ledger &ledger, const InstanceStarted &record, Changes &changes)
+{
+    ledger.m_instances[record.m_instance] = {record.m_incarnation, record.m_zone, record.m_peerAddress};
+    changes.m_holderChanged = changes.m_holderChanged || record.m_instance == ledger.m_holder.m_instance;
+}
+
+void applyBody(Ledger &ledger, const HolderClaimed &record, Changes &changes)
+{
+    if (record.m_token > ledger.m_holder.m_token) {
+        ledger.m_holder = {record.m_token, record.m_instance, record.m_incarnation, false, {}};
+        changes.m_holderChanged = true;
+        changes.m_holderSeen = true;
+    }
+}
+
+void applyBody(Ledger &ledger, const HolderResigned &record, Changes &changes)
+{
+    if (record.m_token == ledger.m_holder.m_token && !ledger.m_holder.m_hasResigned) {
+        ledger.m_holder.m_hasResigned = true;
+        ledger.m_holder.m_avoidZone = record.m_avoidZone;
+        changes.m_holderChanged = true;
+    }
+}
+
+void applyBody(Ledger &ledger, const HolderAlive &record, Changes &changes)
+{
+    changes.m_holderSeen = changes.m_holderSeen || record.m_token == ledger.m_holder.m_token;
+}
+
+}
+
+void apply(Ledger &ledger, const Record &record, Changes &changes)
+{
+    std::visit(
+        [&](const auto &body) {
+            applyBody(ledger, body, changes);
+        },
+        record);
+}
+
+const JobRecord *findJob(const Ledger &ledger, jobs::JobId id)
+{
+    const auto found = ledger.m_jobs.find(id);
+    return found == ledger.m_jobs.end() ? nullptr : &found->second;
+}
+
+void forgetEnded(Ledger &ledger, fleet::TimePoint time)
+{
+    for (auto entry = ledger.m_ended.begin(); entry != ledger.m_ended.end() && entry->first < time;) {
+        const auto job = ledger.m_jobs.find(entry->second);
+        if (job == ledger.m_jobs.end() || job->second.m_openRuns == 0) {
+            ledger.m_jobs.erase(entry->second);
+            entry = ledger.m_ended.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/components/journal/ledger.hpp
@@ -0,0 +1,40 @@
+#ifndef COMPONENTS_JOURNAL_LEDGER_HPP
+#define COMPONENTS_JOURNAL_LEDGER_HPP
+
+#include "components/fleet/identifiers.hpp"
+#include "components/journal/holder_record.hpp"
+#include "components/journal/instance_record.hpp"
+#include "components/journal/job_record.hpp"
+#include "components/journal/record.hpp"
+
+#include <map>
+#include <unordered_map>
+
+namespace journal
+{
+
+struct Changes;
+
+/// What the journal adds up to. Applying a record twice changes nothing, so that a writer may apply its own records
+/// before it reads them back.
+struct Ledger
+{
+    std::unordered_map<jobs::JobId, JobRecord> m_jobs;
+    std::map<fleet::InstanceId, InstanceRecord> m_instances;
+    HolderRecord m_holder;
+    /// Jobs by the time they ended, for forgetting them.
+    std::multimap<fleet::TimePoint, jobs::JobId> m_ended;
+
+    bool operator==(const Ledger &) const = default;
+};
+
+void apply(Ledger &ledger, const Record &record, Changes &changes);
+
+const JobRecord *findJob(const Ledger &ledger, jobs::JobId id);
+
+/// Drops jobs that ended before `time` and of which no run is open.
+void forgetEnded(Ledger &ledger, fleet::TimePoint time);
+
+}
+
+#endif
--- /dev/null
+++ b/components/journal/occurrence_record.hpp
@@ -0,0 +1,23 @@
+#ifndef COMPONENTS_JOURNAL_OCCURRENCE_RECORD_HPP
+#define COMPONENTS_JOURNAL_OCCURRENCE_RECORD_HPP
+
+#include "components/journal/step_record.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace journal
+{
+
+/// What the journal says of one occurrence of a job that is not done.
+struct OccurrenceRecord
+{
+    std::vector<StepRecord> m_steps;
+    std::uint32_t m_doneSteps = 0;
+
+    bool operator==(const OccurrenceRecord &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/journal/open_run.hpp
@@ -0,0 +1,22 @@
+#ifndef COMPONENTS_JOURNAL_OPEN_RUN_HPP
+#define COMPONENTS_JOURNAL_OPEN_RUN_HPP
+
+#include "components/workers/life.hpp"
+
+#include <cstdint>
+
+namespace journal
+{
+
+/// A run that was launched and is not known to be over.
+struct OpenRun
+{
+    std::uint32_t m_run = 0;
+    workers::Life m_on;
+
+    bool operator==(const OpenRun &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/journal/queued_record.hpp
@@ -0,0 +1,19 @@
+#ifndef COMPONENTS_JOURNAL_QUEUED_RECORD_HPP
+#define COMPONENTS_JOURNAL_QUEUED_RECORD_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace journal
+{
+
+/// A record on its way to the journal; the ticket names it to whoever waits for it.
+struct QueuedRecord
+{
+    std::string m_bytes;
+    std::uint64_t m_ticket = 0;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/journal/record.hpp
@@ -0,0 +1,30 @@
+#ifndef COMPONENTS_JOURNAL_RECORD_HPP
+#define COMPONENTS_JOURNAL_RECORD_HPP
+
+#include "components/journal/holder_alive.hpp"
+#include "components/journal/holder_claimed.hpp"
+#include "components/journal/holder_resigned.hpp"
+#include "components/journal/instance_started.hpp"
+#include "components/journal/job_accepted.hpp"
+#include "components/journal/job_cancelled.hpp"
+#include "components/journal/runs_ended.hpp"
+#include "components/journal/runs_launched.hpp"
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace journal
+{
+
+/// One fact of the journal. The order of the alternatives is part of the stored format.
+using Record = std::variant<JobAccepted, JobCancelled, RunsLaunched, RunsEnded, InstanceStarted, HolderClaimed, HolderResigned, HolderAlive>;
+
+std::string encode(const Record &record);
+
+/// @throws wire::CodecError where the bytes are no record of this format.
+Record decode(std::string_view bytes);
+
+}
+
+#endif
--- /dev/null
+++ b/components/journal/sent_batch.hpp
@@ -0,0 +1,31 @@
+#ifndef COMPONENTS_JOURNAL_SENT_BATCH_HPP
+#define COMPONENTS_JOURNAL_SENT_BATCH_HPP
+
+#include "components/fleet/boot_time.hpp"
+#include "components/journal/queued_record.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace journal
+{
+
+/// The records of one append, with all that must stay the same when it is sent again.
+struct SentBatch
+{
+    std::vector<QueuedRecord> m_records;
+    std::uint64_t m_sequence = 0;
+    std::optional<std::uint64_t> m_onlyAtEnd;
+    fleet::BootTime m_firstSentAt;
+    fleet::BootTime m_lastSentAt;
+    int m_callsOpen = 0;
+    int m_callsMade = 0;
+    /// A call ended without an answer, so that the batch may be stored or still be.
+    bool m_isUncertain = false;
+    fleet::BootTime m_resendAt;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/journal/task_record.hpp
@@ -0,0 +1,30 @@
+#ifndef COMPONENTS_JOURNAL_TASK_RECORD_HPP
+#define COMPONENTS_JOURNAL_TASK_RECORD_HPP
+
+#include "components/journal/open_run.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace journal
+{
+
+/// What the journal says of one task.
+struct TaskRecord
+{
+    /// Highest number of a run; the next run takes a higher one.
+    std::uint32_t m_lastRun = 0;
+    /// Runs that ended in failure.
+    std::uint32_t m_failures = 0;
+    bool m_isDone = false;
+    /// At most one, but where copies are allowed.
+    std::vector<OpenRun> m_open;
+    std::string m_checkpoint;
+
+    bool operator==(const TaskRecord &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/journal/writer.cpp
@@ -0,0 +1,156 @@
+#include "components/journal/writer.hpp"
+
+#include "components/store/append_result.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace journal
+{
+
+namespace
+{
+
+/// A batch without an answer is sent again after this many times the usual time of an append, within the limits below.
+constexpr int resendFactor = 4;
+constexpr fleet::Duration shortestResend {80};
+constexpr fleet::Duration longestResend {1000};
+/// A refused batch is sent again after this long, doubled for each refusal up to the limit.
+constexpr fleet::Duration refusalPause {40};
+constexpr int mostPauseDoublings = 4;
+/// Calls of one batch that may be open at the same time.
+constexpr int mostCallsOpen = 4;
+/// Bytes of the records of one call, below the store's own limit.
+constexpr std::size_t mostBatchBytes = std::size_t {1} << 20;
+/// Weight of the newest append in the smoothed time is 1 in this many.
+constexpr int smoothing = 4;
+
+fleet::Duration resendDelay(const Writer &writer)
+{
+    return std::clamp(writer.m_usualTime * resendFactor, shortestResend, longestResend);
+}
+
+store::AppendCall toCall(const Writer &writer, const store::Topic &topic)
+{
+    store::AppendCall call;
+    call.m_topic = topic;
+    for (const QueuedRecord &record : writer.m_sent->m_records) {
+        call.m_records.push_back(record.m_bytes);
+    }
+    call.m_producer = store::Producer {writer.m_producer, writer.m_epoch, writer.m_sent->m_sequence};
+    call.m_onlyAtEnd = writer.m_sent->m_onlyAtEnd;
+    return call;
+}
+
+void formBatch(Writer &writer, fleet::BootTime now)
+{
+    SentBatch batch;
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    while (count < writer.m_queued.size() && (count == 0 || bytes + writer.m_queued[count].m_bytes.size() <= mostBatchBytes)) {
+        bytes += writer.m_queued[count].m_bytes.size();
+        ++count;
+    }
+    const auto end = writer.m_queued.begin() + static_cast<std::ptrdiff_t>(count);
+    batch.m_records.assign(std::make_move_iterator(writer.m_queued.begin()), std::make_move_iterator(end));
+    writer.m_queued.erase(writer.m_queued.begin(), end);
+    batch.m_sequence = writer.m_nextSequence;
+    batch.m_onlyAtEnd = std::exchange(writer.m_onlyAtEnd, std::nullopt);
+    batch.m_firstSentAt = now;
+    writer.m_sent = std::move(batch);
+}
+
+std::vector<std::uint64_t> ticketsOf(const SentBatch &batch)
+{
+    std::vector<std::uint64_t> tickets;
+    for (const QueuedRecord &record : batch.m_records) {
+        tickets.push_back(record.m_ticket);
+    }
+    return tickets;
+}
+
+void learnTime(Writer &writer, fleet::Duration took)
+{
+    writer.m_usualTime += (took - writer.m_usualTime) / smoothing;
+}
+
+/// The store refused a call. Where no other call of the batch may have been carried out, nothing was stored.
+void onRefused(Writer &writer, WriteOutcome &outcome, fleet::BootTime now)
+{
+    SentBatch &batch = *writer.m_sent;
+    if (writer.m_givesUpWhenRefused && !batch.m_isUncertain && batch.m_callsOpen == 0) {
+        outcome.m_refused = ticketsOf(batch);
+        writer.m_sent.reset();
+        return;
+    }
+    batch.m_resendAt = now + refusalPause * (1 << std::min(batch.m_callsMade, mostPauseDoublings));
+}
+
+}
+
+void enqueue(Writer &writer, std::string bytes, std::uint64_t ticket)
+{
+    writer.m_queued.push_back({std::move(bytes), ticket});
+}
+
+std::optional<store::AppendCall> takeDueCall(Writer &writer, const store::Topic &topic, fleet::BootTime now)
+{
+    if (!writer.m_sent) {
+        if (writer.m_queued.empty()) {
+            return std::nullopt;
+        }
+        formBatch(writer, now);
+    } else if (now < writer.m_sent->m_resendAt || writer.m_sent->m_callsOpen >= mostCallsOpen) {
+        return std::nullopt;
+    }
+    ++writer.m_sent->m_callsOpen;
+    ++writer.m_sent->m_callsMade;
+    writer.m_sent->m_lastSentAt = now;
+    writer.m_sent->m_resendAt = now + resendDelay(writer) * (1 << std::min(writer.m_sent->m_callsMade - 1, mostPauseDoublings));
+    return toCall(writer, topic);
+}
+
+std::optional<fleet::BootTime> nextDue(const Writer &writer)
+{
+    if (writer.m_sent) {
+        return writer.m_sent->m_resendAt;
+    }
+    return writer.m_queued.empty() ? std::nullopt : std::optional(fleet::BootTime());
+}
+
+WriteOutcome onAppendEnded(Writer &writer, std::uint64_t sequence, fleet::BootTime sentAt, const store::AppendResult &result, fleet::BootTime now)
+{
+    WriteOutcome outcome;
+    if (!writer.m_sent || writer.m_sent->m_sequence != sequence) {
+        return outcome;
+    }
+    --writer.m_sent->m_callsOpen;
+    switch (result.m_outcome) {
+    case store::AppendOutcome::Stored:
+        learnTime(writer, now - sentAt);
+        outcome.m_stored = ticketsOf(*writer.m_sent);
+        outcome.m_first = result.m_first;
+        outcome.m_end = result.m_first + outcome.m_stored.size();
+        writer.m_sent.reset();
+        ++writer.m_nextSequence;
+        break;
+    case store::AppendOutcome::Fenced:
+    case store::AppendOutcome::OutOfSequence:
+        outcome.m_isFenced = true;
+        break;
+    case store::AppendOutcome::EndMoved:
+        outcome.m_endMoved = true;
+        outcome.m_end = result.m_end;
+        break;
+    case store::AppendOutcome::Refused:
+        onRefused(writer, outcome, now);
+        break;
+    case store::AppendOutcome::Unknown:
+        writer.m_sent->m_isUncertain = true;
+        writer.m_sent->m_resendAt = std::min(writer.m_sent->m_resendAt, now + refusalPause);
+        break;
+    }
+    return outcome;
+}
+
+}
--- /dev/null
+++ b/components/node/control.cpp
@@ -0,0 +1,214 @@
+#include "components/node/control.hpp"
+
+#include "components/node/ports.hpp"
+
+#include <algorithm>
+
+namespace node
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const store::Topic journalTopic {"foxtailcross.journal", 0};
+
+/// How long the store may wait for a change before it confirms that there is none.
+constexpr fleet::Duration operatorsWait {1000};
+constexpr fleet::Duration journalWait {1000};
+/// An instance that does not hold the duty reads the journal this often.
+constexpr fleet::Duration followInterval {500};
+/// Pause after a read that failed.
+constexpr fleet::Duration readRetry {150};
+constexpr fleet::Duration holderTick {40};
+constexpr fleet::Duration followerTick {100};
+/// An instance whose view is older than this asks for no new connections.
+constexpr fleet::Duration readyAge {3000};
+/// After a stop was requested new connections still come until the platform has seen it twice.
+constexpr fleet::Duration balancerDelay {2600};
+/// The process ends this long before the platform would kill it.
+constexpr fleet::Duration stopMargin {700};
+
+}
+
+Control::Control(const Settings &settings, Ports &ports)
+    : m_settings(settings)
+    , m_ports(ports)
+    , m_duty(m_settings, m_ports, m_operators, m_journal)
+    , m_desk(m_settings, m_ports, m_operators, m_journal, m_duty.unconfirmed())
+{
+    m_ports.log("start instance=" + settings.m_instance.value() + " incarnation=" + std::to_string(settings.m_incarnation.m_value));
+    m_desk.announce(fleet::Now());
+}
+
+void Control::handle(const Event &event, fleet::Now now)
+{
+    std::visit(
+        [&](const auto &body) {
+            take(body, now);
+        },
+        event);
+    sendDue(now);
+}
+
+void Control::tick(fleet::Now now)
+{
+    m_duty.onTick(now);
+    m_desk.onTick(now);
+    updateReadiness(now);
+    sendDue(now);
+    checkStop(now);
+}
+
+fleet::BootTime Control::nextTick(fleet::Now now) const
+{
+    return now.m_boot + (m_duty.phase() == DutyPhase::Holding ? holderTick : followerTick);
+}
+
+bool Control::isStopped() const
+{
+    return m_isStopped;
+}
+
+void Control::take(const CallArrived &event, fleet::Now now)
+{
+    m_desk.onCall(event.m_call, event.m_content, now);
+}
+
+void Control::take(const AppendEnded &event, fleet::Now now)
+{
+    if (event.m_tag.m_isHolder) {
+        m_duty.onAppendEnded(event.m_tag, event.m_sentAt, event.m_result, now);
+    } else if (event.m_tag.m_epoch == m_desk.writer().m_epoch) {
+        m_desk.onAppendEnded(event.m_tag.m_sequence, event.m_sentAt, event.m_result, now);
+    }
+}
+
+void Control::take(const JournalRead &event, fleet::Now now)
+{
+    --m_journal.m_readsOpen;
+    if (m_followSentAt == event.m_sentAt) {
+        m_followSentAt.reset();
+        const bool isRead = event.m_result.m_outcome == store::ReadOutcome::Read;
+        const bool isHolding = m_duty.phase() == DutyPhase::Holding;
+        m_nextFollowAt = now.m_boot + (!isRead ? readRetry : isHolding ? fleet::Duration(0) : followInterval);
+    }
+    journal::Changes changes;
+    const bool hasMore = takeJournalRead(m_journal, event.m_result, event.m_sentAt, now.m_boot, changes);
+    if (event.m_result.m_outcome == store::ReadOutcome::Read) {
+        m_duty.onJournalRead(changes, now);
+        m_desk.onJournalRead(now);
+    }
+    if (hasMore) {
+        readJournal(fleet::Duration(0), now);
+    }
+}
+
+void Control::take(const OperatorsReadEnded &event, fleet::Now now)
+{
+    const std::uint64_t version = m_operators.m_catalog.m_version;
+    const bool isChanged = takeOperatorsRead(m_operators, event.m_read, event.m_sentAt);
+    m_operators.m_nextReadAt = now.m_boot + (event.m_read.m_outcome == store::ReadOutcome::Read ? fleet::Duration(0) : readRetry);
+    if (isChanged) {
+        m_ports.log("catalog version=" + std::to_string(m_operators.m_catalog.m_version) + " before=" + std::to_string(version)
+                    + " zones-out=" + std::to_string(m_operators.m_zonesOut.size()));
+        m_duty.onCatalogChanged(now);
+    }
+}
+
+void Control::take(const ListReadEnded &event, fleet::Now now)
+{
+    m_duty.onListRead(event, now);
+}
+
+void Control::take(const StartEnded &event, fleet::Now now)
+{
+    m_duty.onStartEnded(event, now);
+}
+
+void Control::take(const StopEnded &event, fleet::Now now)
+{
+    m_duty.onStopEnded(event, now);
+}
+
+void Control::take(const LookEnded &event, fleet::Now now)
+{
+    m_duty.onLookEnded(event, now);
+}
+
+void Control::take(const StopRequested &, fleet::Now now)
+{
+    if (!m_stopRequestedAt) {
+        m_ports.log("stop requested open-calls=" + std::to_string(m_desk.openCalls()));
+        m_stopRequestedAt = now.m_boot;
+        m_duty.resign(now);
+        updateReadiness(now);
+    }
+}
+
+void Control::sendDue(fleet::Now now)
+{
+    sendAppends(now);
+    sendReads(now);
+}
+
+void Control::sendAppends(fleet::Now now)
+{
+    while (const auto call = journal::takeDueCall(m_duty.writer(), journalTopic, now.m_boot)) {
+        m_ports.append(*call, {true, m_duty.writer().m_epoch, call->m_producer->m_sequence});
+    }
+    while (const auto call = journal::takeDueCall(m_desk.writer(), journalTopic, now.m_boot)) {
+        m_ports.append(*call, {false, m_desk.writer().m_epoch, call->m_producer->m_sequence});
+    }
+}
+
+void Control::readJournal(fleet::Duration wait, fleet::Now now)
+{
+    ++m_journal.m_readsOpen;
+    m_journal.m_lastReadSentAt = now.m_boot;
+    m_ports.readJournal({journalTopic, m_journal.m_next, wait});
+}
+
+void Control::sendReads(fleet::Now now)
+{
+    if (!m_operators.m_readSentAt && now.m_boot >= m_operators.m_nextReadAt) {
+        m_operators.m_readSentAt = now.m_boot;
+        m_ports.readOperators(m_operators.m_next, m_operators.m_next ? operatorsWait : fleet::Duration(0));
+    }
+    if (!m_followSentAt && now.m_boot >= m_nextFollowAt) {
+        const bool waits = m_duty.phase() == DutyPhase::Holding;
+        m_followSentAt = now.m_boot;
+        readJournal(waits ? journalWait : fleet::Duration(0), now);
+    }
+    if (m_duty.phase() == DutyPhase::Confirming && m_journal.m_readsOpen == 0) {
+        readJournal(fleet::Duration(0), now);
+    }
+    if (m_desk.wantsRead(now.m_boot)) {
+        readJournal(fleet::Duration(0), now);
+    }
+}
+
+void Control::updateReadiness(fleet::Now now)
+{
+    const bool isReady = !m_stopRequestedAt && m_operators.hasCatalog() && ageOf(m_operators, now.m_boot) < readyAge;
+    if (isReady != m_isReady) {
+        m_isReady = isReady;
+        m_ports.log(std::string("ready=") + (isReady ? "true" : "false"));
+        m_ports.setReady(isReady);
+    }
+}
+
+void Control::checkStop(fleet::Now now)
+{
+    if (!m_stopRequestedAt) {
+        return;
+    }
+    const fleet::Duration since = now.m_boot - *m_stopRequestedAt;
+    const bool isServed = since >= balancerDelay && m_desk.openCalls() == 0 && m_duty.isIdle();
+    if (isServed || since >= m_settings.m_stopLimit - stopMargin) {
+        m_isStopped = true;
+    }
+}
+
+}
--- /dev/null
+++ b/components/node/control.hpp
@@ -0,0 +1,63 @@
+#ifndef COMPONENTS_NODE_CONTROL_HPP
+#define COMPONENTS_NODE_CONTROL_HPP
+
+#include "components/fleet/now.hpp"
+#include "components/node/duty.hpp"
+#include "components/node/events.hpp"
+#include "components/node/front_desk.hpp"
+#include "components/node/journal_view.hpp"
+#include "components/node/operator_view.hpp"
+#include "components/node/settings.hpp"
+
+namespace node
+{
+
+class Ports;
+
+/// All decisions of one instance. Runs on the control thread only.
+class Control
+{
+public:
+    Control(const Settings &settings, Ports &ports);
+
+    void handle(const Event &event, fleet::Now now);
+    /// Time passed.
+    void tick(fleet::Now now);
+    /// When tick() should be called next, at the latest.
+    fleet::BootTime nextTick(fleet::Now now) const;
+    /// The planned stop is complete.
+    bool isStopped() const;
+
+private:
+    void take(const CallArrived &event, fleet::Now now);
+    void take(const AppendEnded &event, fleet::Now now);
+    void take(const JournalRead &event, fleet::Now now);
+    void take(const OperatorsReadEnded &event, fleet::Now now);
+    void take(const ListReadEnded &event, fleet::Now now);
+    void take(const StartEnded &event, fleet::Now now);
+    void take(const StopEnded &event, fleet::Now now);
+    void take(const LookEnded &event, fleet::Now now);
+    void take(const StopRequested &event, fleet::Now now);
+    void sendDue(fleet::Now now);
+    void sendAppends(fleet::Now now);
+    void sendReads(fleet::Now now);
+    void readJournal(fleet::Duration wait, fleet::Now now);
+    void updateReadiness(fleet::Now now);
+    void checkStop(fleet::Now now);
+
+    Settings m_settings;
+    Ports &m_ports;
+    OperatorView m_operators;
+    JournalView m_journal;
+    Duty m_duty;
+    FrontDesk m_desk;
+    std::optional<fleet::BootTime> m_followSentAt;
+    fleet::BootTime m_nextFollowAt;
+    bool m_isReady = false;
+    std::optional<fleet::BootTime> m_stopRequestedAt;
+    bool m_isStopped = false;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/node/duty.hpp
@@ -0,0 +1,88 @@
+#ifndef COMPONENTS_NODE_DUTY_HPP
+#define COMPONENTS_NODE_DUTY_HPP
+
+#include "components/catalog/catalog.hpp"
+#include "components/dispatch/outbox.hpp"
+#include "components/dispatch/state.hpp"
+#include "components/dispatch/surroundings.hpp"
+#include "components/fleet/now.hpp"
+#include "components/journal/writer.hpp"
+#include "components/node/events.hpp"
+#include "components/node/journal_view.hpp"
+#include "components/node/operator_view.hpp"
+#include "components/node/settings.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace node
+{
+
+class Ports;
+
+/// Where the instance stands with the scheduling duty.
+enum class DutyPhase : std::uint8_t {
+    /// Another instance holds it, or nobody does.
+    Following,
+    /// The claim was sent and its fate is not known.
+    Claiming,
+    /// The claim is stored; the journal is read up to it.
+    Confirming,
+    Holding,
+};
+
+/// The scheduling duty of one instance: takes it where nobody holds it, and carries it out.
+class Duty
+{
+public:
+    Duty(const Settings &settings, Ports &ports, const OperatorView &operators, JournalView &journal);
+
+    void onJournalRead(const journal::Changes &changes, fleet::Now now);
+    void onAppendEnded(const AppendTag &tag, fleet::BootTime sentAt, const store::AppendResult &result, fleet::Now now);
+    void onListRead(const ListReadEnded &event, fleet::Now now);
+    void onStartEnded(const StartEnded &event, fleet::Now now);
+    void onStopEnded(const StopEnded &event, fleet::Now now);
+    void onLookEnded(const LookEnded &event, fleet::Now now);
+    void onCatalogChanged(fleet::Now now);
+    void onTick(fleet::Now now);
+    /// Gives the duty up, because the process stops.
+    void resign(fleet::Now now);
+
+    DutyPhase phase() const;
+    journal::Writer &writer();
+    /// Everything recorded has been stored.
+    bool isIdle() const;
+    /// Jobs that ended, with the batch that has to be stored before that may be told.
+    const std::map<jobs::JobId, std::uint64_t> &unconfirmed() const;
+
+private:
+    dispatch::Surroundings around() const;
+    bool isHolderSilent(fleet::Now now) const;
+    void claim(fleet::Now now);
+    void begin(fleet::Now now);
+    void stepDown(const std::string &why, fleet::Now now);
+    void send(dispatch::Outbox &&outbox, fleet::Now now);
+
+    const Settings &m_settings;
+    Ports &m_ports;
+    const OperatorView &m_operators;
+    JournalView &m_journal;
+    DutyPhase m_phase = DutyPhase::Following;
+    journal::Writer m_writer;
+    dispatch::State m_state;
+    std::map<fleet::WorkerId, workers::Registration> m_list;
+    std::optional<std::uint64_t> m_listNext;
+    bool m_listReadOpen = false;
+    fleet::BootTime m_nextListReadAt;
+    fleet::BootTime m_startedAt;
+    fleet::BootTime m_lastAppendAt;
+    fleet::BootTime m_lastStoreContact;
+    fleet::BootTime m_notBefore;
+    std::map<jobs::JobId, std::uint64_t> m_unconfirmed;
+    bool m_isStarted = false;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/node/events.hpp
@@ -0,0 +1,86 @@
+#ifndef COMPONENTS_NODE_EVENTS_HPP
+#define COMPONENTS_NODE_EVENTS_HPP
+
+#include "components/callers/call.hpp"
+#include "components/catalog/operators_read.hpp"
+#include "components/fleet/boot_time.hpp"
+#include "components/node/append_tag.hpp"
+#include "components/store/append_result.hpp"
+#include "components/store/read_call.hpp"
+#include "components/store/read_result.hpp"
+#include "components/workers/list_read.hpp"
+#include "components/workers/look_order.hpp"
+#include "components/workers/look_result.hpp"
+#include "components/workers/order_result.hpp"
+#include "components/workers/start_order.hpp"
+#include "components/workers/stop_order.hpp"
+
+#include <cstdint>
+#include <variant>
+
+namespace node
+{
+
+/// A caller's call came in; the answer goes back under the number.
+struct CallArrived
+{
+    std::uint64_t m_call = 0;
+    callers::Call m_content;
+};
+
+struct AppendEnded
+{
+    AppendTag m_tag;
+    fleet::BootTime m_sentAt;
+    store::AppendResult m_result;
+};
+
+struct JournalRead
+{
+    store::ReadCall m_call;
+    fleet::BootTime m_sentAt;
+    store::ReadResult m_result;
+};
+
+struct OperatorsReadEnded
+{
+    fleet::BootTime m_sentAt;
+    catalog::OperatorsRead m_read;
+};
+
+struct ListReadEnded
+{
+    fleet::BootTime m_sentAt;
+    workers::ListRead m_read;
+};
+
+struct StartEnded
+{
+    workers::StartOrder m_order;
+    workers::OrderResult m_result;
+};
+
+struct StopEnded
+{
+    workers::StopOrder m_order;
+    workers::OrderResult m_result;
+};
+
+struct LookEnded
+{
+    workers::LookOrder m_order;
+    fleet::BootTime m_sentAt;
+    workers::LookResult m_result;
+};
+
+/// The platform asked the process to stop.
+struct StopRequested
+{
+};
+
+/// What the control thread takes in.
+using Event = std::variant<CallArrived, AppendEnded, JournalRead, OperatorsReadEnded, ListReadEnded, StartEnded, StopEnded, LookEnded, StopRequested>;
+
+}
+
+#endif
--- /dev/null
+++ b/components/node/front_desk.cpp
@@ -0,0 +1,351 @@
+#include "components/node/front_desk.hpp"
+
+#include "components/node/ports.hpp"
+#include "components/store/append_result.hpp"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace node
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A caller that names no limit is answered within this time.
+constexpr fleet::Duration usualPatience {3000};
+/// An answer leaves this long before the caller stops waiting.
+constexpr fleet::Duration answerMargin {150};
+/// What was read of the journal within this time is fresh enough for the state of a job that has not ended, and for
+/// the number of waiting jobs.
+constexpr fleet::Duration stateFreshness {100};
+constexpr fleet::Duration countFreshness {1000};
+/// A submission is refused at once where the store has not been reached for this long.
+constexpr fleet::Duration storeSilence {2500};
+/// When a refused caller should come back.
+constexpr fleet::Duration retryAfter {1000};
+/// Kept between the age at which a view is trusted and the bound for keys that were taken away.
+constexpr fleet::Duration revocationMargin {500};
+
+std::string producerName(const Settings &settings)
+{
+    std::ostringstream name;
+    name << settings.m_instance.value() << '-' << std::hex << settings.m_incarnation.m_value;
+    return name.str();
+}
+
+callers::Reply refused(const std::string &reason)
+{
+    return {callers::ReplyKind::Refused, {}, 0, retryAfter, reason};
+}
+
+callers::Reply plain(callers::ReplyKind kind)
+{
+    return {kind, {}, 0, {}, {}};
+}
+
+const char *nameOf(callers::CallKind kind)
+{
+    switch (kind) {
+    case callers::CallKind::Submit:
+        return "submit";
+    case callers::CallKind::Show:
+        return "show";
+    case callers::CallKind::Cancel:
+        return "cancel";
+    }
+    return "";
+}
+
+const char *nameOf(callers::ReplyKind kind)
+{
+    switch (kind) {
+    case callers::ReplyKind::Accepted:
+        return "accepted";
+    case callers::ReplyKind::State:
+        return "state";
+    case callers::ReplyKind::Waiting:
+        return "waiting";
+    case callers::ReplyKind::Cancelled:
+        return "cancelled";
+    case callers::ReplyKind::NoSuchJob:
+        return "no-such-job";
+    case callers::ReplyKind::NoSuchQueue:
+        return "no-such-queue";
+    case callers::ReplyKind::KeyRefused:
+        return "key-refused";
+    case callers::ReplyKind::Malformed:
+        return "malformed";
+    case callers::ReplyKind::Refused:
+        return "refused";
+    case callers::ReplyKind::Unknown:
+        return "unknown";
+    }
+    return "";
+}
+
+}
+
+FrontDesk::FrontDesk(
+    const Settings &settings, Ports &ports, const OperatorView &operators, JournalView &journal, const std::map<jobs::JobId, std::uint64_t> &unconfirmed)
+    : m_settings(settings)
+    , m_ports(ports)
+    , m_operators(operators)
+    , m_journal(journal)
+    , m_unconfirmed(unconfirmed)
+{
+    m_writer.m_producer = producerName(settings);
+    m_writer.m_epoch = 1;
+    m_writer.m_givesUpWhenRefused = true;
+}
+
+void FrontDesk::announce(fleet::Now)
+{
+    const journal::InstanceStarted record {m_settings.m_instance, m_settings.m_incarnation, m_settings.m_zone, m_settings.m_peerAddress};
+    journal::enqueue(m_writer, journal::encode(record), 0);
+}
+
+void FrontDesk::onCall(std::uint64_t call, const callers::Call &content, fleet::Now now)
+{
+    OpenCall open;
+    open.m_kind = content.m_kind;
+    open.m_arrivedAt = now.m_boot;
+    open.m_giveUpAt = now.m_boot + std::max(fleet::Duration(0), content.m_patience.value_or(usualPatience) - answerMargin);
+    open.m_requestId = content.m_requestId;
+    if (!m_operators.hasCatalog()) {
+        reply(call, open, refused("no catalog has been read yet; come back shortly"));
+        return;
+    }
+    const fleet::Duration age = ageOf(m_operators, now.m_boot);
+    if (age >= m_settings.m_keyRevocation - revocationMargin) {
+        reply(call, open, refused("the catalog was last confirmed too long ago; try another instance"));
+        return;
+    }
+    const catalog::Queue *queue = catalog::findQueue(m_operators.m_catalog, content.m_host, content.m_path);
+    const catalog::Account *account = catalog::findAccountByKey(m_operators.m_catalog, content.m_key);
+    const bool isAllowed = queue != nullptr && (queue->m_isPublic || account != nullptr);
+    if (!isAllowed && age > m_settings.m_catalogInForce) {
+        reply(call, open, refused("the catalog may have changed since it was read; try another instance"));
+        return;
+    }
+    if (queue == nullptr) {
+        reply(call, open, plain(callers::ReplyKind::NoSuchQueue));
+        return;
+    }
+    if (!isAllowed) {
+        reply(call, open, plain(callers::ReplyKind::KeyRefused));
+        return;
+    }
+    open.m_queue = queue->m_id;
+    const std::string rest = content.m_path.substr(queue->m_pathPrefix.size());
+    if (rest.empty() && content.m_kind == callers::CallKind::Show) {
+        showQueue(call, open, now);
+        return;
+    }
+    const auto job = jobs::parseJobId(rest);
+    if (!job) {
+        reply(call, open, plain(content.m_kind == callers::CallKind::Submit ? callers::ReplyKind::Malformed : callers::ReplyKind::NoSuchJob));
+        return;
+    }
+    open.m_job = *job;
+    switch (content.m_kind) {
+    case callers::CallKind::Submit:
+        submit(call, open, content, *queue, account == nullptr ? fleet::AccountId() : account->m_id, now);
+        break;
+    case callers::CallKind::Show:
+        showJob(call, open, now);
+        break;
+    case callers::CallKind::Cancel:
+        cancel(call, open, now);
+        break;
+    }
+}
+
+void FrontDesk::submit(
+    std::uint64_t call, OpenCall open, const callers::Call &content, const catalog::Queue &queue, const fleet::AccountId &account, fleet::Now now)
+{
+    if (journal::findJob(m_journal.m_ledger, open.m_job) != nullptr) {
+        reply(call, open, plain(callers::ReplyKind::Accepted));
+        return;
+    }
+    if (!content.m_submission) {
+        reply(call, open, {callers::ReplyKind::Malformed, {}, 0, {}, content.m_problem});
+        return;
+    }
+    if (ageOf(m_operators, now.m_boot) > storeSilence) {
+        reply(call, open, refused("the store is out of reach; try another instance"));
+        return;
+    }
+    journal::JobAccepted record;
+    record.m_spec = {open.m_job, queue.m_id, account, content.m_submission->m_payload, content.m_submission->m_steps, content.m_submission->m_schedule};
+    record.m_mostAttempts = queue.m_mostAttempts;
+    record.m_at = now.m_wall;
+    open.m_waitsForStore = true;
+    m_open.emplace(call, open);
+    journal::enqueue(m_writer, journal::encode(record), call);
+}
+
+void FrontDesk::cancel(std::uint64_t call, OpenCall open, fleet::Now now)
+{
+    const journal::JobRecord *job = journal::findJob(m_journal.m_ledger, open.m_job);
+    if (job == nullptr) {
+        open.m_readAfter = now.m_boot;
+        waitForRead(call, open);
+        return;
+    }
+    if (job->isOver()) {
+        reply(call, open, plain(callers::ReplyKind::Cancelled));
+        return;
+    }
+    open.m_waitsForStore = true;
+    m_open[call] = open;
+    journal::enqueue(m_writer, journal::encode(journal::JobCancelled {open.m_job, now.m_wall}), call);
+}
+
+void FrontDesk::showJob(std::uint64_t call, OpenCall open, fleet::Now now)
+{
+    const journal::JobRecord *job = journal::findJob(m_journal.m_ledger, open.m_job);
+    open.m_readAfter = now.m_boot - (job == nullptr ? fleet::Duration(0) : stateFreshness);
+    if ((job != nullptr && job->isOver()) || (m_journal.m_asOf && *m_journal.m_asOf >= open.m_readAfter)) {
+        tryAnswer(call, open, now);
+        return;
+    }
+    waitForRead(call, open);
+}
+
+void FrontDesk::showQueue(std::uint64_t call, OpenCall open, fleet::Now now)
+{
+    open.m_readAfter = now.m_boot - countFreshness;
+    if (m_journal.m_asOf && *m_journal.m_asOf >= open.m_readAfter) {
+        reply(call, open, waitingReply(open.m_queue));
+        return;
+    }
+    waitForRead(call, open);
+}
+
+void FrontDesk::waitForRead(std::uint64_t call, const OpenCall &open)
+{
+    m_open.emplace(call, open);
+}
+
+bool FrontDesk::wantsRead(fleet::BootTime) const
+{
+    return std::any_of(m_open.begin(), m_open.end(), [&](const auto &entry) {
+        return !entry.second.m_waitsForStore && m_journal.m_lastReadSentAt < entry.second.m_readAfter;
+    });
+}
+
+callers::Reply FrontDesk::stateReply(const journal::JobRecord &job) const
+{
+    callers::Reply reply = plain(callers::ReplyKind::State);
+    reply.m_state = m_unconfirmed.contains(job.m_spec.m_id) && !job.m_isCancelled ? jobs::JobState::Running : stateOf(job);
+    return reply;
+}
+
+callers::Reply FrontDesk::waitingReply(const fleet::QueueId &queue) const
+{
+    callers::Reply reply = plain(callers::ReplyKind::Waiting);
+    reply.m_waitingJobs = static_cast<std::size_t>(std::count_if(m_journal.m_ledger.m_jobs.begin(), m_journal.m_ledger.m_jobs.end(), [&](const auto &entry) {
+        const journal::JobRecord &job = entry.second;
+        return job.m_spec.m_queue == queue && !job.m_hasBegun && !job.isOver();
+    }));
+    return reply;
+}
+
+bool FrontDesk::tryAnswer(std::uint64_t call, const OpenCall &open, fleet::Now now)
+{
+    const journal::JobRecord *job = journal::findJob(m_journal.m_ledger, open.m_job);
+    if (open.m_kind == callers::CallKind::Show && open.m_job == jobs::JobId()) {
+        reply(call, open, waitingReply(open.m_queue));
+    } else if (job == nullptr) {
+        reply(call, open, plain(callers::ReplyKind::NoSuchJob));
+    } else if (open.m_kind == callers::CallKind::Show) {
+        reply(call, open, stateReply(*job));
+    } else {
+        cancel(call, open, now);
+        return false;
+    }
+    return true;
+}
+
+void FrontDesk::onJournalRead(fleet::Now now)
+{
+    std::vector<std::pair<std::uint64_t, OpenCall>> ready;
+    for (const auto &[call, open] : m_open) {
+        if (!open.m_waitsForStore && m_journal.m_asOf && *m_journal.m_asOf >= open.m_readAfter) {
+            ready.emplace_back(call, open);
+        }
+    }
+    for (const auto &[call, open] : ready) {
+        tryAnswer(call, open, now);
+    }
+}
+
+void FrontDesk::onAppendEnded(std::uint64_t sequence, fleet::BootTime sentAt, const store::AppendResult &result, fleet::Now now)
+{
+    const journal::WriteOutcome outcome = journal::onAppendEnded(m_writer, sequence, sentAt, result, now.m_boot);
+    if (outcome.m_isFenced) {
+        // Nobody else uses this producer's name; a higher epoch begins its sequence anew. Records may be stored twice.
+        ++m_writer.m_epoch;
+        m_writer.m_sent->m_resendAt = now.m_boot;
+        m_ports.log("front fenced epoch=" + std::to_string(m_writer.m_epoch) + " reason=" + result.m_reason);
+    }
+    for (const std::uint64_t ticket : outcome.m_stored) {
+        const auto found = m_open.find(ticket);
+        if (found != m_open.end()) {
+            const bool isCancel = found->second.m_kind == callers::CallKind::Cancel;
+            reply(ticket, OpenCall(found->second), plain(isCancel ? callers::ReplyKind::Cancelled : callers::ReplyKind::Accepted));
+        }
+    }
+    for (const std::uint64_t ticket : outcome.m_refused) {
+        const auto found = m_open.find(ticket);
+        if (found != m_open.end()) {
+            reply(ticket, OpenCall(found->second), refused("the store refused the job: " + result.m_reason));
+        } else if (ticket == 0) {
+            announce(now);
+        }
+    }
+}
+
+void FrontDesk::onTick(fleet::Now now)
+{
+    std::vector<std::pair<std::uint64_t, OpenCall>> late;
+    for (const auto &[call, open] : m_open) {
+        if (now.m_boot >= open.m_giveUpAt) {
+            late.emplace_back(call, open);
+        }
+    }
+    for (const auto &[call, open] : late) {
+        const journal::JobRecord *job = open.m_kind == callers::CallKind::Show ? journal::findJob(m_journal.m_ledger, open.m_job) : nullptr;
+        if (job != nullptr) {
+            reply(call, open, stateReply(*job));
+        } else if (open.m_waitsForStore) {
+            reply(call, open, {callers::ReplyKind::Unknown, {}, 0, {}, "the store has not answered; ask for the job again"});
+        } else {
+            reply(call, open, refused("the journal could not be read; try another instance"));
+        }
+    }
+}
+
+void FrontDesk::reply(std::uint64_t call, const OpenCall &open, const callers::Reply &reply)
+{
+    m_ports.log(std::string("call kind=") + nameOf(open.m_kind) + " request=" + open.m_requestId + " job=" + toString(open.m_job)
+                + " outcome=" + nameOf(reply.m_kind) + " catalog=" + std::to_string(m_operators.m_catalog.m_version) + " reason=" + reply.m_reason);
+    m_ports.reply(call, reply);
+    m_open.erase(call);
+}
+
+std::size_t FrontDesk::openCalls() const
+{
+    return m_open.size();
+}
+
+journal::Writer &FrontDesk::writer()
+{
+    return m_writer;
+}
+
+}
--- /dev/null
+++ b/components/node/journal_view.cpp
@@ -0,0 +1,51 @@
+#include "components/node/journal_view.hpp"
+
+#include "components/wire/codec_error.hpp"
+
+#include <algorithm>
+#include <variant>
+
+namespace node
+{
+
+namespace
+{
+
+bool isFromHolder(const journal::Record &record)
+{
+    return std::holds_alternative<journal::RunsLaunched>(record) || std::holds_alternative<journal::RunsEnded>(record)
+        || std::holds_alternative<journal::HolderAlive>(record) || std::holds_alternative<journal::HolderClaimed>(record);
+}
+
+}
+
+bool takeJournalRead(JournalView &view, const store::ReadResult &result, fleet::BootTime sentAt, fleet::BootTime now, journal::Changes &changes)
+{
+    // A read from beyond what is known was sent before the view was begun anew.
+    if (result.m_outcome != store::ReadOutcome::Read || result.m_from > view.m_next) {
+        return false;
+    }
+    std::uint64_t offset = result.m_from;
+    for (const std::string &bytes : result.m_records) {
+        if (offset++ < view.m_next) {
+            continue;
+        }
+        view.m_next = offset;
+        try {
+            const journal::Record record = journal::decode(bytes);
+            journal::apply(view.m_ledger, record, changes);
+            if (isFromHolder(record)) {
+                view.m_holderSeenAt = now;
+            }
+        } catch (const wire::CodecError &) {
+            ++view.m_unreadableRecords;
+        }
+    }
+    if (view.m_next < result.m_end) {
+        return true;
+    }
+    view.m_asOf = std::max(view.m_asOf.value_or(sentAt), sentAt);
+    return false;
+}
+
+}
--- /dev/null
+++ b/components/node/journal_view.hpp
@@ -0,0 +1,35 @@
+#ifndef COMPONENTS_NODE_JOURNAL_VIEW_HPP
+#define COMPONENTS_NODE_JOURNAL_VIEW_HPP
+
+#include "components/fleet/boot_time.hpp"
+#include "components/journal/changes.hpp"
+#include "components/journal/ledger.hpp"
+#include "components/store/read_result.hpp"
+
+#include <cstdint>
+#include <optional>
+
+namespace node
+{
+
+/// What the instance has read of the journal.
+struct JournalView
+{
+    journal::Ledger m_ledger;
+    /// Offset of the first record not read yet.
+    std::uint64_t m_next = 0;
+    /// Everything stored before this time has been read.
+    std::optional<fleet::BootTime> m_asOf;
+    int m_readsOpen = 0;
+    fleet::BootTime m_lastReadSentAt;
+    /// Last sign of the holder's life in the journal, by the time it was read.
+    fleet::BootTime m_holderSeenAt;
+    std::uint64_t m_unreadableRecords = 0;
+};
+
+/// Takes in a read; true where there is more to read at once.
+bool takeJournalRead(JournalView &view, const store::ReadResult &result, fleet::BootTime sentAt, fleet::BootTime now, journal::Changes &changes);
+
+}
+
+#endif
--- /dev/null
+++ b/components/node/operator_view.cpp
@@ -0,0 +1,72 @@
+#include "components/node/operator_view.hpp"
+
+#include <algorithm>
+
+namespace node
+{
+
+namespace
+{
+
+void take(OperatorView &view, const catalog::Catalog &change)
+{
+    // Pages and late answers may bring an older version; within one life the catalog only goes forward.
+    if (change.m_version > view.m_catalog.m_version) {
+        view.m_catalog = change;
+    }
+}
+
+void take(OperatorView &view, const catalog::ZoneChange &change)
+{
+    if (change.m_isOut) {
+        view.m_zonesOut.insert(change.m_zone);
+    } else {
+        view.m_zonesOut.erase(change.m_zone);
+    }
+}
+
+void take(OperatorView &view, const catalog::WaveChange &change)
+{
+    if (change.m_wave) {
+        view.m_waves[change.m_key] = *change.m_wave;
+    } else {
+        view.m_waves.erase(change.m_key);
+    }
+}
+
+}
+
+bool takeOperatorsRead(OperatorView &view, const catalog::OperatorsRead &read, fleet::BootTime sentAt)
+{
+    view.m_readSentAt.reset();
+    if (read.m_outcome == store::ReadOutcome::Expired) {
+        view.m_next.reset();
+        return false;
+    }
+    if (read.m_outcome != store::ReadOutcome::Read) {
+        return false;
+    }
+    const std::uint64_t version = view.m_catalog.m_version;
+    const std::set<fleet::ZoneId> zonesOut = view.m_zonesOut;
+    if (read.m_isWhole) {
+        view.m_zonesOut.clear();
+        view.m_waves.clear();
+    }
+    for (const catalog::OperatorChange &change : read.m_changes) {
+        std::visit(
+            [&](const auto &body) {
+                take(view, body);
+            },
+            change);
+    }
+    view.m_next = read.m_next;
+    view.m_asOf = std::max(view.m_asOf.value_or(sentAt), sentAt);
+    return version != view.m_catalog.m_version || zonesOut != view.m_zonesOut;
+}
+
+fleet::Duration ageOf(const OperatorView &view, fleet::BootTime now)
+{
+    return view.m_asOf ? now - *view.m_asOf : fleet::Duration::max();
+}
+
+}
--- /dev/null
+++ b/components/node/settings.hpp
@@ -0,0 +1,37 @@
+#ifndef COMPONENTS_NODE_SETTINGS_HPP
+#define COMPONENTS_NODE_SETTINGS_HPP
+
+#include "components/dispatch/settings.hpp"
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/incarnation.hpp"
+#include "components/fleet/time.hpp"
+
+#include <string>
+
+namespace node
+{
+
+/// What the control thread is told at the start.
+struct Settings
+{
+    fleet::InstanceId m_instance;
+    fleet::Incarnation m_incarnation;
+    fleet::ZoneId m_zone;
+    /// Where other instances reach this one by UDP.
+    std::string m_peerAddress;
+    dispatch::Settings m_dispatch;
+    /// A key that the operators took away must not be accepted for longer than this.
+    fleet::Duration m_keyRevocation {5000};
+    /// A change of the catalog is in force after this.
+    fleet::Duration m_catalogInForce {2000};
+    /// The state of a job that has ended is kept for this long.
+    fleet::Duration m_statusRetention {std::chrono::minutes(2)};
+    /// How long the platform waits between asking a process to stop and killing it.
+    fleet::Duration m_stopLimit {6000};
+
+    bool operator==(const Settings &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/settings/node_settings.cpp
@@ -0,0 +1,29 @@
+#include "components/settings/node_settings.hpp"
+
+#include "components/settings/reader.hpp"
+
+namespace settings
+{
+
+NodeSettings readNodeSettings(Reader &reader)
+{
+    using namespace std::chrono_literals;
+    NodeSettings settings;
+    settings.m_instance = fleet::InstanceId(reader.requiredText("instance"));
+    settings.m_zone = fleet::ZoneId(reader.requiredText("zone"));
+    settings.m_region = fleet::RegionId(reader.requiredText("region"));
+    settings.m_callers = reader.requiredEndpoint("listen.callers");
+    settings.m_readiness = reader.requiredEndpoint("listen.readiness");
+    settings.m_peers = reader.requiredEndpoint("listen.peers");
+    settings.m_store = reader.requiredEndpoint("platform.store");
+    settings.m_leaseLimit = reader.duration("bounds.lease", settings.m_leaseLimit, 500ms, 10min);
+    settings.m_stopGrace = reader.duration("bounds.task_stop", settings.m_stopGrace, 0ms, 1min);
+    settings.m_keyRevocation = reader.duration("bounds.key_revocation", settings.m_keyRevocation, 1s, 1h);
+    settings.m_catalogInForce = reader.duration("bounds.catalog_in_force", settings.m_catalogInForce, 200ms, 1min);
+    settings.m_statusRetention = reader.duration("bounds.status_retention", settings.m_statusRetention, 1s, 24h);
+    settings.m_stopLimit = reader.duration("bounds.stop_limit", settings.m_stopLimit, 1s, 1h);
+    reader.finish();
+    return settings;
+}
+
+}
--- /dev/null
+++ b/components/settings/node_settings.hpp
@@ -0,0 +1,47 @@
+#ifndef COMPONENTS_SETTINGS_NODE_SETTINGS_HPP
+#define COMPONENTS_SETTINGS_NODE_SETTINGS_HPP
+
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/time.hpp"
+#include "components/settings/endpoint.hpp"
+
+namespace settings
+{
+
+class Reader;
+
+/// Everything that an instance on the platform learns from its settings file.
+struct NodeSettings
+{
+    fleet::InstanceId m_instance;
+    fleet::ZoneId m_zone;
+    fleet::RegionId m_region;
+    /// Callers, HTTP.
+    Endpoint m_callers;
+    /// Where the platform asks whether new connections should come.
+    Endpoint m_readiness;
+    /// Other instances, UDP.
+    Endpoint m_peers;
+    Endpoint m_store;
+
+    /// Longest lease that a worker grants.
+    fleet::Duration m_leaseLimit {6000};
+    fleet::Duration m_stopGrace {200};
+    /// A key that the operators took away must not be accepted for longer than this.
+    fleet::Duration m_keyRevocation {5000};
+    /// A change of the catalog must be in force after this.
+    fleet::Duration m_catalogInForce {2000};
+    /// The state of a job that has ended is kept for this long.
+    fleet::Duration m_statusRetention {120'000};
+    /// How long the platform waits between asking a process to stop and killing it.
+    fleet::Duration m_stopLimit {6000};
+
+    bool operator==(const NodeSettings &) const = default;
+};
+
+/// Reads and checks the settings. Throws SettingsError listing every problem.
+NodeSettings readNodeSettings(Reader &reader);
+
+}
+
+#endif
--- /dev/null
+++ b/components/store/append_call.hpp
@@ -0,0 +1,29 @@
+#ifndef COMPONENTS_STORE_APPEND_CALL_HPP
+#define COMPONENTS_STORE_APPEND_CALL_HPP
+
+#include "components/store/producer.hpp"
+#include "components/store/topic.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace store
+{
+
+/// Adds records to the end of a topic, all or none.
+struct AppendCall
+{
+    Topic m_topic;
+    std::vector<std::string> m_records;
+    std::optional<Producer> m_producer;
+    /// The append is refused unless the topic ends at this offset.
+    std::optional<std::uint64_t> m_onlyAtEnd;
+
+    bool operator==(const AppendCall &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/store/producer.hpp
@@ -0,0 +1,23 @@
+#ifndef COMPONENTS_STORE_PRODUCER_HPP
+#define COMPONENTS_STORE_PRODUCER_HPP
+
+#include <cstdint>
+#include <string>
+
+namespace store
+{
+
+/// Who appends. The store takes each sequence number of an epoch once and refuses every epoch below the highest seen, so
+/// that a repeated append is stored once and a replaced writer is shut out.
+struct Producer
+{
+    std::string m_name;
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_sequence = 0;
+
+    bool operator==(const Producer &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/store/read_call.hpp
@@ -0,0 +1,25 @@
+#ifndef COMPONENTS_STORE_READ_CALL_HPP
+#define COMPONENTS_STORE_READ_CALL_HPP
+
+#include "components/fleet/time.hpp"
+#include "components/store/topic.hpp"
+
+#include <cstdint>
+
+namespace store
+{
+
+/// Reads the records of a topic from an offset on.
+struct ReadCall
+{
+    Topic m_topic;
+    std::uint64_t m_from = 0;
+    /// How long the store may wait for a record where there is none.
+    fleet::Duration m_wait {0};
+
+    bool operator==(const ReadCall &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/workers/list_change.hpp
@@ -0,0 +1,23 @@
+#ifndef COMPONENTS_WORKERS_LIST_CHANGE_HPP
+#define COMPONENTS_WORKERS_LIST_CHANGE_HPP
+
+#include "components/fleet/identifiers.hpp"
+#include "components/workers/registration.hpp"
+
+#include <optional>
+
+namespace workers
+{
+
+/// A worker's entry was written, or is gone; one that names no worker to use counts as gone.
+struct ListChange
+{
+    fleet::WorkerId m_worker;
+    std::optional<Registration> m_registration;
+
+    bool operator==(const ListChange &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/workers/look_order.hpp
@@ -0,0 +1,33 @@
+#ifndef COMPONENTS_WORKERS_LOOK_ORDER_HPP
+#define COMPONENTS_WORKERS_LOOK_ORDER_HPP
+
+#include "components/fleet/fencing_token.hpp"
+#include "components/fleet/time.hpp"
+#include "components/workers/life.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace workers
+{
+
+/// Asks a worker what it runs and what has ended there, and renews the lease of everything that runs on it.
+struct LookOrder
+{
+    Life m_on;
+    std::string m_address;
+    fleet::FencingToken m_token;
+    /// New end of the lease on the worker's own clock; nothing where the clock is not known yet.
+    std::optional<std::int64_t> m_leaseUntilMs;
+    /// Ends up to this number are stored in the journal; the worker may forget them.
+    std::uint64_t m_forgetUpTo = 0;
+    /// How long the worker may wait for an end before it answers.
+    fleet::Duration m_wait {0};
+
+    bool operator==(const LookOrder &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/workers/look_result.hpp
@@ -0,0 +1,32 @@
+#ifndef COMPONENTS_WORKERS_LOOK_RESULT_HPP
+#define COMPONENTS_WORKERS_LOOK_RESULT_HPP
+
+#include "components/workers/ended_task.hpp"
+#include "components/workers/look_outcome.hpp"
+#include "components/workers/running_task.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace workers
+{
+
+struct LookResult
+{
+    LookOutcome m_outcome = LookOutcome::NoAnswer;
+    /// When the answering life began, in Unix milliseconds.
+    std::optional<std::int64_t> m_born;
+    std::int64_t m_clockMs = 0;
+    std::vector<RunningTask> m_running;
+    /// Ends above the number that the order allowed to forget, oldest first; the rest follows in the next answer.
+    std::vector<EndedTask> m_ended;
+    std::string m_reason;
+
+    bool operator==(const LookResult &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/workers/registration.hpp
@@ -0,0 +1,42 @@
+#ifndef COMPONENTS_WORKERS_REGISTRATION_HPP
+#define COMPONENTS_WORKERS_REGISTRATION_HPP
+
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/resources.hpp"
+#include "components/fleet/time.hpp"
+#include "components/workers/life.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace workers
+{
+
+/// What a worker says of itself in the platform's list.
+struct Registration
+{
+    Life m_life;
+    fleet::ServiceId m_service;
+    fleet::MachineId m_machine;
+    /// IP number and port.
+    std::string m_address;
+    fleet::ZoneId m_zone;
+    fleet::RackId m_rack;
+    /// The hardware that the worker has, which a step may require.
+    std::string m_kind;
+    fleet::Resources m_capacity;
+    bool m_isDraining = false;
+    /// Draining: the least time that is left before the worker goes.
+    std::optional<fleet::Duration> m_leavesIn;
+    /// How much longer the worker is slow after its start.
+    fleet::Duration m_coldFor {0};
+    /// The worker's own steady clock when it wrote the entry.
+    std::optional<std::int64_t> m_clockMs;
+
+    bool operator==(const Registration &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/workers/stop_order.hpp
@@ -0,0 +1,26 @@
+#ifndef COMPONENTS_WORKERS_STOP_ORDER_HPP
+#define COMPONENTS_WORKERS_STOP_ORDER_HPP
+
+#include "components/fleet/fencing_token.hpp"
+#include "components/jobs/run_id.hpp"
+#include "components/workers/life.hpp"
+
+#include <string>
+
+namespace workers
+{
+
+/// Tells a worker to stop a run. The worker refuses every later order to start it, also where it never began.
+struct StopOrder
+{
+    Life m_on;
+    std::string m_address;
+    jobs::RunId m_run;
+    fleet::FencingToken m_token;
+
+    bool operator==(const StopOrder &) const = default;
+};
+
+}
+
+#endif
