One clock reading names a call; the members of a done gang are left to end

Cause: the time a read was sent was read twice, in the control and in the adapter; a difference of 1 ms left the follow read open for ever, so new jobs were seen only at the next look-up (half of the starts after 711 ms). Ruled out: processor share (--no-cpu showed the same code at 20 ms because both clock readings fell into one millisecond). Change: the control passes the time with each call. Members of a done gang get no needless stop.

--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -64,13 +64,15 @@
 {
     std::vector<jobs::RunId> needless;
     const std::vector<jobs::RunId> open = openRuns(record, step);
+    if (stepOf(job, step).m_isGang && record.isDone()) {
+        // The members of a gang that is done end by themselves.
+        return needless;
+    }
     if (job.isOver()) {
         return open;
     }
     if (stepOf(job, step).m_isGang) {
-        const bool isWhole = open.size() == record.m_tasks.size();
-        // The members of a gang that is done end by themselves.
-        return isWhole || record.isDone() ? needless : open;
+        return open.size() == record.m_tasks.size() ? needless : open;
     }
     std::copy_if(open.begin(), open.end(), std::back_inserter(needless), [&](const jobs::RunId &run) {
         return record.m_tasks[run.m_task.m_index].m_isDone;
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -156,10 +156,10 @@
 void Control::sendAppends(fleet::Now now)
 {
     while (const auto call = journal::takeDueCall(m_duty.writer(), journalTopic, now.m_boot)) {
-        m_ports.append(*call, {true, m_duty.writer().m_epoch, call->m_producer->m_sequence});
+        m_ports.append(*call, {true, m_duty.writer().m_epoch, call->m_producer->m_sequence}, now.m_boot);
     }
     while (const auto call = journal::takeDueCall(m_desk.writer(), journalTopic, now.m_boot)) {
-        m_ports.append(*call, {false, m_desk.writer().m_epoch, call->m_producer->m_sequence});
+        m_ports.append(*call, {false, m_desk.writer().m_epoch, call->m_producer->m_sequence}, now.m_boot);
     }
 }
 
@@ -167,14 +167,14 @@
 {
     ++m_journal.m_readsOpen;
     m_journal.m_lastReadSentAt = now.m_boot;
-    m_ports.readJournal({journalTopic, m_journal.m_next, wait});
+    m_ports.readJournal({journalTopic, m_journal.m_next, wait}, now.m_boot);
 }
 
 void Control::sendReads(fleet::Now now)
 {
     if (!m_operators.m_readSentAt && now.m_boot >= m_operators.m_nextReadAt) {
         m_operators.m_readSentAt = now.m_boot;
-        m_ports.readOperators(m_operators.m_next, m_operators.m_next ? operatorsWait : fleet::Duration(0));
+        m_ports.readOperators(m_operators.m_next, m_operators.m_next ? operatorsWait : fleet::Duration(0), now.m_boot);
     }
     if (!m_followSentAt && now.m_boot >= m_nextFollowAt) {
         const bool waits = m_duty.phase() == DutyPhase::Holding;
--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -236,7 +236,7 @@
     if (!m_listReadOpen && now.m_boot >= m_nextListReadAt) {
         m_listReadOpen = true;
         m_nextListReadAt = now.m_boot + listInterval;
-        m_ports.readList(m_listNext);
+        m_ports.readList(m_listNext, now.m_boot);
     }
 }
 
@@ -278,7 +278,7 @@
         m_ports.stop(order);
     }
     for (const workers::LookOrder &order : outbox.m_looks) {
-        m_ports.look(order);
+        m_ports.look(order, now.m_boot);
     }
 }
 
--- a/components/node/ports.hpp
+++ b/components/node/ports.hpp
@@ -2,6 +2,7 @@
 #define COMPONENTS_NODE_PORTS_HPP
 
 #include "components/callers/reply.hpp"
+#include "components/fleet/boot_time.hpp"
 #include "components/fleet/time.hpp"
 #include "components/node/append_tag.hpp"
 #include "components/store/append_call.hpp"
@@ -17,21 +18,21 @@
 namespace node
 {
 
-/// What the control thread has done by others. Results come back as events.
+/// What the control thread has done by others. Results come back as events that name the time they were asked for.
 class Ports
 {
 public:
     virtual ~Ports() = default;
 
-    virtual void append(const store::AppendCall &call, const AppendTag &tag) = 0;
-    virtual void readJournal(const store::ReadCall &call) = 0;
+    virtual void append(const store::AppendCall &call, const AppendTag &tag, fleet::BootTime now) = 0;
+    virtual void readJournal(const store::ReadCall &call, fleet::BootTime now) = 0;
     /// Reads what the operators set from the offset on, or everything that is set now where there is none.
-    virtual void readOperators(std::optional<std::uint64_t> from, fleet::Duration wait) = 0;
+    virtual void readOperators(std::optional<std::uint64_t> from, fleet::Duration wait, fleet::BootTime now) = 0;
     /// Reads the platform's list of workers from the offset on, or all of it where there is none.
-    virtual void readList(std::optional<std::uint64_t> from) = 0;
+    virtual void readList(std::optional<std::uint64_t> from, fleet::BootTime now) = 0;
     virtual void start(const workers::StartOrder &order) = 0;
     virtual void stop(const workers::StopOrder &order) = 0;
-    virtual void look(const workers::LookOrder &order) = 0;
+    virtual void look(const workers::LookOrder &order, fleet::BootTime now) = 0;
     virtual void reply(std::uint64_t call, const callers::Reply &reply) = 0;
     /// Whether new connections should be sent here.
     virtual void setReady(bool isReady) = 0;
