Callers are served while a stopping instance closes its doors

Ruled out: the platform's grace running out (the ends came 2.7 s into 6 s). Change: the listener closes while the control loop still answers; the process ends when no connection is left.

--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -19,9 +19,6 @@
 constexpr int exitUsage = 2;
 constexpr int exitSettings = 3;
 
-/// Answers that are already decided get this long to leave.
-constexpr fleet::Duration closeLimit {400};
-
 volatile std::sig_atomic_t stopSignals = 0;
 
 void noteStopSignal(int)
@@ -74,7 +71,6 @@
             nextTick = control.nextTick(now);
         }
     }
-    adapter.close(closeLimit);
     return 0;
 }
 
--- a/components/http/server.cpp
+++ b/components/http/server.cpp
@@ -40,6 +40,11 @@
     m_core->beginStop();
 }
 
+bool Server::isDrained() const
+{
+    return m_core->isDrained();
+}
+
 bool Server::stop(fleet::Duration limit)
 {
     return m_core->stop(limit);
--- a/components/http/server.hpp
+++ b/components/http/server.hpp
@@ -45,6 +45,9 @@
     /// Stops listening. Requests in flight are finished, and each connection is closed after its answer. Returns at once.
     void beginStop();
 
+    /// True once a stop has begun and every connection is closed.
+    bool isDrained() const;
+
     /// Begins the stop and waits until every connection is closed, at most `limit`. Must not be called by a handler.
     /// @return false where connections had to be cut at the limit.
     bool stop(fleet::Duration limit);
--- a/components/http/server_core.cpp
+++ b/components/http/server_core.cpp
@@ -91,6 +91,12 @@
     return m_stopping.load();
 }
 
+bool ServerCore::isDrained() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_listenerClosed && m_sessions.empty();
+}
+
 const ServerSettings &ServerCore::settings() const
 {
     return m_settings;
--- a/components/http/server_core.hpp
+++ b/components/http/server_core.hpp
@@ -35,6 +35,7 @@
     std::uint16_t port() const;
     std::size_t inFlight() const;
     bool stopping() const;
+    bool isDrained() const;
     const ServerSettings &settings() const;
 
     /// Hands a request to the handler and counts it as in flight.
@@ -63,7 +64,7 @@
     std::uint16_t m_port = 0;
     std::atomic<bool> m_stopping {false};
     std::atomic<std::size_t> m_inFlight {0};
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     /// Notified when the last session ends and when the listener closes.
     std::condition_variable m_emptied;
     std::set<std::shared_ptr<ServerSession>> m_sessions;
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -26,7 +26,7 @@
 /// An instance whose view is older than this asks for no new connections.
 constexpr fleet::Duration readyAge {3000};
 /// After a stop was requested new connections still come until the platform has seen it twice.
-constexpr fleet::Duration balancerDelay {2600};
+constexpr fleet::Duration balancerDelay {2200};
 /// The process ends this long before the platform would kill it.
 constexpr fleet::Duration stopMargin {700};
 
@@ -205,8 +205,13 @@
         return;
     }
     const fleet::Duration since = now.m_boot - *m_stopRequestedAt;
-    const bool isServed = since >= balancerDelay && m_desk.openCalls() == 0 && m_duty.isIdle();
+    if (since >= balancerDelay && !m_areDoorsClosed) {
+        m_areDoorsClosed = true;
+        m_ports.closeDoors();
+    }
+    const bool isServed = m_areDoorsClosed && m_desk.openCalls() == 0 && m_ports.isDrained() && m_duty.isIdle();
     if (isServed || since >= m_settings.m_stopLimit - stopMargin) {
+        m_ports.log("stopped open-calls=" + std::to_string(m_desk.openCalls()) + " drained=" + (m_ports.isDrained() ? "true" : "false"));
         m_isStopped = true;
     }
 }
--- a/components/node/control.hpp
+++ b/components/node/control.hpp
@@ -55,6 +55,7 @@
     fleet::BootTime m_nextFollowAt;
     bool m_isReady = false;
     std::optional<fleet::BootTime> m_stopRequestedAt;
+    bool m_areDoorsClosed = false;
     bool m_isStopped = false;
 };
 
--- a/components/node/ports.hpp
+++ b/components/node/ports.hpp
@@ -36,6 +36,10 @@
     virtual void reply(std::uint64_t call, const callers::Reply &reply) = 0;
     /// Whether new connections should be sent here.
     virtual void setReady(bool isReady) = 0;
+    /// Takes no new connections from callers; the calls on open ones are still served.
+    virtual void closeDoors() = 0;
+    /// No connection of a caller is left.
+    virtual bool isDrained() const = 0;
     virtual void log(const std::string &line) = 0;
 };
 
