Victims are chosen by what their whole gang loses

Ruled out: cancelled jobs (unavoidable share, listed by the stop lines). Change: the loss of a victim is that of its gang; work that a checkpoint saves counts as its restore.

--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -19,6 +19,12 @@
 constexpr fleet::Duration reservationTime {1500};
 /// A worker that has not answered for this many orders in a row gets no new runs.
 constexpr int silencesToAvoid = 1;
+/// What one accelerator counts for in lost work, in cores; from the users' price of wasted work.
+constexpr std::int64_t coresPerAccelerator = 8;
+constexpr std::int64_t millisPerCore = 1000;
+/// A run that goes on from a checkpoint loses about this much; a run that starts anew loses its start besides.
+constexpr fleet::Duration restoreTime {600};
+constexpr fleet::Duration startOverhead {50};
 
 /// What one worker has free, and who could take it.
 struct Room
@@ -219,13 +225,43 @@
     return run.m_priority > candidate.m_queue->m_priority && !run.m_stopWanted;
 }
 
-/// Work that stopping the run would lose, in accelerator-milliseconds; a run without accelerators counts as one.
-std::int64_t lossOf(const Context &context, const RunState &run)
+const jobs::StepSpec &stepOf(const Context &context, const jobs::StepId &step)
 {
-    const std::int64_t ran = run.m_phase == RunPhase::Running ? (context.m_now.m_boot - run.m_startedAt).count() : 0;
-    return (ran + 1) * std::max<std::int64_t>(1, run.m_booked.m_accelerators);
+    return context.m_ledger.m_jobs.at(step.m_job).m_spec.m_steps[step.m_step];
 }
 
+/// Work that stopping the run would lose, in core-milliseconds.
+std::int64_t lossOf(const Context &context, const jobs::RunId &id, const RunState &run)
+{
+    const fleet::Duration ran = run.m_phase == RunPhase::Running ? context.m_now.m_boot - run.m_startedAt : fleet::Duration(0);
+    const bool isSaved = stepOf(context, id.m_task.m_step).m_writesCheckpoints;
+    const fleet::Duration lost = (isSaved ? std::min(ran, restoreTime) : ran) + startOverhead;
+    return lost.count() * (run.m_booked.m_milliCores / millisPerCore + run.m_booked.m_accelerators * coresPerAccelerator + 1);
+}
+
+/// Stopping one member of a gang loses the work of all.
+std::int64_t lossWithGang(const Context &context, const jobs::RunId &id, const RunState &run)
+{
+    const jobs::StepId &step = id.m_task.m_step;
+    if (!stepOf(context, step).m_isGang) {
+        return lossOf(context, id, run);
+    }
+    std::int64_t loss = 0;
+    const auto first = context.m_state.m_runs.lower_bound({{step, 0}, 0});
+    for (auto member = first; member != context.m_state.m_runs.end() && member->first.m_task.m_step == step; ++member) {
+        loss += lossOf(context, member->first, member->second);
+    }
+    return loss;
+}
+
+/// A run that could be stopped, with what that would lose.
+struct Victim
+{
+    jobs::RunId m_run;
+    const RunState *m_state = nullptr;
+    std::int64_t m_loss = 0;
+};
+
 struct Eviction
 {
     Room *m_room = nullptr;
@@ -240,26 +276,29 @@
     Eviction eviction {&room, {}, 0, 0};
     fleet::Resources free = freeFor(context, candidate, room);
     // What is being stopped already will be free soon.
-    std::vector<std::pair<jobs::RunId, const RunState *>> victims;
+    std::vector<Victim> victims;
     for (const jobs::RunId &id : room.m_worker->m_runs) {
         const RunState &run = context.m_state.m_runs.at(id);
         if (run.m_stopWanted) {
             free = free + run.m_booked;
         } else if (isVictim(candidate, run)) {
-            victims.emplace_back(id, &run);
+            victims.push_back({id, &run, lossWithGang(context, id, run)});
         }
     }
-    std::sort(victims.begin(), victims.end(), [&](const auto &a, const auto &b) {
-        return std::make_tuple(-a.second->m_priority, lossOf(context, *a.second)) < std::make_tuple(-b.second->m_priority, lossOf(context, *b.second));
+    std::sort(victims.begin(), victims.end(), [](const Victim &a, const Victim &b) {
+        return a.m_loss < b.m_loss;
     });
     eviction.m_slots = slotsOn(candidate, *room.m_worker, free);
-    for (const auto &[id, run] : victims) {
+    std::set<jobs::StepId> gangs;
+    for (const Victim &victim : victims) {
         if (eviction.m_slots >= wanted) {
             break;
         }
-        free = free + run->m_booked;
-        eviction.m_victims.push_back(id);
-        eviction.m_loss += lossOf(context, *run);
+        const jobs::StepId &step = victim.m_run.m_task.m_step;
+        const bool isCounted = stepOf(context, step).m_isGang && !gangs.insert(step).second;
+        free = free + victim.m_state->m_booked;
+        eviction.m_victims.push_back(victim.m_run);
+        eviction.m_loss += isCounted ? 0 : victim.m_loss;
         eviction.m_slots = slotsOn(candidate, *room.m_worker, free);
     }
     return eviction;
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -176,7 +176,10 @@
         return;
     }
     context.m_out.m_log.push_back("stop task=" + toString(run.m_task) + " run=" + std::to_string(run.m_run) + " worker=" + state->m_on.m_worker.value()
-                                  + " percent=" + std::to_string(state->m_percent) + " why=" + why);
+                                  + " percent=" + std::to_string(state->m_percent) + " prio=" + std::to_string(state->m_priority) + " cores="
+                                  + std::to_string(state->m_booked.m_milliCores / 1000 + state->m_booked.m_accelerators * 8) + " ran_ms="
+                                  + std::to_string(state->m_phase == RunPhase::Running ? (context.m_now.m_boot - state->m_startedAt).count() : 0)
+                                  + " saved=" + (state->m_checkpoint.empty() ? "0" : "1") + " why=" + why);
     state->m_stopWanted = true;
     state->m_stopWantedAt = context.m_now.m_boot;
     state->m_nextStopAt = context.m_now.m_boot;
