--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -31,6 +31,18 @@
     return {endpoint.m_address, endpoint.m_port};
 }
 
+std::string drawKey()
+{
+    constexpr int words = 4;
+    std::random_device random;
+    std::string key;
+    for (int i = 0; i < words; ++i) {
+        const std::uint32_t word = random();
+        key.append(reinterpret_cast<const char *>(&word), sizeof word);
+    }
+    return key;
+}
+
 node::Settings toControlSettings(const settings::NodeSettings &settings)
 {
     node::Settings control;
@@ -38,6 +50,7 @@
     control.m_incarnation.m_value = (static_cast<std::uint64_t>(std::random_device()()) << 32U) | std::random_device()();
     control.m_zone = settings.m_zone;
     control.m_peerAddress = settings::toString(settings.m_peers);
+    control.m_peerKey = drawKey();
     control.m_dispatch.m_leaseLimit = settings.m_leaseLimit;
     control.m_dispatch.m_stopGrace = settings.m_stopGrace;
     control.m_keyRevocation = settings.m_keyRevocation;
@@ -54,7 +67,7 @@
     std::signal(SIGHUP, SIG_IGN);
     std::signal(SIGPIPE, SIG_IGN);
     node::EventQueue queue;
-    platform::Adapter adapter({toAddress(settings.m_callers), toAddress(settings.m_readiness), toAddress(settings.m_store)}, queue);
+    platform::Adapter adapter({toAddress(settings.m_callers), toAddress(settings.m_readiness), toAddress(settings.m_peers), toAddress(settings.m_store)}, queue);
     node::Control control(toControlSettings(settings), adapter);
     fleet::BootTime nextTick;
     while (!control.isStopped()) {
--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -1,6 +1,7 @@
 #include "components/dispatch/candidates.hpp"
 
 #include "components/dispatch/context.hpp"
+#include "components/dispatch/objectives.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -11,30 +12,6 @@
 namespace
 {
 
-/// Longest chain of the job's steps, by the caller's estimates.
-fleet::Duration longestChain(const jobs::JobSpec &spec)
-{
-    std::vector<fleet::Duration> ends;
-    fleet::Duration longest {0};
-    for (const jobs::StepSpec &step : spec.m_steps) {
-        fleet::Duration start {0};
-        for (const std::uint16_t earlier : step.m_dependsOn) {
-            start = std::max(start, ends[earlier]);
-        }
-        ends.push_back(start + step.m_estimate);
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
-}
-
-fleet::TimePoint objectiveOf(const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence)
-{
-    const jobs::Schedule &schedule = job.m_spec.m_schedule;
-    const fleet::TimePoint begin = schedule.isTimed() ? schedule.dueTime(occurrence) : job.m_acceptedAt;
-    const double stretched = static_cast<double>(longestChain(job.m_spec).count()) * queue.m_stretch;
-    return begin + fleet::Duration(static_cast<std::int64_t>(stretched)) + queue.m_slack;
-}
-
 /// Tasks of the step that are neither done nor running; for a gang all of them or none.
 std::vector<std::uint16_t> startableTasks(const jobs::StepSpec &spec, const journal::StepRecord *record)
 {
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -1,6 +1,7 @@
 #include "components/dispatch/runs.hpp"
 
 #include "components/dispatch/context.hpp"
+#include "components/dispatch/objectives.hpp"
 #include "components/journal/changes.hpp"
 
 #include <algorithm>
@@ -80,6 +81,16 @@
     return needless;
 }
 
+void logJobEnd(Context &context, const journal::JobRecord &job)
+{
+    static const char *const names[] = {"queued", "running", "completed", "failed", "cancelled"};
+    const catalog::Queue *queue = catalog::findQueue(context.m_catalog, job.m_spec.m_queue);
+    const fleet::TimePoint objective = queue == nullptr ? job.m_acceptedAt : objectiveOf(job, *queue, job.occurrenceCount() - 1);
+    context.m_out.m_log.push_back("job-end job=" + toString(job.m_spec.m_id) + " state=" + names[static_cast<int>(stateOf(job))]
+                                  + " took_ms=" + std::to_string((context.m_now.m_wall - job.m_acceptedAt).count())
+                                  + " objective_ms=" + std::to_string((objective - job.m_acceptedAt).count()) + " prio=" + std::to_string(priorityOf(context, job)));
+}
+
 }
 
 WorkerState *findWorker(Context &context, const workers::Life &life)
@@ -205,8 +216,8 @@
     for (const jobs::RunId &run : needless) {
         wantStop(context, run, job->isOver() ? "job-over" : "not-needed");
     }
-    if (job->isOver()) {
-        context.m_state.m_active.erase(id);
+    if (job->isOver() && context.m_state.m_active.erase(id) > 0) {
+        logJobEnd(context, *job);
     }
 }
 
--- a/components/journal/instance_record.hpp
+++ b/components/journal/instance_record.hpp
@@ -15,6 +15,7 @@
     fleet::Incarnation m_incarnation;
     fleet::ZoneId m_zone;
     std::string m_peerAddress;
+    std::string m_peerKey;
 
     bool operator==(const InstanceRecord &) const = default;
 };
--- a/components/journal/instance_started.hpp
+++ b/components/journal/instance_started.hpp
@@ -17,13 +17,15 @@
     fleet::ZoneId m_zone;
     /// Where other instances reach it by UDP, IP number and port.
     std::string m_peerAddress;
+    /// Others sign what they send to this incarnation with it.
+    std::string m_peerKey;
 
     bool operator==(const InstanceStarted &) const = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(m_instance, m_incarnation, m_zone, m_peerAddress);
+        archive(m_instance, m_incarnation, m_zone, m_peerAddress, m_peerKey);
     }
 };
 
--- a/components/journal/ledger.cpp
+++ b/components/journal/ledger.cpp
@@ -174,7 +174,7 @@
 
 void applyBody(Ledger &ledger, const InstanceStarted &record, Changes &changes)
 {
-    ledger.m_instances[record.m_instance] = {record.m_incarnation, record.m_zone, record.m_peerAddress};
+    ledger.m_instances[record.m_instance] = {record.m_incarnation, record.m_zone, record.m_peerAddress, record.m_peerKey};
     changes.m_holderChanged = changes.m_holderChanged || record.m_instance == ledger.m_holder.m_instance;
 }
 
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -16,9 +16,9 @@
 
 /// How long the store may wait for a change before it confirms that there is none.
 constexpr fleet::Duration operatorsWait {1000};
-constexpr fleet::Duration journalWait {1000};
-/// An instance that does not hold the duty reads the journal this often.
-constexpr fleet::Duration followInterval {500};
+/// Without being told of new records, the holder and the other instances read the journal this often.
+constexpr fleet::Duration holderReadInterval {250};
+constexpr fleet::Duration followInterval {2000};
 /// Pause after a read that failed.
 constexpr fleet::Duration readRetry {150};
 constexpr fleet::Duration holderTick {40};
@@ -92,7 +92,7 @@
         m_followSentAt.reset();
         const bool isRead = event.m_result.m_outcome == store::ReadOutcome::Read;
         const bool isHolding = m_duty.phase() == DutyPhase::Holding;
-        m_nextFollowAt = now.m_boot + (!isRead ? readRetry : isHolding ? fleet::Duration(0) : followInterval);
+        m_nextFollowAt = now.m_boot + (!isRead ? readRetry : isHolding ? holderReadInterval : followInterval);
     }
     journal::Changes changes;
     const bool hasMore = takeJournalRead(m_journal, event.m_result, event.m_sentAt, now.m_boot, changes);
@@ -101,7 +101,7 @@
         m_desk.onJournalRead(now);
     }
     if (hasMore) {
-        readJournal(fleet::Duration(0), now);
+        readJournal(now);
     }
 }
 
@@ -137,6 +137,26 @@
     m_duty.onLookEnded(event, now);
 }
 
+void Control::take(const DatagramArrived &event, fleet::Now now)
+{
+    if (const auto message = openPeerMessage(event.m_bytes, m_settings.m_peerKey)) {
+        m_duty.onPeerMessage(*message, now);
+    }
+}
+
+/// Tells the holder that there is more in the journal, so that it need not wait for its next read.
+void Control::tellHolder()
+{
+    const journal::HolderRecord &holder = m_journal.m_ledger.m_holder;
+    const auto instance = m_journal.m_ledger.m_instances.find(holder.m_instance);
+    if (m_desk.storedEnd() <= m_toldEnd || instance == m_journal.m_ledger.m_instances.end() || holder.m_instance == m_settings.m_instance) {
+        return;
+    }
+    m_toldEnd = m_desk.storedEnd();
+    const PeerMessage message {m_settings.m_instance, m_settings.m_incarnation, {}, m_toldEnd, 0, false};
+    m_ports.sendDatagram(instance->second.m_peerAddress, sealPeerMessage(message, instance->second.m_peerKey));
+}
+
 void Control::take(const StopRequested &, fleet::Now now)
 {
     if (!m_stopRequestedAt) {
@@ -149,8 +169,10 @@
 
 void Control::sendDue(fleet::Now now)
 {
+    m_duty.noteJournalEnd(m_desk.storedEnd());
     sendAppends(now);
     sendReads(now);
+    tellHolder();
 }
 
 void Control::sendAppends(fleet::Now now)
@@ -163,11 +185,11 @@
     }
 }
 
-void Control::readJournal(fleet::Duration wait, fleet::Now now)
+void Control::readJournal(fleet::Now now)
 {
     ++m_journal.m_readsOpen;
     m_journal.m_lastReadSentAt = now.m_boot;
-    m_ports.readJournal({journalTopic, m_journal.m_next, wait}, now.m_boot);
+    m_ports.readJournal({journalTopic, m_journal.m_next, fleet::Duration(0)}, now.m_boot);
 }
 
 void Control::sendReads(fleet::Now now)
@@ -177,15 +199,11 @@
         m_ports.readOperators(m_operators.m_next, m_operators.m_next ? operatorsWait : fleet::Duration(0), now.m_boot);
     }
     if (!m_followSentAt && now.m_boot >= m_nextFollowAt) {
-        const bool waits = m_duty.phase() == DutyPhase::Holding;
         m_followSentAt = now.m_boot;
-        readJournal(waits ? journalWait : fleet::Duration(0), now);
-    }
-    if (m_duty.phase() == DutyPhase::Confirming && m_journal.m_readsOpen == 0) {
-        readJournal(fleet::Duration(0), now);
+        readJournal(now);
     }
-    if (m_desk.wantsRead(now.m_boot)) {
-        readJournal(fleet::Duration(0), now);
+    if (m_duty.wantsRead(now) || m_desk.wantsRead(now.m_boot)) {
+        readJournal(now);
     }
 }
 
--- a/components/node/control.hpp
+++ b/components/node/control.hpp
@@ -37,11 +37,13 @@
     void take(const StartEnded &event, fleet::Now now);
     void take(const StopEnded &event, fleet::Now now);
     void take(const LookEnded &event, fleet::Now now);
+    void take(const DatagramArrived &event, fleet::Now now);
     void take(const StopRequested &event, fleet::Now now);
+    void tellHolder();
     void sendDue(fleet::Now now);
     void sendAppends(fleet::Now now);
     void sendReads(fleet::Now now);
-    void readJournal(fleet::Duration wait, fleet::Now now);
+    void readJournal(fleet::Now now);
     void updateReadiness(fleet::Now now);
     void checkStop(fleet::Now now);
 
@@ -53,6 +55,8 @@
     FrontDesk m_desk;
     std::optional<fleet::BootTime> m_followSentAt;
     fleet::BootTime m_nextFollowAt;
+    /// End of the journal that the holder was last told of.
+    std::uint64_t m_toldEnd = 0;
     bool m_isReady = false;
     std::optional<fleet::BootTime> m_stopRequestedAt;
     bool m_areDoorsClosed = false;
--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -16,13 +16,30 @@
 using namespace std::chrono_literals;
 
 constexpr const char *producer = "scheduler";
-/// A holder of which nothing was seen for this long is replaced.
-constexpr fleet::Duration holderSilence {1500};
+/// The holder sends a message to every instance this often.
+constexpr fleet::Duration beatInterval {100};
+/// An instance that has not heard the holder for this long looks for it in the journal.
+constexpr fleet::Duration beatSilence {330};
+/// A holder of which the journal shows nothing for this long, and that is not heard, is replaced.
+constexpr fleet::Duration journalSilence {450};
+/// A holder that the store leaves without answers for this long is replaced by an instance that the store answers within
+/// the second time; after the third by any.
+constexpr fleet::Duration storeSilenceLimit {400};
+constexpr fleet::Duration quickAnswer {150};
+constexpr fleet::Duration longStoreSilence {1500};
 /// Instances claim at different times, so that one claim usually suffices.
-constexpr fleet::Duration claimSpread {200};
-/// The holder shows that it lives at least this often.
-constexpr fleet::Duration aliveInterval {500};
+constexpr fleet::Duration claimSpread {100};
+/// The holder writes to the journal at least this often while an instance does not answer, and otherwise.
+constexpr fleet::Duration aliveInterval {350};
+constexpr fleet::Duration quietAliveInterval {2000};
+/// An instance that answered within the first time but not within the second may not hear the holder.
+constexpr fleet::Duration knownAlive {10'000};
+constexpr fleet::Duration answerSilence {500};
+/// After losing the duty an instance waits this long before it claims again.
+constexpr fleet::Duration claimPause {3000};
 constexpr fleet::Duration listInterval {500};
+/// While the holder is looked for, the journal is read this often.
+constexpr fleet::Duration suspectReadInterval {100};
 
 fleet::Duration spread(const fleet::InstanceId &instance)
 {
@@ -52,7 +69,90 @@
     }
     const auto instance = m_journal.m_ledger.m_instances.find(holder.m_instance);
     const bool isReborn = instance != m_journal.m_ledger.m_instances.end() && instance->second.m_incarnation != holder.m_incarnation;
-    return isReborn || now.m_boot - std::max(m_journal.m_holderSeenAt, m_startedAt) > holderSilence;
+    if (isReborn) {
+        return true;
+    }
+    if (!m_journal.m_asOf || !isHolderSuspect(now)) {
+        return false;
+    }
+    const fleet::Duration own = spread(m_settings.m_instance);
+    if (m_isHolderWithoutStore) {
+        const fleet::Duration silence = *m_journal.m_asOf - m_holderWithoutStoreSince;
+        const bool isMineQuick = m_journal.m_readTook < quickAnswer;
+        return silence > (isMineQuick ? storeSilenceLimit : longStoreSilence) + own;
+    }
+    // The journal must have been read since, to tell silence from not having looked.
+    const fleet::BootTime seen = std::max({m_journal.m_holderSeenAt, m_holderHeardAt, m_startedAt});
+    return *m_journal.m_asOf - seen > journalSilence + own;
+}
+
+bool Duty::isHolderSuspect(fleet::Now now) const
+{
+    const bool isUnheard = now.m_boot - std::max(m_holderHeardAt, m_startedAt) > beatSilence;
+    return isUnheard || m_isHolderWithoutStore;
+}
+
+bool Duty::wantsRead(fleet::Now now) const
+{
+    if (m_journal.m_readsOpen > 0) {
+        return false;
+    }
+    const fleet::Duration since = now.m_boot - m_journal.m_lastReadSentAt;
+    const bool looksForHolder = m_phase == DutyPhase::Following && m_isStarted && isHolderSuspect(now) && since >= suspectReadInterval;
+    const bool isAtEnd = m_phase == DutyPhase::Holding || (m_phase == DutyPhase::Following && looksForHolder);
+    const bool hasMore = isAtEnd && m_knownEnd > m_journal.m_next;
+    return looksForHolder || hasMore || m_phase == DutyPhase::Confirming;
+}
+
+fleet::Duration Duty::storeSilence(fleet::Now now) const
+{
+    return m_writer.m_sent ? now.m_boot - std::max(m_writer.m_sent->m_firstSentAt, m_lastStoreContact) : fleet::Duration(0);
+}
+
+void Duty::sendBeats(fleet::Now now)
+{
+    const bool isNews = storeSilence(now) > storeSilenceLimit && !m_toldSilence;
+    if (now.m_boot - m_lastBeatAt < beatInterval && !isNews) {
+        return;
+    }
+    m_toldSilence = storeSilence(now) > storeSilenceLimit;
+    m_lastBeatAt = now.m_boot;
+    PeerMessage message {m_settings.m_instance, m_settings.m_incarnation, m_state.m_token, std::max(m_journal.m_next, m_ownEnd), 0, true};
+    message.m_storeSilenceMs = static_cast<std::uint32_t>(storeSilence(now).count());
+    for (const auto &[id, instance] : m_journal.m_ledger.m_instances) {
+        if (id != m_settings.m_instance) {
+            m_ports.sendDatagram(instance.m_peerAddress, sealPeerMessage(message, instance.m_peerKey));
+        }
+    }
+}
+
+void Duty::noteJournalEnd(std::uint64_t end)
+{
+    m_knownEnd = std::max(m_knownEnd, end);
+}
+
+void Duty::onPeerMessage(const PeerMessage &message, fleet::Now now)
+{
+    noteJournalEnd(message.m_journalEnd);
+    m_answeredAt[message.m_from] = now.m_boot;
+    const fleet::FencingToken known = m_journal.m_ledger.m_holder.m_token;
+    if (m_phase == DutyPhase::Holding && message.m_token > m_state.m_token) {
+        stepDown("another instance says that it holds the duty", now);
+    }
+    if (message.m_token.m_value > 0 && message.m_token >= known) {
+        const fleet::Duration silence(message.m_storeSilenceMs);
+        m_isHolderWithoutStore = silence > storeSilenceLimit;
+        m_holderWithoutStoreSince = now.m_boot - silence;
+        m_holderHeardAt = now.m_boot;
+        m_journal.m_holderNewsFrom = message.m_journalEnd;
+    }
+    if (message.m_wantsAnswer) {
+        const auto sender = m_journal.m_ledger.m_instances.find(message.m_from);
+        if (sender != m_journal.m_ledger.m_instances.end() && sender->second.m_incarnation == message.m_incarnation) {
+            const PeerMessage answer {m_settings.m_instance, m_settings.m_incarnation, {}, m_journal.m_next, 0, false};
+            m_ports.sendDatagram(sender->second.m_peerAddress, sealPeerMessage(answer, sender->second.m_peerKey));
+        }
+    }
 }
 
 void Duty::claim(fleet::Now now)
@@ -63,7 +163,9 @@
     m_writer.m_epoch = m_journal.m_ledger.m_holder.m_token.m_value + 1;
     m_writer.m_onlyAtEnd = m_journal.m_next;
     journal::enqueue(m_writer, journal::encode(journal::HolderClaimed {m_settings.m_instance, m_settings.m_incarnation, {m_writer.m_epoch}}), 0);
-    m_ports.log("duty claim token=" + std::to_string(m_writer.m_epoch) + " at=" + std::to_string(m_journal.m_next));
+    m_ports.log("duty claim token=" + std::to_string(m_writer.m_epoch) + " at=" + std::to_string(m_journal.m_next)
+                + " unheard_ms=" + std::to_string((now.m_boot - m_holderHeardAt).count()) + " journal_silent_ms="
+                + std::to_string((now.m_boot - m_journal.m_holderSeenAt).count()) + " holder_without_store=" + (m_isHolderWithoutStore ? "true" : "false"));
     m_lastAppendAt = now.m_boot;
 }
 
@@ -93,7 +195,8 @@
     const int readsOpen = m_journal.m_readsOpen;
     m_journal = JournalView();
     m_journal.m_readsOpen = readsOpen;
-    m_notBefore = now.m_boot + holderSilence;
+    m_notBefore = now.m_boot + claimPause;
+    m_holderHeardAt = now.m_boot;
     m_startedAt = now.m_boot;
 }
 
@@ -104,6 +207,11 @@
         m_startedAt = now.m_boot;
         m_notBefore = now.m_boot + spread(m_settings.m_instance);
     }
+    if (changes.m_holderChanged) {
+        // What was heard was said by or about another holder.
+        m_holderHeardAt = now.m_boot;
+        m_isHolderWithoutStore = false;
+    }
     const journal::HolderRecord &holder = m_journal.m_ledger.m_holder;
     const bool isMine = holder.m_instance == m_settings.m_instance && holder.m_incarnation == m_settings.m_incarnation && !holder.m_hasResigned;
     if (m_phase == DutyPhase::Confirming) {
@@ -133,13 +241,23 @@
         return;
     }
     if (outcome.m_endMoved) {
-        stepDown("the journal went on before the claim", now);
+        // Another record came first; it is read before the next try.
+        m_phase = DutyPhase::Following;
+        m_writer = journal::Writer();
+        noteJournalEnd(outcome.m_end);
         return;
     }
     if (outcome.m_stored.empty()) {
         return;
     }
     m_lastStoreContact = std::max(m_lastStoreContact, sentAt);
+    m_ownEnd = outcome.m_end;
+    if (outcome.m_first == m_journal.m_next && m_phase == DutyPhase::Holding) {
+        // The ledger has these records already.
+        m_journal.m_next = outcome.m_end;
+    } else {
+        noteJournalEnd(outcome.m_first);
+    }
     if (m_phase == DutyPhase::Claiming) {
         m_phase = DutyPhase::Confirming;
         return;
@@ -216,7 +334,7 @@
 void Duty::onTick(fleet::Now now)
 {
     if (m_phase == DutyPhase::Following) {
-        if (m_isStarted && now.m_boot >= m_notBefore && m_journal.m_asOf && m_operators.hasCatalog() && isHolderSilent(now)) {
+        if (m_isStarted && now.m_boot >= m_notBefore && m_journal.m_asOf && m_operators.hasCatalog() && isHolderSilent(now) && m_knownEnd <= m_journal.m_next) {
             claim(now);
         }
         return;
@@ -229,7 +347,14 @@
         return;
     }
     send(dispatch::onTick(m_state, around(), now), now);
-    if (m_phase == DutyPhase::Holding && !m_writer.m_sent && now.m_boot - m_lastAppendAt >= aliveInterval) {
+    if (m_phase == DutyPhase::Holding) {
+        sendBeats(now);
+    }
+    const bool isSomeoneSilent = std::any_of(m_answeredAt.begin(), m_answeredAt.end(), [&](const auto &entry) {
+        return now.m_boot - entry.second > answerSilence && now.m_boot - entry.second < knownAlive;
+    });
+    const fleet::Duration interval = isSomeoneSilent ? aliveInterval : quietAliveInterval;
+    if (m_phase == DutyPhase::Holding && !m_writer.m_sent && now.m_boot - m_lastAppendAt >= interval) {
         m_lastAppendAt = now.m_boot;
         journal::enqueue(m_writer, journal::encode(journal::HolderAlive {m_state.m_token}), 0);
     }
--- a/components/node/duty.hpp
+++ b/components/node/duty.hpp
@@ -10,6 +10,7 @@
 #include "components/node/events.hpp"
 #include "components/node/journal_view.hpp"
 #include "components/node/operator_view.hpp"
+#include "components/node/peer_message.hpp"
 #include "components/node/settings.hpp"
 
 #include <cstdint>
@@ -45,6 +46,10 @@
     void onStopEnded(const StopEnded &event, fleet::Now now);
     void onLookEnded(const LookEnded &event, fleet::Now now);
     void onCatalogChanged(fleet::Now now);
+    /// The journal reaches at least as far as this.
+    void noteJournalEnd(std::uint64_t end);
+    /// Another instance sent a message.
+    void onPeerMessage(const PeerMessage &message, fleet::Now now);
     void onTick(fleet::Now now);
     /// Gives the duty up, because the process stops.
     void resign(fleet::Now now);
@@ -53,12 +58,17 @@
     journal::Writer &writer();
     /// Everything recorded has been stored.
     bool isIdle() const;
+    /// The journal should be read at once: another instance appended to it, or the holder may be gone.
+    bool wantsRead(fleet::Now now) const;
     /// Jobs that ended, with the batch that has to be stored before that may be told.
     const std::map<jobs::JobId, std::uint64_t> &unconfirmed() const;
 
 private:
     dispatch::Surroundings around() const;
     bool isHolderSilent(fleet::Now now) const;
+    bool isHolderSuspect(fleet::Now now) const;
+    void sendBeats(fleet::Now now);
+    fleet::Duration storeSilence(fleet::Now now) const;
     void claim(fleet::Now now);
     void begin(fleet::Now now);
     void stepDown(const std::string &why, fleet::Now now);
@@ -78,6 +88,19 @@
     fleet::BootTime m_startedAt;
     fleet::BootTime m_lastAppendAt;
     fleet::BootTime m_lastStoreContact;
+    /// Holder: when the last messages to the other instances were sent.
+    fleet::BootTime m_lastBeatAt;
+    bool m_toldSilence = false;
+    /// Others: when the holder was last heard, and that the store left it without answers then.
+    fleet::BootTime m_holderHeardAt;
+    bool m_isHolderWithoutStore = false;
+    fleet::BootTime m_holderWithoutStoreSince;
+    /// End of the journal behind the last record that this instance stored as the holder.
+    std::uint64_t m_ownEnd = 0;
+    /// The journal is known to reach as far as this.
+    std::uint64_t m_knownEnd = 0;
+    /// When instances last answered.
+    std::map<fleet::InstanceId, fleet::BootTime> m_answeredAt;
     fleet::BootTime m_notBefore;
     std::map<jobs::JobId, std::uint64_t> m_unconfirmed;
     bool m_isStarted = false;
--- a/components/node/events.hpp
+++ b/components/node/events.hpp
@@ -16,6 +16,7 @@
 #include "components/workers/stop_order.hpp"
 
 #include <cstdint>
+#include <string>
 #include <variant>
 
 namespace node
@@ -73,13 +74,19 @@
     workers::LookResult m_result;
 };
 
+/// A datagram of another instance arrived.
+struct DatagramArrived
+{
+    std::string m_bytes;
+};
+
 /// The platform asked the process to stop.
 struct StopRequested
 {
 };
 
 /// What the control thread takes in.
-using Event = std::variant<CallArrived, AppendEnded, JournalRead, OperatorsReadEnded, ListReadEnded, StartEnded, StopEnded, LookEnded, StopRequested>;
+using Event = std::variant<CallArrived, AppendEnded, JournalRead, OperatorsReadEnded, ListReadEnded, StartEnded, StopEnded, LookEnded, DatagramArrived, StopRequested>;
 
 }
 
--- a/components/node/front_desk.cpp
+++ b/components/node/front_desk.cpp
@@ -104,7 +104,7 @@
 
 void FrontDesk::announce(fleet::Now)
 {
-    const journal::InstanceStarted record {m_settings.m_instance, m_settings.m_incarnation, m_settings.m_zone, m_settings.m_peerAddress};
+    const journal::InstanceStarted record {m_settings.m_instance, m_settings.m_incarnation, m_settings.m_zone, m_settings.m_peerAddress, m_settings.m_peerKey};
     journal::enqueue(m_writer, journal::encode(record), 0);
 }
 
@@ -293,6 +293,7 @@
         m_writer.m_sent->m_resendAt = now.m_boot;
         m_ports.log("front fenced epoch=" + std::to_string(m_writer.m_epoch) + " reason=" + result.m_reason);
     }
+    m_storedEnd = std::max(m_storedEnd, outcome.m_end);
     for (const std::uint64_t ticket : outcome.m_stored) {
         const auto found = m_open.find(ticket);
         if (found != m_open.end()) {
@@ -343,6 +344,11 @@
     return m_open.size();
 }
 
+std::uint64_t FrontDesk::storedEnd() const
+{
+    return m_storedEnd;
+}
+
 journal::Writer &FrontDesk::writer()
 {
     return m_writer;
--- a/components/node/front_desk.hpp
+++ b/components/node/front_desk.hpp
@@ -41,6 +41,8 @@
     /// A read of the journal that calls wait for should be made now.
     bool wantsRead(fleet::BootTime now) const;
     std::size_t openCalls() const;
+    /// End of the journal behind the last record that this desk stored.
+    std::uint64_t storedEnd() const;
     journal::Writer &writer();
 
 private:
@@ -74,6 +76,7 @@
     /// Jobs whose end is not stored yet are shown as running.
     const std::map<jobs::JobId, std::uint64_t> &m_unconfirmed;
     journal::Writer m_writer;
+    std::uint64_t m_storedEnd = 0;
     std::map<std::uint64_t, OpenCall> m_open;
 };
 
--- a/components/node/journal_view.cpp
+++ b/components/node/journal_view.cpp
@@ -25,6 +25,7 @@
     if (result.m_outcome != store::ReadOutcome::Read || result.m_from > view.m_next) {
         return false;
     }
+    view.m_readTook = now - sentAt;
     std::uint64_t offset = result.m_from;
     for (const std::string &bytes : result.m_records) {
         if (offset++ < view.m_next) {
@@ -34,7 +35,7 @@
         try {
             const journal::Record record = journal::decode(bytes);
             journal::apply(view.m_ledger, record, changes);
-            if (isFromHolder(record)) {
+            if (isFromHolder(record) && offset > view.m_holderNewsFrom) {
                 view.m_holderSeenAt = now;
             }
         } catch (const wire::CodecError &) {
--- a/components/node/journal_view.hpp
+++ b/components/node/journal_view.hpp
@@ -22,8 +22,12 @@
     std::optional<fleet::BootTime> m_asOf;
     int m_readsOpen = 0;
     fleet::BootTime m_lastReadSentAt;
-    /// Last sign of the holder's life in the journal, by the time it was read.
+    /// How long the store took for the last read.
+    fleet::Duration m_readTook {0};
+    /// When a record of the holder was last read that it wrote after its last message: records before this offset are
+    /// no news of it.
     fleet::BootTime m_holderSeenAt;
+    std::uint64_t m_holderNewsFrom = 0;
     std::uint64_t m_unreadableRecords = 0;
 };
 
--- /dev/null
+++ b/components/node/peer_message.hpp
@@ -0,0 +1,47 @@
+#ifndef COMPONENTS_NODE_PEER_MESSAGE_HPP
+#define COMPONENTS_NODE_PEER_MESSAGE_HPP
+
+#include "components/fleet/fencing_token.hpp"
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/incarnation.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace node
+{
+
+/// What one instance tells another by UDP. It speeds things up and decides nothing: a datagram may be lost or late.
+struct PeerMessage
+{
+    fleet::InstanceId m_from;
+    fleet::Incarnation m_incarnation;
+    /// Token under which the sender holds the scheduling duty; 0 where it does not.
+    fleet::FencingToken m_token;
+    /// End of the journal as far as the sender knows.
+    std::uint64_t m_journalEnd = 0;
+    /// Holder: how long the store has left its calls unanswered, in milliseconds.
+    std::uint32_t m_storeSilenceMs = 0;
+    /// The receiver should answer with a message of its own.
+    bool m_wantsAnswer = false;
+
+    bool operator==(const PeerMessage &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_from, m_incarnation, m_token, m_journalEnd, m_storeSilenceMs, m_wantsAnswer);
+    }
+};
+
+/// Encodes the message behind a tag made with the receiver's key, which instances read in the journal.
+std::string sealPeerMessage(const PeerMessage &message, const std::string &receiverKey);
+
+/// Nothing where the tag is not of this key or the bytes are malformed.
+std::optional<PeerMessage> openPeerMessage(std::string_view bytes, const std::string &ownKey);
+
+}
+
+#endif
--- a/components/node/ports.hpp
+++ b/components/node/ports.hpp
@@ -33,6 +33,8 @@
     virtual void start(const workers::StartOrder &order) = 0;
     virtual void stop(const workers::StopOrder &order) = 0;
     virtual void look(const workers::LookOrder &order, fleet::BootTime now) = 0;
+    /// Sends a datagram to another instance; it may be lost.
+    virtual void sendDatagram(const std::string &address, std::string bytes) = 0;
     virtual void reply(std::uint64_t call, const callers::Reply &reply) = 0;
     /// Whether new connections should be sent here.
     virtual void setReady(bool isReady) = 0;
--- a/components/node/settings.hpp
+++ b/components/node/settings.hpp
@@ -19,6 +19,8 @@
     fleet::ZoneId m_zone;
     /// Where other instances reach this one by UDP.
     std::string m_peerAddress;
+    /// Drawn at the start; others sign what they send here with it.
+    std::string m_peerKey;
     dispatch::Settings m_dispatch;
     /// A key that the operators took away must not be accepted for longer than this.
     fleet::Duration m_keyRevocation {5000};
--- a/components/peers/udp_socket.cpp
+++ b/components/peers/udp_socket.cpp
@@ -1,12 +1,12 @@
 #include "components/peers/udp_socket.hpp"
 
-#include <boost/asio/io_context.hpp>
+#include "components/http/io_thread.hpp"
+
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
 
 #include <array>
 #include <atomic>
-#include <thread>
 #include <utility>
 
 namespace peers
@@ -27,32 +27,26 @@
 
 }
 
-struct UdpSocket::Core
+struct UdpSocket::Core : public std::enable_shared_from_this<Core>
 {
-    Core(const http::Address &bind, Handler handler)
-        : m_socket(m_context, toEndpoint(bind))
+    Core(const http::Address &bind, Handler handler, boost::asio::io_context &context)
+        : m_context(context)
+        , m_socket(context, toEndpoint(bind))
         , m_handler(std::move(handler))
     {
-        receive();
-        m_thread = std::thread([this] {
-            m_context.run();
-        });
-    }
-
-    ~Core()
-    {
-        m_context.stop();
-        m_thread.join();
     }
 
     void receive()
     {
-        m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender, [this](boost::system::error_code error, std::size_t size) {
+        m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender, [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
+            if (self->m_isClosed) {
+                return;
+            }
             if (!error) {
-                m_handler(std::string(m_buffer.data(), size));
+                self->m_handler(std::string(self->m_buffer.data(), size));
             }
             if (error != boost::asio::error::operation_aborted) {
-                receive();
+                self->receive();
             }
         });
     }
@@ -69,21 +63,37 @@
         }
     }
 
-    boost::asio::io_context m_context;
+    boost::asio::io_context &m_context;
     udp::socket m_socket;
     udp::endpoint m_sender;
     std::array<char, maxDatagram> m_buffer {};
     Handler m_handler;
+    std::atomic<bool> m_isClosed {false};
     std::atomic<std::uint64_t> m_failures {0};
-    std::thread m_thread;
 };
 
 UdpSocket::UdpSocket(const http::Address &bind, Handler handler)
-    : m_core(std::make_unique<Core>(bind, std::move(handler)))
+    : UdpSocket(bind, std::move(handler), std::make_shared<http::IoThread>())
 {
 }
 
-UdpSocket::~UdpSocket() = default;
+UdpSocket::UdpSocket(const http::Address &bind, Handler handler, std::shared_ptr<http::IoThread> thread)
+    : m_thread(std::move(thread))
+    , m_core(std::make_shared<Core>(bind, std::move(handler), m_thread->context()))
+{
+    boost::asio::post(m_core->m_context, [core = m_core] {
+        core->receive();
+    });
+}
+
+UdpSocket::~UdpSocket()
+{
+    m_core->m_isClosed = true;
+    boost::asio::post(m_core->m_context, [core = m_core] {
+        boost::system::error_code ignored;
+        core->m_socket.close(ignored);
+    });
+}
 
 std::uint16_t UdpSocket::port() const
 {
@@ -92,7 +102,7 @@
 
 void UdpSocket::send(const http::Address &target, std::string bytes)
 {
-    boost::asio::post(m_core->m_context, [core = m_core.get(), target, bytes = std::move(bytes)] {
+    boost::asio::post(m_core->m_context, [core = m_core, target, bytes = std::move(bytes)] {
         core->send(target, bytes);
     });
 }
--- a/components/peers/udp_socket.hpp
+++ b/components/peers/udp_socket.hpp
@@ -8,10 +8,15 @@
 #include <memory>
 #include <string>
 
+namespace http
+{
+class IoThread;
+}
+
 namespace peers
 {
 
-/// A UDP socket with one thread of its own.
+/// A UDP socket.
 class UdpSocket
 {
 public:
@@ -21,6 +26,8 @@
     /// Binds and receives at once. Port 0 takes a free port from the kernel.
     /// @throws boost::system::system_error where the address cannot be bound.
     UdpSocket(const http::Address &bind, Handler handler);
+    /// On a thread shared with other sockets.
+    UdpSocket(const http::Address &bind, Handler handler, std::shared_ptr<http::IoThread> thread);
     ~UdpSocket();
 
     UdpSocket(const UdpSocket &) = delete;
@@ -36,7 +43,8 @@
 
 private:
     struct Core;
-    std::unique_ptr<Core> m_core;
+    std::shared_ptr<http::IoThread> m_thread;
+    std::shared_ptr<Core> m_core;
 };
 
 }
