--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -53,6 +53,7 @@
     control.m_peerKey = drawKey();
     control.m_dispatch.m_leaseLimit = settings.m_leaseLimit;
     control.m_dispatch.m_stopGrace = settings.m_stopGrace;
+    control.m_dispatch.m_reclaimLimit = settings.m_reclaimLimit;
     control.m_keyRevocation = settings.m_keyRevocation;
     control.m_catalogInForce = settings.m_catalogInForce;
     control.m_statusRetention = settings.m_statusRetention;
@@ -67,7 +68,8 @@
     std::signal(SIGHUP, SIG_IGN);
     std::signal(SIGPIPE, SIG_IGN);
     node::EventQueue queue;
-    platform::Adapter adapter({toAddress(settings.m_callers), toAddress(settings.m_readiness), toAddress(settings.m_peers), toAddress(settings.m_store)}, queue);
+    platform::Adapter adapter({toAddress(settings.m_callers), toAddress(settings.m_readiness), toAddress(settings.m_peers), toAddress(settings.m_store)},
+                              queue);
     node::Control control(toControlSettings(settings), adapter);
     fleet::BootTime nextTick;
     while (!control.isStopped()) {
--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -33,8 +33,7 @@
     });
 }
 
-void addOccurrence(
-    const Context &context, const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence, std::vector<Candidate> &candidates)
+void addOccurrence(const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence, std::vector<Candidate> &candidates)
 {
     for (std::uint16_t i = 0; i < job.m_spec.m_steps.size(); ++i) {
         const jobs::StepSpec &spec = job.m_spec.m_steps[i];
@@ -87,7 +86,7 @@
         const std::uint32_t due = dueOccurrences(job, context.m_now.m_wall);
         for (std::uint32_t occurrence = 0; occurrence < due; ++occurrence) {
             if (!job.m_doneOccurrences.contains(occurrence)) {
-                addOccurrence(context, job, *queue, occurrence, candidates);
+                addOccurrence(job, *queue, occurrence, candidates);
             }
         }
     }
--- /dev/null
+++ b/components/dispatch/eviction.hpp
@@ -0,0 +1,26 @@
+#ifndef COMPONENTS_DISPATCH_EVICTION_HPP
+#define COMPONENTS_DISPATCH_EVICTION_HPP
+
+#include "components/dispatch/room.hpp"
+#include "components/jobs/run_id.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace dispatch
+{
+
+/// Runs to stop on one worker, and what that makes room for.
+struct Eviction
+{
+    Room *m_room = nullptr;
+    std::vector<jobs::RunId> m_victims;
+    /// Tasks of the candidate that fit then.
+    std::uint32_t m_slots = 0;
+    /// Work lost, in core-milliseconds.
+    std::int64_t m_loss = 0;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/dispatch/placing.cpp
@@ -0,0 +1,98 @@
+#include "components/dispatch/placing.hpp"
+
+#include "components/dispatch/candidate.hpp"
+#include "components/dispatch/context.hpp"
+#include "components/dispatch/rooms.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <tuple>
+
+namespace dispatch
+{
+
+namespace
+{
+
+/// Orders workers so that those that the tasks leave with the least stay in front: whole workers are kept for large tasks.
+std::tuple<std::int64_t, std::int64_t, std::int64_t> tightness(const Candidate &candidate, const WorkerState &worker, const fleet::Resources &free)
+{
+    const bool isAwayFromData = !candidate.m_spec->m_dataRack.empty() && worker.m_registration.m_rack.value() != candidate.m_spec->m_dataRack;
+    const std::int64_t penalty = (isAwayFromData ? 1 : 0) + (worker.m_failuresInRow > 0 ? 2 : 0) + (worker.m_registration.m_coldFor.count() > 0 ? 1 : 0);
+    return {penalty, free.m_accelerators, free.m_memoryMb};
+}
+
+struct Option
+{
+    Room *m_room = nullptr;
+    std::uint32_t m_slots = 0;
+    std::tuple<std::int64_t, std::int64_t, std::int64_t> m_order;
+};
+
+std::vector<Option> findOptions(const Context &context, const Candidate &candidate, Rooms &rooms)
+{
+    std::vector<Option> options;
+    for (Room &room : rooms) {
+        if (!mayRun(candidate, *room.m_worker)) {
+            continue;
+        }
+        const fleet::Resources free = freeFor(context, candidate, room);
+        const std::uint32_t slots = slotsOn(candidate, *room.m_worker, free);
+        if (slots > 0) {
+            options.push_back({&room, slots, tightness(candidate, *room.m_worker, free)});
+        }
+    }
+    std::sort(options.begin(), options.end(), [](const Option &a, const Option &b) {
+        return a.m_order < b.m_order;
+    });
+    return options;
+}
+
+Choice fill(const std::vector<Option> &options, std::uint32_t tasks)
+{
+    Choice choice;
+    for (const Option &option : options) {
+        if (choice.m_tasks == tasks) {
+            break;
+        }
+        const std::uint32_t here = std::min(option.m_slots, tasks - choice.m_tasks);
+        choice.m_places.emplace_back(option.m_room, here);
+        choice.m_tasks += here;
+    }
+    return choice;
+}
+
+/// The rack that holds all tasks and has the least room left over.
+Choice fillOneRack(const std::vector<Option> &options, std::uint32_t tasks)
+{
+    std::map<fleet::RackId, std::vector<Option>> racks;
+    std::map<fleet::RackId, std::uint32_t> slots;
+    for (const Option &option : options) {
+        const fleet::RackId &rack = option.m_room->m_worker->m_registration.m_rack;
+        racks[rack].push_back(option);
+        slots[rack] += option.m_slots;
+    }
+    const std::vector<Option> *best = nullptr;
+    std::uint32_t fewest = std::numeric_limits<std::uint32_t>::max();
+    for (const auto &[rack, rackOptions] : racks) {
+        if (slots[rack] >= tasks && slots[rack] < fewest) {
+            best = &rackOptions;
+            fewest = slots[rack];
+        }
+    }
+    return best == nullptr ? Choice() : fill(*best, tasks);
+}
+
+}
+
+Choice choosePlaces(const Context &context, const Candidate &candidate, Rooms &rooms)
+{
+    const auto tasks = static_cast<std::uint32_t>(candidate.m_tasks.size());
+    const std::vector<Option> options = findOptions(context, candidate, rooms);
+    const bool isGang = candidate.m_spec->m_isGang;
+    const Choice choice = isGang && candidate.m_spec->m_wantsOneRack ? fillOneRack(options, tasks) : fill(options, tasks);
+    return isGang && choice.m_tasks < tasks ? Choice() : choice;
+}
+
+}
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -152,6 +152,9 @@
         run->m_percentAt = context.m_now.m_boot;
     }
     run->m_isUncertain = false;
+    if (run->m_percentAt == run->m_startedAt && task.m_percent > 0 && !run->m_checkpoint.empty()) {
+        run->m_firstPercent = task.m_percent;
+    }
     if (task.m_percent != run->m_percent) {
         run->m_percent = task.m_percent;
         run->m_percentAt = context.m_now.m_boot;
--- /dev/null
+++ b/components/dispatch/rooms.cpp
@@ -0,0 +1,88 @@
+#include "components/dispatch/rooms.hpp"
+
+#include "components/dispatch/candidate.hpp"
+#include "components/dispatch/context.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace dispatch
+{
+
+namespace
+{
+
+/// A worker that has not answered for this many orders in a row gets no new runs.
+constexpr int silencesToAvoid = 1;
+
+std::uint32_t countFitting(const fleet::Resources &free, const fleet::Resources &perTask)
+{
+    std::int64_t count = std::numeric_limits<std::uint16_t>::max();
+    const auto limit = [&](std::int64_t have, std::int64_t need) {
+        if (need > 0) {
+            count = std::min(count, std::max<std::int64_t>(have, 0) / need);
+        }
+    };
+    limit(free.m_milliCores, perTask.m_milliCores);
+    limit(free.m_memoryMb, perTask.m_memoryMb);
+    limit(free.m_accelerators, perTask.m_accelerators);
+    return static_cast<std::uint32_t>(count);
+}
+
+bool isUsable(const Context &context, const WorkerState &worker)
+{
+    const fleet::BootTime now = context.m_now.m_boot;
+    return worker.m_isListed && !worker.m_registration.m_isDraining && now >= worker.m_avoidUntil && worker.m_silences < silencesToAvoid
+        && !context.m_zonesOut.contains(worker.m_registration.m_zone);
+}
+
+std::uint32_t countOpenRuns(const Candidate &candidate, const WorkerState &worker)
+{
+    return static_cast<std::uint32_t>(std::count_if(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
+        return run.m_task.m_step == candidate.m_step;
+    }));
+}
+
+}
+
+bool mayRun(const Candidate &candidate, const WorkerState &worker)
+{
+    const std::string &label = candidate.m_spec->m_requiredLabel;
+    const workers::Registration &registration = worker.m_registration;
+    return registration.m_service == candidate.m_queue->m_service && (label.empty() || label == registration.m_kind || label == registration.m_rack.value());
+}
+
+Rooms findRooms(Context &context)
+{
+    Rooms rooms;
+    for (auto &[id, worker] : context.m_state.m_workers) {
+        if (isUsable(context, worker)) {
+            rooms.push_back({&worker, worker.m_registration.m_capacity - worker.m_booked});
+        }
+    }
+    return rooms;
+}
+
+std::uint32_t slotsOn(const Candidate &candidate, const WorkerState &worker, const fleet::Resources &free)
+{
+    std::uint32_t slots = countFitting(free, candidate.m_perTask);
+    if (candidate.m_spec->m_mostPerRunner > 0) {
+        const std::uint32_t open = countOpenRuns(candidate, worker);
+        slots = std::min<std::uint32_t>(slots, candidate.m_spec->m_mostPerRunner > open ? candidate.m_spec->m_mostPerRunner - open : 0);
+    }
+    return slots;
+}
+
+fleet::Resources freeFor(const Context &context, const Candidate &candidate, const Room &room)
+{
+    fleet::Resources free = room.m_free;
+    for (const auto &[step, reservation] : context.m_state.m_reservations) {
+        const auto reserved = reservation.m_room.find(room.m_worker->m_registration.m_life.m_worker);
+        if (step != candidate.m_step && reserved != reservation.m_room.end()) {
+            free = free - reserved->second;
+        }
+    }
+    return free;
+}
+
+}
--- /dev/null
+++ b/components/dispatch/rooms.hpp
@@ -0,0 +1,28 @@
+#ifndef COMPONENTS_DISPATCH_ROOMS_HPP
+#define COMPONENTS_DISPATCH_ROOMS_HPP
+
+#include "components/dispatch/room.hpp"
+
+#include <cstdint>
+
+namespace dispatch
+{
+
+struct Candidate;
+struct Context;
+
+/// Every worker that new runs may be given to.
+Rooms findRooms(Context &context);
+
+/// True where the worker has what the step asks for, room aside.
+bool mayRun(const Candidate &candidate, const WorkerState &worker);
+
+/// What the room has for the candidate beside what is reserved for other steps.
+fleet::Resources freeFor(const Context &context, const Candidate &candidate, const Room &room);
+
+/// Tasks of the candidate that a worker with `free` can take.
+std::uint32_t slotsOn(const Candidate &candidate, const WorkerState &worker, const fleet::Resources &free);
+
+}
+
+#endif
--- a/components/dispatch/run_state.hpp
+++ b/components/dispatch/run_state.hpp
@@ -40,6 +40,8 @@
 
     /// Progress as the worker told it last, and when it last moved.
     int m_percent = 0;
+    /// Progress that the run began with; more than 0 where it went on from a checkpoint.
+    int m_firstPercent = 0;
     fleet::BootTime m_percentAt;
     std::string m_checkpoint;
     std::string m_ticket;
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -87,8 +87,8 @@
     const catalog::Queue *queue = catalog::findQueue(context.m_catalog, job.m_spec.m_queue);
     const fleet::TimePoint objective = queue == nullptr ? job.m_acceptedAt : objectiveOf(job, *queue, job.occurrenceCount() - 1);
     context.m_out.m_log.push_back("job-end job=" + toString(job.m_spec.m_id) + " state=" + names[static_cast<int>(stateOf(job))]
-                                  + " took_ms=" + std::to_string((context.m_now.m_wall - job.m_acceptedAt).count())
-                                  + " objective_ms=" + std::to_string((objective - job.m_acceptedAt).count()) + " prio=" + std::to_string(priorityOf(context, job)));
+                                  + " took_ms=" + std::to_string((context.m_now.m_wall - job.m_acceptedAt).count()) + " objective_ms="
+                                  + std::to_string((objective - job.m_acceptedAt).count()) + " prio=" + std::to_string(priorityOf(context, job)));
 }
 
 }
@@ -187,9 +187,9 @@
         return;
     }
     context.m_out.m_log.push_back("stop task=" + toString(run.m_task) + " run=" + std::to_string(run.m_run) + " worker=" + state->m_on.m_worker.value()
-                                  + " percent=" + std::to_string(state->m_percent) + " prio=" + std::to_string(state->m_priority) + " cores="
-                                  + std::to_string(state->m_booked.m_milliCores / 1000 + state->m_booked.m_accelerators * 8) + " ran_ms="
-                                  + std::to_string(state->m_phase == RunPhase::Running ? (context.m_now.m_boot - state->m_startedAt).count() : 0)
+                                  + " percent=" + std::to_string(state->m_percent) + " prio=" + std::to_string(state->m_priority)
+                                  + " cores=" + std::to_string(state->m_booked.m_milliCores / 1000 + state->m_booked.m_accelerators * 8)
+                                  + " ran_ms=" + std::to_string(state->m_phase == RunPhase::Running ? (context.m_now.m_boot - state->m_startedAt).count() : 0)
                                   + " saved=" + (state->m_checkpoint.empty() ? "0" : "1") + " why=" + why);
     state->m_stopWanted = true;
     state->m_stopWantedAt = context.m_now.m_boot;
--- a/components/node/events.hpp
+++ b/components/node/events.hpp
@@ -86,7 +86,8 @@
 };
 
 /// What the control thread takes in.
-using Event = std::variant<CallArrived, AppendEnded, JournalRead, OperatorsReadEnded, ListReadEnded, StartEnded, StopEnded, LookEnded, DatagramArrived, StopRequested>;
+using Event
+    = std::variant<CallArrived, AppendEnded, JournalRead, OperatorsReadEnded, ListReadEnded, StartEnded, StopEnded, LookEnded, DatagramArrived, StopRequested>;
 
 }
 
