A successor waits only for holders that may still renew; waiting for room is dropped

A holder without the store for 4 s renews nothing instead of stepping down, so the longest wait is 10.2 s.

--- a/components/dispatch/evictions.cpp
+++ b/components/dispatch/evictions.cpp
@@ -2,7 +2,6 @@
 
 #include "components/dispatch/candidate.hpp"
 #include "components/dispatch/context.hpp"
-#include "components/dispatch/progress.hpp"
 #include "components/dispatch/rooms.hpp"
 #include "components/dispatch/victim.hpp"
 
@@ -163,18 +162,4 @@
     });
 }
 
-std::vector<Eviction> expectRoom(const Context &context, const Candidate &candidate, Rooms &rooms, fleet::Duration wait)
-{
-    return choose(candidate, rooms, [&](Room &room, std::uint32_t) {
-        fleet::Resources free = freeFor(context, candidate, room);
-        for (const jobs::RunId &id : room.m_worker->m_runs) {
-            const RunState &run = context.m_state.m_runs.at(id);
-            if (run.m_stopWanted || remainingTime(context, id, run) <= wait) {
-                free = free + run.m_booked;
-            }
-        }
-        return Eviction {&room, {}, slotsOn(candidate, *room.m_worker, free), 0};
-    });
-}
-
 }
--- a/components/dispatch/evictions.hpp
+++ b/components/dispatch/evictions.hpp
@@ -2,7 +2,6 @@
 #define COMPONENTS_DISPATCH_EVICTIONS_HPP
 
 #include "components/dispatch/eviction.hpp"
-#include "components/fleet/time.hpp"
 
 #include <vector>
 
@@ -16,10 +15,6 @@
 /// none.
 std::vector<Eviction> chooseEvictions(const Context &context, const Candidate &candidate, Rooms &rooms);
 
-/// Workers that will probably have room for all tasks of the candidate within `wait` without stopping anything; empty where
-/// there are none.
-std::vector<Eviction> expectRoom(const Context &context, const Candidate &candidate, Rooms &rooms, fleet::Duration wait);
-
 }
 
 #endif
--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -103,10 +103,10 @@
     if (!worker.m_clockMs) {
         return std::nullopt;
     }
-    if (worker.m_silences > 0 && worker.m_promisedUntilMs > 0) {
-        // An order without an answer may have been carried out; extending the lease with each try would put off for ever
+    if (!context.m_state.m_mayRenew || (worker.m_silences > 0 && worker.m_promisedUntilMs > 0)) {
+        // Without the store another instance may hold the duty. An order without an answer may have been carried out; extending the lease with each try would put off for ever
         // the time when the runs can be given up.
-        return worker.m_promisedUntilMs;
+        return worker.m_promisedUntilMs > 0 ? std::optional(worker.m_promisedUntilMs) : std::nullopt;
     }
     return *worker.m_clockMs + (context.m_now.m_boot - worker.m_clockAt).count() + length.count();
 }
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -3,7 +3,6 @@
 #include "components/dispatch/candidates.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/evictions.hpp"
-#include "components/dispatch/objectives.hpp"
 #include "components/dispatch/placing.hpp"
 #include "components/dispatch/rooms.hpp"
 #include "components/dispatch/runs.hpp"
@@ -18,11 +17,6 @@
 
 /// Room made for a step is kept for it this long: a stop, its end being stored, and a look in between.
 constexpr fleet::Duration reservationTime {1500};
-/// From the order to stop a run until another can begin in its place.
-constexpr fleet::Duration evictionTime {300};
-/// A job takes this much longer than estimated before it is given up that it meets its objective by waiting.
-constexpr double estimateMargin = 1.25;
-
 std::uint32_t nextRun(const journal::JobRecord &job, const Candidate &candidate)
 {
     const journal::StepRecord *record = journal::findStep(job, candidate.m_step);
@@ -51,42 +45,24 @@
                                   + " step=" + std::to_string(candidate.m_step.m_step) + " run=" + std::to_string(run) + " tasks=" + std::to_string(next));
 }
 
-/// How long the candidate can wait for room before runs have to be stopped for it.
-fleet::Duration patienceOf(const Context &context, const Candidate &candidate)
-{
-    const journal::JobRecord &job = context.m_ledger.m_jobs.at(candidate.m_step.m_job);
-    const double expected = static_cast<double>(longestChain(job.m_spec).count()) * estimateMargin;
-    fleet::TimePoint latest = candidate.m_objective - fleet::Duration(static_cast<std::int64_t>(expected));
-    // Guaranteed capacity is there within its own bound.
-    latest = std::min(latest, job.m_acceptedAt + context.m_state.m_settings.m_reclaimLimit / 2);
-    return std::max(fleet::Duration(0), latest - evictionTime - context.m_now.m_wall);
-}
-
-void reserve(Context &context, const Candidate &candidate, const std::vector<Eviction> &evictions, fleet::Duration length, bool isWaiting)
+void reserve(Context &context, const Candidate &candidate, const std::vector<Eviction> &evictions)
 {
     Reservation reservation;
-    reservation.m_until = context.m_now.m_boot + length;
-    reservation.m_isWaiting = isWaiting;
+    reservation.m_until = context.m_now.m_boot + reservationTime;
     for (const Eviction &eviction : evictions) {
         reservation.m_room[eviction.m_room->m_worker->m_registration.m_life.m_worker] = candidate.m_perTask * eviction.m_slots;
     }
     context.m_state.m_reservations[candidate.m_step] = std::move(reservation);
 }
 
-/// Waits for room that will come in time, or else stops runs of lower priority.
+/// Stops runs of lower priority for the candidate.
 void makeRoom(Context &context, const Candidate &candidate, Rooms &rooms)
 {
-    const fleet::Duration patience = patienceOf(context, candidate);
-    const std::vector<Eviction> expected = patience.count() > 0 ? expectRoom(context, candidate, rooms, patience) : std::vector<Eviction>();
-    if (!expected.empty()) {
-        reserve(context, candidate, expected, patience, true);
-        return;
-    }
     const std::vector<Eviction> chosen = chooseEvictions(context, candidate, rooms);
     if (chosen.empty()) {
         return;
     }
-    reserve(context, candidate, chosen, reservationTime, false);
+    reserve(context, candidate, chosen);
     for (const Eviction &eviction : chosen) {
         for (const jobs::RunId &victim : eviction.m_victims) {
             wantStop(context, victim, "room-for-" + toString(candidate.m_step.m_job));
@@ -109,9 +85,7 @@
         start(context, candidate, choice);
         candidate.m_tasks.erase(candidate.m_tasks.begin(), candidate.m_tasks.begin() + choice.m_tasks);
     }
-    const auto reservation = context.m_state.m_reservations.find(candidate.m_step);
-    const bool isBeingMade = reservation != context.m_state.m_reservations.end() && !reservation->second.m_isWaiting;
-    if (!candidate.m_tasks.empty() && candidate.m_queue->m_priority == 0 && !isBeingMade) {
+    if (!candidate.m_tasks.empty() && candidate.m_queue->m_priority == 0 && !context.m_state.m_reservations.contains(candidate.m_step)) {
         makeRoom(context, candidate, rooms);
     }
 }
--- a/components/dispatch/reservation.hpp
+++ b/components/dispatch/reservation.hpp
@@ -15,8 +15,6 @@
 {
     std::map<fleet::WorkerId, fleet::Resources> m_room;
     fleet::BootTime m_until;
-    /// The room will come by itself; nothing was stopped for it.
-    bool m_isWaiting = false;
 };
 
 }
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -28,6 +28,8 @@
     std::map<jobs::StepId, Reservation> m_reservations;
     std::deque<StoredNote> m_unstored;
     std::uint64_t m_nextBatch = 1;
+    /// The store was reached lately enough to renew leases.
+    bool m_mayRenew = true;
     /// Something changed that may let a step start.
     bool m_planIsDue = true;
 };
--- a/components/dispatch/step.cpp
+++ b/components/dispatch/step.cpp
@@ -147,6 +147,13 @@
     return finish(context);
 }
 
+void noteFormerHoldersEnded(State &state, fleet::BootTime until)
+{
+    for (auto &[id, worker] : state.m_workers) {
+        worker.m_foreignLeaseUntil = std::min(worker.m_foreignLeaseUntil, until);
+    }
+}
+
 Outbox onListRead(State &state, const Surroundings &around, const std::vector<workers::Registration> &registrations, fleet::Now now)
 {
     Context context = makeContext(state, around, now);
--- a/components/dispatch/step.hpp
+++ b/components/dispatch/step.hpp
@@ -17,6 +17,9 @@
 /// `foreignLeaseUntil`.
 Outbox takeOver(State &state, const Surroundings &around, fleet::BootTime foreignLeaseUntil, fleet::Now now);
 
+/// Every holder before is known to have ended: what it promised lapses by `until`.
+void noteFormerHoldersEnded(State &state, fleet::BootTime until);
+
 /// The platform's list of workers was read; `registrations` is all of it.
 Outbox onListRead(State &state, const Surroundings &around, const std::vector<workers::Registration> &registrations, fleet::Now now);
 
--- a/components/journal/changes.hpp
+++ b/components/journal/changes.hpp
@@ -16,7 +16,7 @@
     /// Every job that a record touched, in the order of the records.
     std::vector<jobs::JobId> m_touched;
     bool m_holderChanged = false;
-    bool m_holderSeen = false;
+    bool m_instanceStarted = false;
 
     bool operator==(const Changes &) const = default;
 };
--- /dev/null
+++ b/components/journal/former_holder.hpp
@@ -0,0 +1,21 @@
+#ifndef COMPONENTS_JOURNAL_FORMER_HOLDER_HPP
+#define COMPONENTS_JOURNAL_FORMER_HOLDER_HPP
+
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/incarnation.hpp"
+
+namespace journal
+{
+
+/// An incarnation that held the scheduling duty, was replaced, and is not known to have ended. It may not know yet.
+struct FormerHolder
+{
+    fleet::InstanceId m_instance;
+    fleet::Incarnation m_incarnation;
+
+    bool operator==(const FormerHolder &) const = default;
+};
+
+}
+
+#endif
--- a/components/journal/ledger.cpp
+++ b/components/journal/ledger.cpp
@@ -175,15 +175,29 @@
 void applyBody(Ledger &ledger, const InstanceStarted &record, Changes &changes)
 {
     ledger.m_instances[record.m_instance] = {record.m_incarnation, record.m_zone, record.m_peerAddress, record.m_peerKey};
-    changes.m_holderChanged = changes.m_holderChanged || record.m_instance == ledger.m_holder.m_instance;
+    // A new incarnation shows that the one before has ended.
+    std::erase_if(ledger.m_formerHolders, [&](const FormerHolder &former) {
+        return former.m_instance == record.m_instance && former.m_incarnation != record.m_incarnation;
+    });
+    changes.m_instanceStarted = true;
+}
+
+void noteFormerHolder(Ledger &ledger)
+{
+    const HolderRecord &holder = ledger.m_holder;
+    const auto instance = ledger.m_instances.find(holder.m_instance);
+    const bool hasEnded = holder.m_hasResigned || instance == ledger.m_instances.end() || instance->second.m_incarnation != holder.m_incarnation;
+    if (holder.m_token.m_value > 0 && !hasEnded) {
+        ledger.m_formerHolders.push_back({holder.m_instance, holder.m_incarnation});
+    }
 }
 
 void applyBody(Ledger &ledger, const HolderClaimed &record, Changes &changes)
 {
     if (record.m_token > ledger.m_holder.m_token) {
+        noteFormerHolder(ledger);
         ledger.m_holder = {record.m_token, record.m_instance, record.m_incarnation, false, {}};
         changes.m_holderChanged = true;
-        changes.m_holderSeen = true;
     }
 }
 
@@ -196,9 +210,8 @@
     }
 }
 
-void applyBody(Ledger &ledger, const HolderAlive &record, Changes &changes)
+void applyBody(Ledger &, const HolderAlive &, Changes &)
 {
-    changes.m_holderSeen = changes.m_holderSeen || record.m_token == ledger.m_holder.m_token;
 }
 
 }
--- a/components/journal/ledger.hpp
+++ b/components/journal/ledger.hpp
@@ -2,6 +2,7 @@
 #define COMPONENTS_JOURNAL_LEDGER_HPP
 
 #include "components/fleet/identifiers.hpp"
+#include "components/journal/former_holder.hpp"
 #include "components/journal/holder_record.hpp"
 #include "components/journal/instance_record.hpp"
 #include "components/journal/job_record.hpp"
@@ -9,6 +10,7 @@
 
 #include <map>
 #include <unordered_map>
+#include <vector>
 
 namespace journal
 {
@@ -22,6 +24,7 @@
     std::unordered_map<jobs::JobId, JobRecord> m_jobs;
     std::map<fleet::InstanceId, InstanceRecord> m_instances;
     HolderRecord m_holder;
+    std::vector<FormerHolder> m_formerHolders;
     /// Jobs by the time they ended, for forgetting them.
     std::multimap<fleet::TimePoint, jobs::JobId> m_ended;
 
--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -37,6 +37,9 @@
 constexpr fleet::Duration answerSilence {500};
 /// After losing the duty an instance waits this long before it claims again.
 constexpr fleet::Duration claimPause {3000};
+/// A worker's clock may run 2% slow; a lease lasts that much longer, and a little for the way of the last order.
+constexpr int slowClockNumerator = 103;
+constexpr int slowClockDenominator = 100;
 constexpr fleet::Duration listInterval {500};
 /// While the holder is looked for, the journal is read this often.
 constexpr fleet::Duration suspectReadInterval {100};
@@ -169,6 +172,11 @@
     m_lastAppendAt = now.m_boot;
 }
 
+fleet::BootTime Duty::lapseOfLeasesGivenUntil(fleet::BootTime time) const
+{
+    return time + m_settings.m_dispatch.m_leaseLimit * slowClockNumerator / slowClockDenominator;
+}
+
 void Duty::begin(fleet::Now now)
 {
     m_phase = DutyPhase::Holding;
@@ -180,7 +188,9 @@
     m_listNext.reset();
     m_nextListReadAt = now.m_boot;
     m_ports.log("duty hold token=" + std::to_string(m_state.m_token.m_value));
-    const fleet::BootTime foreignLeaseUntil = now.m_boot + m_settings.m_dispatch.m_holderAuthority + m_settings.m_dispatch.m_leaseLimit * 21 / 20;
+    const bool mayFormerRenew = !m_journal.m_ledger.m_formerHolders.empty();
+    const fleet::BootTime foreignLeaseUntil
+        = lapseOfLeasesGivenUntil(now.m_boot + (mayFormerRenew ? m_settings.m_dispatch.m_holderAuthority : fleet::Duration(0)));
     send(dispatch::takeOver(m_state, around(), foreignLeaseUntil, now), now);
 }
 
@@ -223,6 +233,9 @@
     } else if (m_phase == DutyPhase::Holding && holder.m_token.m_value != m_writer.m_epoch) {
         stepDown("another instance holds the duty", now);
     }
+    if (m_phase == DutyPhase::Holding && changes.m_instanceStarted && m_journal.m_ledger.m_formerHolders.empty()) {
+        dispatch::noteFormerHoldersEnded(m_state, lapseOfLeasesGivenUntil(now.m_boot));
+    }
     if (m_phase == DutyPhase::Holding && (!changes.m_accepted.empty() || !changes.m_cancelled.empty())) {
         std::vector<jobs::JobId> changed = changes.m_accepted;
         changed.insert(changed.end(), changes.m_cancelled.begin(), changes.m_cancelled.end());
@@ -342,10 +355,7 @@
     if (m_phase != DutyPhase::Holding) {
         return;
     }
-    if (now.m_boot - m_lastStoreContact > m_settings.m_dispatch.m_holderAuthority) {
-        stepDown("the store was out of reach for too long", now);
-        return;
-    }
+    m_state.m_mayRenew = now.m_boot - m_lastStoreContact < m_settings.m_dispatch.m_holderAuthority;
     send(dispatch::onTick(m_state, around(), now), now);
     if (m_phase == DutyPhase::Holding) {
         sendBeats(now);
--- a/components/node/duty.hpp
+++ b/components/node/duty.hpp
@@ -70,6 +70,8 @@
     void sendBeats(fleet::Now now);
     fleet::Duration storeSilence(fleet::Now now) const;
     void claim(fleet::Now now);
+    /// When a lease that was renewed for the last time at `time` has lapsed.
+    fleet::BootTime lapseOfLeasesGivenUntil(fleet::BootTime time) const;
     void begin(fleet::Now now);
     void stepDown(const std::string &why, fleet::Now now);
     void send(dispatch::Outbox &&outbox, fleet::Now now);
