--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -53,6 +53,7 @@
     control.m_peerKey = drawKey();
     control.m_dispatch.m_leaseLimit = settings.m_leaseLimit;
     control.m_dispatch.m_stopGrace = settings.m_stopGrace;
+    control.m_dispatch.m_gangWait = settings.m_gangWait;
     control.m_dispatch.m_reclaimLimit = settings.m_reclaimLimit;
     control.m_keyRevocation = settings.m_keyRevocation;
     control.m_catalogInForce = settings.m_catalogInForce;
--- a/components/dispatch/candidate.hpp
+++ b/components/dispatch/candidate.hpp
@@ -1,11 +1,14 @@
 #ifndef COMPONENTS_DISPATCH_CANDIDATE_HPP
 #define COMPONENTS_DISPATCH_CANDIDATE_HPP
 
+#include "components/fleet/identifiers.hpp"
 #include "components/fleet/resources.hpp"
 #include "components/fleet/time.hpp"
 #include "components/jobs/step_id.hpp"
+#include "components/workers/life.hpp"
 
 #include <cstdint>
+#include <set>
 #include <vector>
 
 namespace catalog
@@ -28,6 +31,11 @@
     const jobs::StepSpec *m_spec = nullptr;
     const catalog::Queue *m_queue = nullptr;
     std::vector<std::uint16_t> m_tasks;
+    /// The run that the tasks join, where the rest of their gang is there already; else 0.
+    std::uint32_t m_joinedRun = 0;
+    /// Joining: the rack of the others where the step wants one rack, and the workers that refused the run.
+    fleet::RackId m_joinedRack;
+    std::set<workers::Life> m_refusedBy;
     fleet::Resources m_perTask;
     /// When the job should be complete to meet its objective.
     fleet::TimePoint m_objective;
--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-/// Tasks of the step that are neither done nor running; for a gang all of them or none.
+/// Tasks of the step that are neither done nor running; for a gang all of them, or those that can join the others.
 std::vector<std::uint16_t> startableTasks(const jobs::StepSpec &spec, const journal::StepRecord *record)
 {
     std::vector<std::uint16_t> tasks;
@@ -23,7 +23,7 @@
         }
     }
     const bool isPart = spec.m_isGang && tasks.size() < spec.m_tasks;
-    return isPart ? std::vector<std::uint16_t>() : tasks;
+    return isPart && journal::joinableRun(*record) == 0 ? std::vector<std::uint16_t>() : tasks;
 }
 
 bool areDependenciesDone(const journal::JobRecord &job, std::uint32_t occurrence, const jobs::StepSpec &step)
@@ -33,7 +33,26 @@
     });
 }
 
-void addOccurrence(const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence, std::vector<Candidate> &candidates)
+/// Notes which run of the gang the missing members join, and where.
+void joinGang(const Context &context, const journal::StepRecord &record, Candidate &candidate)
+{
+    candidate.m_joinedRun = journal::joinableRun(record);
+    for (const journal::TaskRecord &task : record.m_tasks) {
+        if (!task.m_open.empty()) {
+            const auto worker = context.m_state.m_workers.find(task.m_open.front().m_on.m_worker);
+            const bool isKnown = worker != context.m_state.m_workers.end() && candidate.m_spec->m_wantsOneRack;
+            candidate.m_joinedRack = isKnown ? worker->second.m_registration.m_rack : candidate.m_joinedRack;
+        }
+        for (const journal::OpenRun &refused : task.m_neverBegan) {
+            if (refused.m_run == candidate.m_joinedRun) {
+                candidate.m_refusedBy.insert(refused.m_on);
+            }
+        }
+    }
+}
+
+void addOccurrence(
+    const Context &context, const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence, std::vector<Candidate> &candidates)
 {
     for (std::uint16_t i = 0; i < job.m_spec.m_steps.size(); ++i) {
         const jobs::StepSpec &spec = job.m_spec.m_steps[i];
@@ -47,7 +66,17 @@
         }
         fleet::Resources perTask = spec.m_perTask;
         perTask.m_milliCores = spec.m_usesIdleProcessor ? 0 : perTask.m_milliCores;
-        candidates.push_back({id, &spec, &queue, std::move(tasks), perTask, objectiveOf(job, queue, occurrence)});
+        Candidate candidate;
+        candidate.m_step = id;
+        candidate.m_spec = &spec;
+        candidate.m_queue = &queue;
+        candidate.m_perTask = perTask;
+        candidate.m_objective = objectiveOf(job, queue, occurrence);
+        candidate.m_tasks = std::move(tasks);
+        if (spec.m_isGang && candidate.m_tasks.size() < spec.m_tasks) {
+            joinGang(context, *journal::findStep(job, id), candidate);
+        }
+        candidates.push_back(std::move(candidate));
     }
 }
 
@@ -86,7 +115,7 @@
         const std::uint32_t due = dueOccurrences(job, context.m_now.m_wall);
         for (std::uint32_t occurrence = 0; occurrence < due; ++occurrence) {
             if (!job.m_doneOccurrences.contains(occurrence)) {
-                addOccurrence(job, *queue, occurrence, candidates);
+                addOccurrence(context, job, *queue, occurrence, candidates);
             }
         }
     }
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -24,6 +24,9 @@
     if (record != nullptr) {
         for (const journal::TaskRecord &task : record->m_tasks) {
             highest = std::max(highest, task.m_lastRun);
+            for (const journal::OpenRun &run : task.m_neverBegan) {
+                highest = std::max(highest, run.m_run);
+            }
         }
     }
     return highest + 1;
@@ -32,7 +35,7 @@
 void start(Context &context, const Candidate &candidate, const Choice &choice)
 {
     const journal::JobRecord &job = context.m_ledger.m_jobs.at(candidate.m_step.m_job);
-    const std::uint32_t run = nextRun(job, candidate);
+    const std::uint32_t run = candidate.m_joinedRun > 0 ? candidate.m_joinedRun : nextRun(job, candidate);
     std::size_t next = 0;
     for (const auto &[room, tasks] : choice.m_places) {
         for (std::uint32_t i = 0; i < tasks; ++i) {
--- a/components/dispatch/rooms.cpp
+++ b/components/dispatch/rooms.cpp
@@ -49,7 +49,9 @@
 {
     const std::string &label = candidate.m_spec->m_requiredLabel;
     const workers::Registration &registration = worker.m_registration;
-    return registration.m_service == candidate.m_queue->m_service && (label.empty() || label == registration.m_kind || label == registration.m_rack.value());
+    const bool isInRack = candidate.m_joinedRack.empty() || candidate.m_joinedRack == registration.m_rack;
+    return isInRack && !candidate.m_refusedBy.contains(registration.m_life) && registration.m_service == candidate.m_queue->m_service
+        && (label.empty() || label == registration.m_kind || label == registration.m_rack.value());
 }
 
 Rooms findRooms(Context &context)
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -60,8 +60,20 @@
     return runs;
 }
 
+/// True where the members of the gang that never began may still be given to other workers.
+bool canStillJoin(const Context &context, const journal::StepRecord &record, const std::vector<jobs::RunId> &open)
+{
+    if (open.empty() || journal::joinableRun(record) == 0) {
+        return false;
+    }
+    return std::none_of(open.begin(), open.end(), [&](const jobs::RunId &run) {
+        const RunState &state = context.m_state.m_runs.at(run);
+        return state.m_stopWanted || context.m_now.m_boot - state.m_launchedAt > context.m_state.m_settings.m_gangWait / 2;
+    });
+}
+
 /// A gang whose member ended without being done cannot go on; a task that is done needs no copies.
-std::vector<jobs::RunId> needlessRuns(const journal::JobRecord &job, const journal::StepRecord &record, const jobs::StepId &step)
+std::vector<jobs::RunId> needlessRuns(const Context &context, const journal::JobRecord &job, const journal::StepRecord &record, const jobs::StepId &step)
 {
     std::vector<jobs::RunId> needless;
     const std::vector<jobs::RunId> open = openRuns(record, step);
@@ -73,7 +85,8 @@
         return open;
     }
     if (stepOf(job, step).m_isGang) {
-        return open.size() == record.m_tasks.size() ? needless : open;
+        const bool isWhole = open.size() == record.m_tasks.size();
+        return isWhole || canStillJoin(context, record, open) ? needless : open;
     }
     std::copy_if(open.begin(), open.end(), std::back_inserter(needless), [&](const jobs::RunId &run) {
         return record.m_tasks[run.m_task.m_index].m_isDone;
@@ -81,6 +94,14 @@
     return needless;
 }
 
+void noteIncomplete(Context &context, const journal::StepRecord &record, const jobs::StepId &step)
+{
+    const std::size_t open = openRuns(record, step).size();
+    if (open > 0 && open < record.m_tasks.size() && context.m_ledger.m_jobs.at(step.m_job).m_spec.m_steps[step.m_step].m_isGang) {
+        context.m_state.m_incompleteGangs.insert(step);
+    }
+}
+
 void logJobEnd(Context &context, const journal::JobRecord &job)
 {
     static const char *const names[] = {"queued", "running", "completed", "failed", "cancelled"};
@@ -209,8 +230,9 @@
     for (const auto &[number, occurrence] : job->m_occurrences) {
         for (std::uint16_t i = 0; i < occurrence.m_steps.size(); ++i) {
             const jobs::StepId step {id, number, i};
-            const std::vector<jobs::RunId> runs = needlessRuns(*job, occurrence.m_steps[i], step);
+            const std::vector<jobs::RunId> runs = needlessRuns(context, *job, occurrence.m_steps[i], step);
             needless.insert(needless.end(), runs.begin(), runs.end());
+            noteIncomplete(context, occurrence.m_steps[i], step);
         }
     }
     for (const jobs::RunId &run : needless) {
--- a/components/dispatch/settings.hpp
+++ b/components/dispatch/settings.hpp
@@ -13,6 +13,8 @@
     fleet::Duration m_leaseLimit {6000};
     /// Longest time from an order to stop until the run is over.
     fleet::Duration m_stopGrace {200};
+    /// How long the members of a gang wait on their workers for the others.
+    fleet::Duration m_gangWait {3000};
     /// Guaranteed capacity is there within this time from when it is asked for.
     fleet::Duration m_reclaimLimit {2700};
     /// How long a worker waits for an end before it answers a look. At most a third of the lease, so that one lost
--- a/components/dispatch/step.cpp
+++ b/components/dispatch/step.cpp
@@ -211,6 +211,9 @@
 {
     Context context = makeContext(state, around, now);
     endLapsedRuns(context);
+    for (const jobs::StepId &gang : std::exchange(state.m_incompleteGangs, {})) {
+        context.m_touched.insert(gang.m_job);
+    }
     state.m_planIsDue = true;
     return finish(context);
 }
--- a/components/journal/job_record.cpp
+++ b/components/journal/job_record.cpp
@@ -1,5 +1,7 @@
 #include "components/journal/job_record.hpp"
 
+#include <algorithm>
+
 namespace journal
 {
 
@@ -30,6 +32,19 @@
     return step != nullptr && task.m_index < step->m_tasks.size() ? &step->m_tasks[task.m_index] : nullptr;
 }
 
+std::uint32_t joinableRun(const StepRecord &gang)
+{
+    std::uint32_t run = 0;
+    for (const TaskRecord &task : gang.m_tasks) {
+        run = std::max(run, task.m_open.empty() ? 0 : task.m_open.front().m_run);
+    }
+    const bool isWhole = std::all_of(gang.m_tasks.begin(), gang.m_tasks.end(), [&](const TaskRecord &task) {
+        const bool isIn = !task.m_open.empty() && task.m_open.front().m_run == run;
+        return isIn || (task.m_open.empty() && task.m_lastRun < run && !task.m_isDone);
+    });
+    return isWhole ? run : 0;
+}
+
 bool isStepDone(const JobRecord &job, std::uint32_t occurrence, std::uint16_t step)
 {
     if (job.m_doneOccurrences.contains(occurrence)) {
--- a/components/journal/job_record.hpp
+++ b/components/journal/job_record.hpp
@@ -56,6 +56,9 @@
 /// The record of a task, or nullptr where its occurrence has no record: not begun, or done.
 const TaskRecord *findTask(const JobRecord &job, const jobs::TaskId &task);
 const StepRecord *findStep(const JobRecord &job, const jobs::StepId &step);
+/// The run of a gang that some members have begun or are about to begin and that every other one can still join; 0 where
+/// there is none.
+std::uint32_t joinableRun(const StepRecord &gang);
 bool isStepDone(const JobRecord &job, std::uint32_t occurrence, std::uint16_t step);
 
 }
--- a/components/journal/ledger.cpp
+++ b/components/journal/ledger.cpp
@@ -63,11 +63,16 @@
     }
     JobRecord &job = found->second;
     TaskRecord &record = occurrenceOf(job, task.m_step.m_occurrence).m_steps[task.m_step.m_step].m_tasks[task.m_index];
-    if (launch.m_run.m_run <= record.m_lastRun) {
+    const OpenRun open {launch.m_run.m_run, launch.m_on};
+    const bool neverBegan = std::find(record.m_neverBegan.begin(), record.m_neverBegan.end(), open) != record.m_neverBegan.end();
+    if (launch.m_run.m_run <= record.m_lastRun || neverBegan) {
         return;
     }
+    std::erase_if(record.m_neverBegan, [&](const OpenRun &run) {
+        return run.m_run < launch.m_run.m_run;
+    });
     record.m_lastRun = launch.m_run.m_run;
-    record.m_open.push_back({launch.m_run.m_run, launch.m_on});
+    record.m_open.push_back(open);
     job.m_hasBegun = true;
     ++job.m_openRuns;
     changes.m_touched.push_back(task.m_step.m_job);
@@ -126,6 +131,26 @@
     }
 }
 
+/// The checkpoint of any member stands for the whole gang. One that a worker wrote at the end of the run is newer than the
+/// one that was seen last of a run that was lost.
+void noteCheckpoint(const JobRecord &job, StepRecord &step, TaskRecord &task, const EndedRun &ended)
+{
+    if (ended.m_checkpoint.empty()) {
+        return;
+    }
+    if (!job.m_spec.m_steps[ended.m_run.m_task.m_step.m_step].m_isGang) {
+        task.m_checkpoint = ended.m_checkpoint;
+        return;
+    }
+    const bool isFresh = ended.m_end == jobs::RunEnd::Stopped || ended.m_end == jobs::RunEnd::Broken;
+    if (ended.m_run.m_run > step.m_checkpointRun || (isFresh && ended.m_run.m_run == step.m_checkpointRun)) {
+        step.m_checkpointRun = ended.m_run.m_run;
+        for (TaskRecord &member : step.m_tasks) {
+            member.m_checkpoint = ended.m_checkpoint;
+        }
+    }
+}
+
 void applyEnd(Ledger &ledger, const EndedRun &ended, fleet::TimePoint at, Changes &changes)
 {
     const jobs::TaskId &id = ended.m_run.m_task;
@@ -149,8 +174,12 @@
     const bool wasOver = job.isOver();
     task.m_open.erase(open);
     --job.m_openRuns;
-    if (!ended.m_checkpoint.empty()) {
-        task.m_checkpoint = ended.m_checkpoint;
+    noteCheckpoint(job, step, task, ended);
+    const bool isGang = job.m_spec.m_steps[id.m_step.m_step].m_isGang;
+    if (isGang && ended.m_end == jobs::RunEnd::NeverBegan && task.m_lastRun == ended.m_run.m_run) {
+        // Another worker may still join the run of a gang under the same number.
+        --task.m_lastRun;
+        task.m_neverBegan.push_back({ended.m_run.m_run, ended.m_on});
     }
     if (ended.m_end == jobs::RunEnd::Done && !job.m_spec.m_steps[id.m_step.m_step].m_isLasting) {
         markDone(job, id);
--- a/components/journal/step_record.hpp
+++ b/components/journal/step_record.hpp
@@ -17,6 +17,8 @@
     /// A gang's runs that ended in failure, and the number of the last of them.
     std::uint32_t m_gangFailures = 0;
     std::uint32_t m_lastFailedRun = 0;
+    /// A gang's run that its checkpoint is from.
+    std::uint32_t m_checkpointRun = 0;
 
     bool operator==(const StepRecord &) const = default;
 
--- a/components/journal/task_record.hpp
+++ b/components/journal/task_record.hpp
@@ -21,6 +21,8 @@
     /// At most one, but where copies are allowed.
     std::vector<OpenRun> m_open;
     std::string m_checkpoint;
+    /// Runs of the present number that never began; their launches count no more.
+    std::vector<OpenRun> m_neverBegan;
 
     bool operator==(const TaskRecord &) const = default;
 };
--- a/components/settings/node_settings.cpp
+++ b/components/settings/node_settings.cpp
@@ -18,6 +18,7 @@
     settings.m_store = reader.requiredEndpoint("platform.store");
     settings.m_leaseLimit = reader.duration("bounds.lease", settings.m_leaseLimit, 500ms, 10min);
     settings.m_stopGrace = reader.duration("bounds.task_stop", settings.m_stopGrace, 0ms, 1min);
+    settings.m_gangWait = reader.duration("bounds.gang_wait", settings.m_gangWait, 100ms, 10min);
     settings.m_reclaimLimit = reader.duration("bounds.reclaim", settings.m_reclaimLimit, 100ms, 10min);
     settings.m_keyRevocation = reader.duration("bounds.key_revocation", settings.m_keyRevocation, 1s, 1h);
     settings.m_catalogInForce = reader.duration("bounds.catalog_in_force", settings.m_catalogInForce, 200ms, 1min);
--- a/components/settings/node_settings.hpp
+++ b/components/settings/node_settings.hpp
@@ -27,6 +27,8 @@
     /// Longest lease that a worker grants.
     fleet::Duration m_leaseLimit {6000};
     fleet::Duration m_stopGrace {200};
+    /// How long the members of a gang wait on their workers for the others.
+    fleet::Duration m_gangWait {3000};
     /// Guaranteed capacity is there within this time from when it is asked for.
     fleet::Duration m_reclaimLimit {2700};
     /// A key that the operators took away must not be accepted for longer than this.
