Workers are kept free for gangs that wait; silent idle workers are asked again

Ruled out: lost runs (the new overdue lines show none). Change: a gang that has waited 1.5 s gets the workers reserved that will be free soonest, at most a quarter of them; a silent idle worker is looked at each second.

--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -66,7 +66,9 @@
     if (worker.m_lookInFlight || context.m_now.m_boot < worker.m_nextLookAt || worker.m_registration.m_address.empty()) {
         return false;
     }
-    return isAnyStarted || hasEndsToForget;
+    // A worker that did not answer gets new runs again once it answers a look.
+    const bool isSilent = worker.m_silences > 0 && worker.m_isListed;
+    return isAnyStarted || hasEndsToForget || isSilent;
 }
 
 void sendLook(Context &context, WorkerState &worker)
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -3,11 +3,14 @@
 #include "components/dispatch/candidates.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/evictions.hpp"
+#include "components/dispatch/expectations.hpp"
 #include "components/dispatch/placing.hpp"
 #include "components/dispatch/rooms.hpp"
 #include "components/dispatch/runs.hpp"
 
 #include <algorithm>
+#include <optional>
+#include <set>
 
 namespace dispatch
 {
@@ -17,6 +20,12 @@
 
 /// Room made for a step is kept for it this long: a stop, its end being stored, and a look in between.
 constexpr fleet::Duration reservationTime {1500};
+/// A gang that has waited this long for room has workers kept free for it, and for how long before others are chosen.
+constexpr fleet::Duration waitBeforeHolding {1500};
+constexpr fleet::Duration holdingTime {6000};
+/// Part of the workers in use that may be kept free for waiting gangs.
+constexpr double mostHeld = 0.25;
+
 std::uint32_t nextRun(const journal::JobRecord &job, const Candidate &candidate)
 {
     const journal::StepRecord *record = journal::findStep(job, candidate.m_step);
@@ -52,6 +61,7 @@
 {
     Reservation reservation;
     reservation.m_until = context.m_now.m_boot + reservationTime;
+    reservation.m_priority = candidate.m_queue->m_priority;
     for (const Eviction &eviction : evictions) {
         reservation.m_room[eviction.m_room->m_worker->m_registration.m_life.m_worker] = candidate.m_perTask * eviction.m_slots;
     }
@@ -73,6 +83,36 @@
     }
 }
 
+std::size_t countHeld(const Context &context)
+{
+    std::set<fleet::WorkerId> held;
+    for (const auto &[step, reservation] : context.m_state.m_reservations) {
+        for (const auto &[worker, room] : reservation.m_room) {
+            held.insert(worker);
+        }
+    }
+    return held.size();
+}
+
+/// Keeps the workers that will have room soonest free for a gang; small tasks would else take each free accelerator for ever.
+void holdRoom(Context &context, const Candidate &candidate, Rooms &rooms)
+{
+    const std::optional<Expectation> expected = expectRoom(context, candidate, rooms);
+    const double held = static_cast<double>(countHeld(context) + (expected ? expected->m_tasks.size() : 0));
+    if (!expected || held > mostHeld * static_cast<double>(rooms.size())) {
+        return;
+    }
+    Reservation reservation;
+    reservation.m_until = context.m_now.m_boot + holdingTime;
+    reservation.m_priority = candidate.m_queue->m_priority;
+    for (const auto &[room, tasks] : expected->m_tasks) {
+        reservation.m_room[room->m_worker->m_registration.m_life.m_worker] = candidate.m_perTask * tasks;
+    }
+    context.m_state.m_reservations[candidate.m_step] = std::move(reservation);
+    context.m_out.m_log.push_back("hold job=" + toString(candidate.m_step.m_job) + " step=" + std::to_string(candidate.m_step.m_step)
+                                  + " workers=" + std::to_string(expected->m_tasks.size()) + " expected_ms=" + std::to_string(expected->m_wait.count()));
+}
+
 void dropOldReservations(Context &context)
 {
     std::erase_if(context.m_state.m_reservations, [&](const auto &entry) {
@@ -88,9 +128,16 @@
         start(context, candidate, choice);
         candidate.m_tasks.erase(candidate.m_tasks.begin(), candidate.m_tasks.begin() + choice.m_tasks);
     }
-    if (!candidate.m_tasks.empty() && candidate.m_queue->m_priority == 0 && !context.m_state.m_reservations.contains(candidate.m_step)) {
+    if (candidate.m_tasks.empty() || context.m_state.m_reservations.contains(candidate.m_step)) {
+        return;
+    }
+    if (candidate.m_queue->m_priority == 0) {
         makeRoom(context, candidate, rooms);
     }
+    const bool hasWaited = context.m_now.m_wall - context.m_ledger.m_jobs.at(candidate.m_step.m_job).m_acceptedAt >= waitBeforeHolding;
+    if (candidate.m_spec->m_isGang && hasWaited && !context.m_state.m_reservations.contains(candidate.m_step)) {
+        holdRoom(context, candidate, rooms);
+    }
 }
 
 }
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -13,6 +13,8 @@
 
 /// Pause after a look without an answer.
 constexpr fleet::Duration lookRetry {200};
+/// An idle worker that did not answer is asked again after this.
+constexpr fleet::Duration probeInterval {1000};
 /// A worker that refuses a start, or does not answer, gets no new runs for this long.
 constexpr fleet::Duration noRoomPause {300};
 constexpr fleet::Duration unwellPause {1500};
@@ -236,7 +238,7 @@
     case workers::LookOutcome::OtherLife:
     case workers::LookOutcome::Unhealthy:
         noteSilence(*worker, now);
-        worker->m_nextLookAt = now + lookRetry;
+        worker->m_nextLookAt = now + (worker->m_runs.empty() ? probeInterval : lookRetry);
         return;
     case workers::LookOutcome::Answered:
         break;
--- a/components/dispatch/rooms.cpp
+++ b/components/dispatch/rooms.cpp
@@ -80,7 +80,8 @@
     fleet::Resources free = room.m_free;
     for (const auto &[step, reservation] : context.m_state.m_reservations) {
         const auto reserved = reservation.m_room.find(room.m_worker->m_registration.m_life.m_worker);
-        if (step != candidate.m_step && reserved != reservation.m_room.end()) {
+        const bool isForOther = step != candidate.m_step && reservation.m_priority <= candidate.m_queue->m_priority;
+        if (isForOther && reserved != reservation.m_room.end()) {
             free = free - reserved->second;
         }
     }
--- a/components/dispatch/run_state.hpp
+++ b/components/dispatch/run_state.hpp
@@ -45,6 +45,8 @@
     fleet::BootTime m_percentAt;
     std::string m_checkpoint;
     std::string m_ticket;
+    /// When the log last said that the run is overdue.
+    fleet::BootTime m_overdueLoggedAt;
 };
 
 }
--- a/components/dispatch/step.cpp
+++ b/components/dispatch/step.cpp
@@ -16,6 +16,9 @@
 namespace
 {
 
+/// A run that neither began nor ended within this time is reported.
+constexpr fleet::Duration overdueTime {4000};
+
 Context makeContext(State &state, const Surroundings &around, fleet::Now now)
 {
     return {state, around.m_ledger, around.m_catalog, around.m_zonesOut, now, {}, {}, {}, {}, {}};
@@ -99,6 +102,28 @@
     return std::move(context.m_out);
 }
 
+/// Runs that should long have begun or ended.
+void logOverdueRuns(Context &context)
+{
+    for (auto &[id, run] : context.m_state.m_runs) {
+        const fleet::BootTime since = std::max({run.m_overdueLoggedAt, run.m_stopWantedAt, run.m_launchedAt});
+        const bool isDue = run.m_stopWanted || run.m_phase != RunPhase::Running;
+        if (!isDue || context.m_now.m_boot - since < overdueTime) {
+            continue;
+        }
+        run.m_overdueLoggedAt = context.m_now.m_boot;
+        const auto worker = context.m_state.m_workers.find(run.m_on.m_worker);
+        const bool isKnown = worker != context.m_state.m_workers.end();
+        context.m_out.m_log.push_back("overdue task=" + toString(id.m_task) + " run=" + std::to_string(id.m_run) + " worker=" + run.m_on.m_worker.value()
+                                      + " phase=" + std::to_string(static_cast<int>(run.m_phase)) + " stop_wanted=" + (run.m_stopWanted ? "true" : "false")
+                                      + " stop_answered=" + (run.m_stopAnswered ? "true" : "false") + " uncertain=" + (run.m_isUncertain ? "true" : "false")
+                                      + " over_there=" + (run.m_isOverThere ? "true" : "false") + " listed=" + (isKnown && worker->second.m_isListed ? "true" : "false")
+                                      + " silences=" + (isKnown ? std::to_string(worker->second.m_silences) : "-")
+                                      + " look_in_flight=" + (isKnown && worker->second.m_lookInFlight ? "true" : "false")
+                                      + " same_life=" + (isKnown && worker->second.m_registration.m_life == run.m_on ? "true" : "false"));
+    }
+}
+
 void adopt(Context &context, const journal::JobRecord &job, const jobs::TaskId &task, const journal::TaskRecord &record, fleet::BootTime foreignLeaseUntil)
 {
     for (const journal::OpenRun &open : record.m_open) {
@@ -211,6 +236,7 @@
 {
     Context context = makeContext(state, around, now);
     endLapsedRuns(context);
+    logOverdueRuns(context);
     for (const jobs::StepId &gang : std::exchange(state.m_incompleteGangs, {})) {
         context.m_touched.insert(gang.m_job);
     }
