A holder is without the store only where no call is answered; steady contact before a claim; workers avoided from the first failure

Change: silence counts from the last answer of any kind; an instance claims for a holder without the store only after its own contact has been steady; lost appends are sent again without a growing pause three times. A failure is held against the worker unless the task failed before.

--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -15,9 +15,9 @@
 
 /// A worker's steady clock runs at least this fast; its bound is 2% slow.
 constexpr double slowestClock = 0.98;
-/// Failed runs in a row after which a worker is avoided, and for how long.
-constexpr int failuresToAvoid = 2;
-constexpr fleet::Duration avoidance {8000};
+/// How long a worker gets no new runs after a failure.
+constexpr fleet::Duration firstAvoidance {3000};
+constexpr int mostAvoidanceDoublings = 3;
 
 const jobs::StepSpec &stepOf(const journal::JobRecord &job, const jobs::StepId &step)
 {
@@ -39,13 +39,21 @@
     return booking;
 }
 
-void noteHealth(WorkerState &worker, jobs::RunEnd end, fleet::BootTime now)
+/// A failure is held against the worker unless the task failed before, which makes the task the likely cause. Each further
+/// failure in a row doubles the time that the worker gets no new runs.
+void noteHealth(Context &context, WorkerState &worker, const jobs::TaskId &task, jobs::RunEnd end)
 {
     if (end == jobs::RunEnd::Done) {
         worker.m_failuresInRow = 0;
-    } else if (end == jobs::RunEnd::Failed && ++worker.m_failuresInRow >= failuresToAvoid) {
-        worker.m_avoidUntil = now + avoidance;
+        return;
+    }
+    const journal::TaskRecord *record = journal::findTask(context.m_ledger.m_jobs.at(task.m_step.m_job), task);
+    if (end != jobs::RunEnd::Failed || (record != nullptr && record->m_failures > 0)) {
+        return;
     }
+    const fleet::Duration avoidance = firstAvoidance * (1 << std::min(worker.m_failuresInRow, mostAvoidanceDoublings));
+    ++worker.m_failuresInRow;
+    worker.m_avoidUntil = std::max(worker.m_avoidUntil, context.m_now.m_boot + avoidance);
 }
 
 /// Open runs of one step of the job.
@@ -191,7 +199,7 @@
     if (worker != context.m_state.m_workers.end()) {
         worker->second.m_booked = worker->second.m_booked - found->second.m_booked;
         worker->second.m_runs.erase(run);
-        noteHealth(worker->second, end, context.m_now.m_boot);
+        noteHealth(context, worker->second, run.m_task, end);
     }
     context.m_state.m_runs.erase(found);
     context.m_ended.push_back(ended);
--- a/components/dispatch/step.cpp
+++ b/components/dispatch/step.cpp
@@ -114,13 +114,13 @@
         run.m_overdueLoggedAt = context.m_now.m_boot;
         const auto worker = context.m_state.m_workers.find(run.m_on.m_worker);
         const bool isKnown = worker != context.m_state.m_workers.end();
-        context.m_out.m_log.push_back("overdue task=" + toString(id.m_task) + " run=" + std::to_string(id.m_run) + " worker=" + run.m_on.m_worker.value()
-                                      + " phase=" + std::to_string(static_cast<int>(run.m_phase)) + " stop_wanted=" + (run.m_stopWanted ? "true" : "false")
-                                      + " stop_answered=" + (run.m_stopAnswered ? "true" : "false") + " uncertain=" + (run.m_isUncertain ? "true" : "false")
-                                      + " over_there=" + (run.m_isOverThere ? "true" : "false") + " listed=" + (isKnown && worker->second.m_isListed ? "true" : "false")
-                                      + " silences=" + (isKnown ? std::to_string(worker->second.m_silences) : "-")
-                                      + " look_in_flight=" + (isKnown && worker->second.m_lookInFlight ? "true" : "false")
-                                      + " same_life=" + (isKnown && worker->second.m_registration.m_life == run.m_on ? "true" : "false"));
+        context.m_out.m_log.push_back(
+            "overdue task=" + toString(id.m_task) + " run=" + std::to_string(id.m_run) + " worker=" + run.m_on.m_worker.value()
+            + " phase=" + std::to_string(static_cast<int>(run.m_phase)) + " stop_wanted=" + (run.m_stopWanted ? "true" : "false")
+            + " stop_answered=" + (run.m_stopAnswered ? "true" : "false") + " uncertain=" + (run.m_isUncertain ? "true" : "false")
+            + " over_there=" + (run.m_isOverThere ? "true" : "false") + " listed=" + (isKnown && worker->second.m_isListed ? "true" : "false") + " silences="
+            + (isKnown ? std::to_string(worker->second.m_silences) : "-") + " look_in_flight=" + (isKnown && worker->second.m_lookInFlight ? "true" : "false")
+            + " same_life=" + (isKnown && worker->second.m_registration.m_life == run.m_on ? "true" : "false"));
     }
 }
 
--- a/components/journal/writer.cpp
+++ b/components/journal/writer.cpp
@@ -18,8 +18,10 @@
 /// A refused batch is sent again after this long, doubled for each refusal up to the limit.
 constexpr fleet::Duration refusalPause {40};
 constexpr int mostPauseDoublings = 4;
+/// The first calls of a batch follow each other without a longer pause each time; single answers are lost at times.
+constexpr int callsBeforeBackoff = 3;
 /// Calls of one batch that may be open at the same time.
-constexpr int mostCallsOpen = 4;
+constexpr int mostCallsOpen = 8;
 /// Bytes of the records of one call, below the store's own limit.
 constexpr std::size_t mostBatchBytes = std::size_t {1} << 20;
 /// Weight of the newest append in the smoothed time is 1 in this many.
@@ -106,7 +108,8 @@
     ++writer.m_sent->m_callsOpen;
     ++writer.m_sent->m_callsMade;
     writer.m_sent->m_lastSentAt = now;
-    writer.m_sent->m_resendAt = now + resendDelay(writer) * (1 << std::min(writer.m_sent->m_callsMade - 1, mostPauseDoublings));
+    const int doublings = std::clamp(writer.m_sent->m_callsMade - callsBeforeBackoff, 0, mostPauseDoublings);
+    writer.m_sent->m_resendAt = now + resendDelay(writer) * (1 << doublings);
     return toCall(writer, topic);
 }
 
--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -81,7 +81,9 @@
     const fleet::Duration own = spread(m_settings.m_instance);
     if (m_isHolderWithoutStore) {
         const fleet::Duration silence = *m_journal.m_asOf - m_holderWithoutStoreSince;
-        const bool isMineQuick = m_journal.m_readTook < quickAnswer;
+        // Where the store was away from everybody, the holder is back as soon as this instance is.
+        const bool isMineSteady = now.m_boot - m_journal.m_answersSince > storeSilenceLimit;
+        const bool isMineQuick = m_journal.m_readTook < quickAnswer && isMineSteady;
         return silence > (isMineQuick ? storeSilenceLimit : longStoreSilence) + own;
     }
     // The journal must have been read since, to tell silence from not having looked.
@@ -109,7 +111,7 @@
 
 fleet::Duration Duty::storeSilence(fleet::Now now) const
 {
-    return m_writer.m_sent ? now.m_boot - std::max(m_writer.m_sent->m_firstSentAt, m_lastStoreContact) : fleet::Duration(0);
+    return now.m_boot - std::max(m_lastStoreContact, m_journal.m_answeredAt);
 }
 
 void Duty::sendBeats(fleet::Now now)
@@ -202,9 +204,7 @@
     m_state = dispatch::State();
     m_unconfirmed.clear();
     // The ledger may hold records that were never stored.
-    const int readsOpen = m_journal.m_readsOpen;
-    m_journal = JournalView();
-    m_journal.m_readsOpen = readsOpen;
+    beginAnew(m_journal);
     m_notBefore = now.m_boot + claimPause;
     m_holderHeardAt = now.m_boot;
     m_startedAt = now.m_boot;
--- a/components/node/journal_view.cpp
+++ b/components/node/journal_view.cpp
@@ -19,10 +19,25 @@
 
 }
 
+void beginAnew(JournalView &view)
+{
+    JournalView fresh;
+    fresh.m_readsOpen = view.m_readsOpen;
+    fresh.m_answeredAt = view.m_answeredAt;
+    fresh.m_answersSince = view.m_answersSince;
+    fresh.m_readTook = view.m_readTook;
+    view = fresh;
+}
+
 bool takeJournalRead(JournalView &view, const store::ReadResult &result, fleet::BootTime sentAt, fleet::BootTime now, journal::Changes &changes)
 {
+    if (result.m_outcome != store::ReadOutcome::Read) {
+        view.m_answersSince = now;
+        return false;
+    }
+    view.m_answeredAt = now;
     // A read from beyond what is known was sent before the view was begun anew.
-    if (result.m_outcome != store::ReadOutcome::Read || result.m_from > view.m_next) {
+    if (result.m_from > view.m_next) {
         return false;
     }
     view.m_readTook = now - sentAt;
--- a/components/node/journal_view.hpp
+++ b/components/node/journal_view.hpp
@@ -22,6 +22,9 @@
     std::optional<fleet::BootTime> m_asOf;
     int m_readsOpen = 0;
     fleet::BootTime m_lastReadSentAt;
+    /// When the store last answered a read, and since when it has answered each.
+    fleet::BootTime m_answeredAt;
+    fleet::BootTime m_answersSince;
     /// How long the store took for the last read.
     fleet::Duration m_readTook {0};
     /// When a record of the holder was last read that it wrote after its last message: records before this offset are
@@ -31,6 +34,9 @@
     std::uint64_t m_unreadableRecords = 0;
 };
 
+/// Forgets what was read, and keeps what is known of the store.
+void beginAnew(JournalView &view);
+
 /// Takes in a read; true where there is more to read at once.
 bool takeJournalRead(JournalView &view, const store::ReadResult &result, fleet::BootTime sentAt, fleet::BootTime now, journal::Changes &changes);
 
