Structured log lines through a bounded queue

Cause: on-call engineers have only logs; the node wrote free text, and nothing bounded its volume or kept it from blocking. Change: logging::Line holds part, event and named values; LineLog gathers lines for 100 ms and hands them to a log4cxx queue that drops rather than blocks; each kind of event has a budget.

--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -1,3 +1,4 @@
+#include "components/logging/line_log.hpp"
 #include "components/node/clocks.hpp"
 #include "components/node/control.hpp"
 #include "components/settings/node_settings.hpp"
@@ -68,9 +69,17 @@
     std::signal(SIGINT, noteStopSignal);
     std::signal(SIGHUP, SIG_IGN);
     std::signal(SIGPIPE, SIG_IGN);
+    logging::LineLog log(settings.m_logLevel, {});
+    log.write(logging::Line("node", "start")
+                  .add("instance", settings.m_instance.value())
+                  .add("zone", settings.m_zone.value())
+                  .add("version", FOXTAILCROSS_VERSION)
+                  .add("callers", settings::toString(settings.m_callers))
+                  .add("store", settings::toString(settings.m_store)),
+              node::presentTime());
     node::EventQueue queue;
-    platform::Adapter adapter({toAddress(settings.m_callers), toAddress(settings.m_readiness), toAddress(settings.m_peers), toAddress(settings.m_store)},
-                              queue);
+    platform::Adapter adapter(
+        {toAddress(settings.m_callers), toAddress(settings.m_readiness), toAddress(settings.m_peers), toAddress(settings.m_store)}, queue, log);
     node::Control control(toControlSettings(settings), adapter);
     fleet::BootTime nextTick;
     while (!control.isStopped()) {
@@ -85,6 +94,7 @@
         if (now.m_boot >= nextTick) {
             control.tick(now);
             nextTick = control.nextTick(now);
+            log.tick(now);
         }
     }
     return 0;
--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -148,8 +148,6 @@
         }
     }
     for (const jobs::RunId &run : lapsed) {
-        context.m_out.m_log.push_back("lapse task=" + toString(run.m_task) + " run=" + std::to_string(run.m_run)
-                                      + " worker=" + findRun(context, run)->m_on.m_worker.value());
         endRun(context, run, jobs::RunEnd::Lapsed, {});
     }
 }
--- a/components/dispatch/outbox.hpp
+++ b/components/dispatch/outbox.hpp
@@ -2,12 +2,12 @@
 #define COMPONENTS_DISPATCH_OUTBOX_HPP
 
 #include "components/journal/record.hpp"
+#include "components/logging/line.hpp"
 #include "components/workers/look_order.hpp"
 #include "components/workers/start_order.hpp"
 #include "components/workers/stop_order.hpp"
 
 #include <cstdint>
-#include <string>
 #include <vector>
 
 namespace dispatch
@@ -24,7 +24,7 @@
     std::vector<workers::LookOrder> m_looks;
     /// A worker has seen a higher token: another holder gives orders.
     bool m_isFenced = false;
-    std::vector<std::string> m_log;
+    std::vector<logging::Line> m_log;
 };
 
 }
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -53,8 +53,17 @@
         }
     }
     context.m_state.m_reservations.erase(candidate.m_step);
-    context.m_out.m_log.push_back("launch job=" + toString(candidate.m_step.m_job) + " occurrence=" + std::to_string(candidate.m_step.m_occurrence)
-                                  + " step=" + std::to_string(candidate.m_step.m_step) + " run=" + std::to_string(run) + " tasks=" + std::to_string(next));
+    context.m_out.m_log.push_back(logging::Line("dispatch", "launch")
+                                      .add("job", toString(candidate.m_step.m_job))
+                                      .add("occurrence", candidate.m_step.m_occurrence)
+                                      .add("step", candidate.m_step.m_step)
+                                      .add("run", run)
+                                      .add("tasks", next)
+                                      .add("workers", choice.m_places.size())
+                                      .add("priority", candidate.m_queue->m_priority)
+                                      .add("waited_ms", context.m_now.m_wall - job.m_acceptedAt)
+                                      .add("token", context.m_state.m_token.m_value)
+                                      .add("catalog", context.m_catalog.m_version));
 }
 
 void reserve(Context &context, const Candidate &candidate, const std::vector<Eviction> &evictions)
@@ -109,8 +118,11 @@
         reservation.m_room[room->m_worker->m_registration.m_life.m_worker] = candidate.m_perTask * tasks;
     }
     context.m_state.m_reservations[candidate.m_step] = std::move(reservation);
-    context.m_out.m_log.push_back("hold job=" + toString(candidate.m_step.m_job) + " step=" + std::to_string(candidate.m_step.m_step)
-                                  + " workers=" + std::to_string(expected->m_tasks.size()) + " expected_ms=" + std::to_string(expected->m_wait.count()));
+    context.m_out.m_log.push_back(logging::Line("dispatch", "hold")
+                                      .add("job", toString(candidate.m_step.m_job))
+                                      .add("step", candidate.m_step.m_step)
+                                      .add("workers", expected->m_tasks.size())
+                                      .add("expected_ms", expected->m_wait));
 }
 
 void dropOldReservations(Context &context)
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -66,9 +66,7 @@
         } else if (run.m_isUncertain && run.m_phase == RunPhase::Starting) {
             wantStop(context, id, "worker-reborn");
         } else {
-            context.m_out.m_log.push_back("lost task=" + toString(id.m_task) + " run=" + std::to_string(id.m_run)
-                                          + " worker=" + registration.m_life.m_worker.value() + " why=worker-reborn");
-            endRun(context, id, jobs::RunEnd::LostWithRunner, {});
+            endRun(context, id, jobs::RunEnd::LostWithWorker, {});
         }
     }
 }
@@ -115,7 +113,7 @@
         }
     }
     for (const jobs::RunId &run : lost) {
-        endRun(context, run, jobs::RunEnd::LostWithRunner, {});
+        endRun(context, run, jobs::RunEnd::LostWithWorker, {});
     }
 }
 
@@ -129,8 +127,6 @@
         context.m_endNumbers[worker.m_registration.m_life] = task.m_number;
         const RunState *run = findRun(context, task.m_run);
         if (run != nullptr && run->m_on == worker.m_registration.m_life) {
-            context.m_out.m_log.push_back("end task=" + toString(task.m_run.m_task) + " run=" + std::to_string(task.m_run.m_run) + " worker="
-                                          + worker.m_registration.m_life.m_worker.value() + " how=" + std::to_string(static_cast<int>(task.m_end)));
             endRun(context, task.m_run, task.m_end, task.m_checkpoint);
         }
     }
@@ -142,8 +138,10 @@
     if (run == nullptr || run->m_on != on) {
         // A late order was carried out after the run had been given up.
         const workers::Life life = on;
-        context.m_out.m_log.push_back("stray task=" + toString(task.m_run.m_task) + " run=" + std::to_string(task.m_run.m_run)
-                                      + " worker=" + life.m_worker.value());
+        context.m_out.m_log.push_back(logging::Line("dispatch", "stray-run", logging::Level::Warning)
+                                          .add("task", toString(task.m_run.m_task))
+                                          .add("run", task.m_run.m_run)
+                                          .add("worker", life.m_worker.value()));
         const WorkerState *worker = findWorker(context, life);
         context.m_out.m_stops.push_back({life, worker->m_registration.m_address, task.m_run, context.m_state.m_token});
         return;
@@ -187,7 +185,7 @@
         const bool wasThere = run.m_phase == RunPhase::Running && run.m_startedAt < sentAt;
         const bool isSettledThere = (run.m_isOverThere && run.m_overSince < sentAt) || (run.m_stopAnswered && run.m_overSince < sentAt);
         if (wasThere || isSettledThere) {
-            endRun(context, id, run.m_phase == RunPhase::Running ? jobs::RunEnd::LostWithRunner : jobs::RunEnd::NeverBegan, {});
+            endRun(context, id, run.m_phase == RunPhase::Running ? jobs::RunEnd::LostWithWorker : jobs::RunEnd::NeverBegan, {});
         }
     }
 }
@@ -199,8 +197,11 @@
         wantStop(context, id, why);
         return;
     }
-    context.m_out.m_log.push_back("refused task=" + toString(id.m_task) + " run=" + std::to_string(id.m_run) + " worker=" + run.m_on.m_worker.value()
-                                  + " why=" + why);
+    context.m_out.m_log.push_back(logging::Line("dispatch", "start-refused")
+                                      .add("task", toString(id.m_task))
+                                      .add("run", id.m_run)
+                                      .add("worker", run.m_on.m_worker.value())
+                                      .add("why", why));
     endRun(context, id, jobs::RunEnd::NeverBegan, {});
 }
 
@@ -331,7 +332,7 @@
     if (result.m_outcome == workers::OrderOutcome::Fenced) {
         context.m_out.m_isFenced = true;
     } else if (result.m_outcome == workers::OrderOutcome::OtherLife) {
-        endRun(context, order.m_run, jobs::RunEnd::LostWithRunner, {});
+        endRun(context, order.m_run, jobs::RunEnd::LostWithWorker, {});
     } else if (result.m_outcome == workers::OrderOutcome::Done || result.m_outcome == workers::OrderOutcome::RunIsOver) {
         run->m_stopAnswered = true;
         run->m_overSince = context.m_now.m_boot;
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -18,6 +18,7 @@
 /// How long a worker gets no new runs after a failure.
 constexpr fleet::Duration firstAvoidance {3000};
 constexpr int mostAvoidanceDoublings = 3;
+constexpr std::int64_t millisPerCore = 1000;
 
 const jobs::StepSpec &stepOf(const journal::JobRecord &job, const jobs::StepId &step)
 {
@@ -39,6 +40,11 @@
     return booking;
 }
 
+fleet::Duration ranFor(const RunState &run, fleet::BootTime now)
+{
+    return run.m_phase == RunPhase::Running ? now - run.m_startedAt : fleet::Duration(0);
+}
+
 /// A failure is held against the worker unless the task failed before, which makes the task the likely cause. Each further
 /// failure in a row doubles the time that the worker gets no new runs.
 void noteHealth(Context &context, WorkerState &worker, const jobs::TaskId &task, jobs::RunEnd end)
@@ -112,12 +118,14 @@
 
 void logJobEnd(Context &context, const journal::JobRecord &job)
 {
-    static const char *const names[] = {"queued", "running", "completed", "failed", "cancelled"};
     const catalog::Queue *queue = catalog::findQueue(context.m_catalog, job.m_spec.m_queue);
     const fleet::TimePoint objective = queue == nullptr ? job.m_acceptedAt : objectiveOf(job, *queue, job.occurrenceCount() - 1);
-    context.m_out.m_log.push_back("job-end job=" + toString(job.m_spec.m_id) + " state=" + names[static_cast<int>(stateOf(job))]
-                                  + " took_ms=" + std::to_string((context.m_now.m_wall - job.m_acceptedAt).count()) + " objective_ms="
-                                  + std::to_string((objective - job.m_acceptedAt).count()) + " prio=" + std::to_string(priorityOf(context, job)));
+    context.m_out.m_log.push_back(logging::Line("dispatch", "job-end")
+                                      .add("job", toString(job.m_spec.m_id))
+                                      .add("state", jobs::nameOf(stateOf(job)))
+                                      .add("took_ms", context.m_now.m_wall - job.m_acceptedAt)
+                                      .add("objective_ms", objective - job.m_acceptedAt)
+                                      .add("priority", priorityOf(context, job)));
 }
 
 }
@@ -192,6 +200,13 @@
     if (found == context.m_state.m_runs.end()) {
         return;
     }
+    context.m_out.m_log.push_back(logging::Line("dispatch", "run-end")
+                                      .add("task", toString(run.m_task))
+                                      .add("run", run.m_run)
+                                      .add("worker", found->second.m_on.m_worker.value())
+                                      .add("how", jobs::nameOf(end))
+                                      .add("percent", found->second.m_percent)
+                                      .add("ran_ms", ranFor(found->second, context.m_now.m_boot)));
     const workers::Life on = found->second.m_on;
     const std::string &newest = checkpoint.empty() ? found->second.m_checkpoint : checkpoint;
     const journal::EndedRun ended {run, on, end, newest};
@@ -215,11 +230,17 @@
     if (state == nullptr || state->m_stopWanted) {
         return;
     }
-    context.m_out.m_log.push_back("stop task=" + toString(run.m_task) + " run=" + std::to_string(run.m_run) + " worker=" + state->m_on.m_worker.value()
-                                  + " percent=" + std::to_string(state->m_percent) + " prio=" + std::to_string(state->m_priority)
-                                  + " cores=" + std::to_string(state->m_booked.m_milliCores / 1000 + state->m_booked.m_accelerators * 8)
-                                  + " ran_ms=" + std::to_string(state->m_phase == RunPhase::Running ? (context.m_now.m_boot - state->m_startedAt).count() : 0)
-                                  + " saved=" + (state->m_checkpoint.empty() ? "0" : "1") + " why=" + why);
+    context.m_out.m_log.push_back(logging::Line("dispatch", "stop")
+                                      .add("task", toString(run.m_task))
+                                      .add("run", run.m_run)
+                                      .add("worker", state->m_on.m_worker.value())
+                                      .add("why", why)
+                                      .add("priority", state->m_priority)
+                                      .add("percent", state->m_percent)
+                                      .add("ran_ms", ranFor(*state, context.m_now.m_boot))
+                                      .add("cores", state->m_booked.m_milliCores / millisPerCore)
+                                      .add("accelerators", state->m_booked.m_accelerators)
+                                      .add("has_checkpoint", !state->m_checkpoint.empty()));
     state->m_stopWanted = true;
     state->m_stopWantedAt = context.m_now.m_boot;
     state->m_nextStopAt = context.m_now.m_boot;
--- a/components/dispatch/step.cpp
+++ b/components/dispatch/step.cpp
@@ -114,13 +114,19 @@
         run.m_overdueLoggedAt = context.m_now.m_boot;
         const auto worker = context.m_state.m_workers.find(run.m_on.m_worker);
         const bool isKnown = worker != context.m_state.m_workers.end();
-        context.m_out.m_log.push_back(
-            "overdue task=" + toString(id.m_task) + " run=" + std::to_string(id.m_run) + " worker=" + run.m_on.m_worker.value()
-            + " phase=" + std::to_string(static_cast<int>(run.m_phase)) + " stop_wanted=" + (run.m_stopWanted ? "true" : "false")
-            + " stop_answered=" + (run.m_stopAnswered ? "true" : "false") + " uncertain=" + (run.m_isUncertain ? "true" : "false")
-            + " over_there=" + (run.m_isOverThere ? "true" : "false") + " listed=" + (isKnown && worker->second.m_isListed ? "true" : "false") + " silences="
-            + (isKnown ? std::to_string(worker->second.m_silences) : "-") + " look_in_flight=" + (isKnown && worker->second.m_lookInFlight ? "true" : "false")
-            + " same_life=" + (isKnown && worker->second.m_registration.m_life == run.m_on ? "true" : "false"));
+        context.m_out.m_log.push_back(logging::Line("dispatch", "overdue", logging::Level::Warning)
+                                          .add("task", toString(id.m_task))
+                                          .add("run", id.m_run)
+                                          .add("worker", run.m_on.m_worker.value())
+                                          .add("phase", static_cast<int>(run.m_phase))
+                                          .add("stop_wanted", run.m_stopWanted)
+                                          .add("stop_answered", run.m_stopAnswered)
+                                          .add("uncertain", run.m_isUncertain)
+                                          .add("over_there", run.m_isOverThere)
+                                          .add("listed", isKnown && worker->second.m_isListed)
+                                          .add("silences", isKnown ? worker->second.m_silences : 0)
+                                          .add("look_in_flight", isKnown && worker->second.m_lookInFlight)
+                                          .add("same_life", isKnown && worker->second.m_registration.m_life == run.m_on));
     }
 }
 
--- a/components/jobs/job_state.hpp
+++ b/components/jobs/job_state.hpp
@@ -17,6 +17,9 @@
     Cancelled,
 };
 
+/// For logs and reports, in lower case.
+const char *nameOf(JobState value);
+
 }
 
 #endif
--- a/components/jobs/run_end.hpp
+++ b/components/jobs/run_end.hpp
@@ -9,7 +9,7 @@
 /// How a run ended.
 enum class RunEnd : std::uint8_t {
     Done,
-    /// By the task's own fault or the runner's; counts as an attempt.
+    /// By the task's own fault or the worker's; counts as an attempt.
     Failed,
     /// On an order.
     Stopped,
@@ -21,10 +21,13 @@
     Alone,
     /// The start was refused, or is certain never to be carried out.
     NeverBegan,
-    /// Its runner ended with it.
-    LostWithRunner,
+    /// Its worker ended with it.
+    LostWithWorker,
 };
 
+/// For logs and reports, in lower case.
+const char *nameOf(RunEnd value);
+
 }
 
 #endif
--- /dev/null
+++ b/components/logging/line.hpp
@@ -0,0 +1,58 @@
+#ifndef COMPONENTS_LOGGING_LINE_HPP
+#define COMPONENTS_LOGGING_LINE_HPP
+
+#include "components/fleet/time.hpp"
+#include "components/logging/level.hpp"
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace logging
+{
+
+/// One structured line: the part of the program, what happened, and named values, as "part=dispatch event=launch job=5c0e".
+///
+/// Values with blanks, quotes or control characters are quoted, so that a line can be taken apart again.
+class Line
+{
+public:
+    /// `part` and `event` are literals in lower case with dashes.
+    Line(const char *part, const char *event, Level level = Level::Info);
+
+    Line &&add(const char *name, std::string_view value) &&;
+    Line &&add(const char *name, const char *value) &&;
+
+    template<std::integral Number>
+    requires(!std::same_as<Number, bool>) Line && add(const char *name, Number value) && {
+        addNumber(name, static_cast<std::int64_t>(value));
+        return std::move(*this);
+    }
+
+    Line &&add(const char *name, bool value) &&;
+    /// In milliseconds.
+    Line &&add(const char *name, fleet::Duration value) &&;
+
+    const char *part() const;
+    const char *event() const;
+    Level level() const;
+    /// Without time and line end.
+    const std::string &text() const;
+
+    bool operator==(const Line &other) const;
+
+private:
+    void addText(const char *name, std::string_view value);
+    void addNumber(const char *name, std::int64_t value);
+
+    const char *m_part;
+    const char *m_event;
+    Level m_level;
+    std::string m_text;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/logging/line_allowance.hpp
@@ -0,0 +1,21 @@
+#ifndef COMPONENTS_LOGGING_LINE_ALLOWANCE_HPP
+#define COMPONENTS_LOGGING_LINE_ALLOWANCE_HPP
+
+#include "components/fleet/boot_time.hpp"
+
+#include <cstdint>
+
+namespace logging
+{
+
+/// Lines of one kind that may still be written, and those that were left out.
+struct LineAllowance
+{
+    double m_left = 0;
+    fleet::BootTime m_at;
+    std::uint64_t m_suppressed = 0;
+};
+
+}
+
+#endif
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -38,7 +38,6 @@
     , m_duty(m_settings, m_ports, m_operators, m_journal)
     , m_desk(m_settings, m_ports, m_operators, m_journal, m_duty.unconfirmed())
 {
-    m_ports.log("start instance=" + settings.m_instance.value() + " incarnation=" + std::to_string(settings.m_incarnation.m_value));
     m_desk.announce(fleet::Now());
 }
 
@@ -111,8 +110,14 @@
     const bool isChanged = takeOperatorsRead(m_operators, event.m_read, event.m_sentAt);
     m_operators.m_nextReadAt = now.m_boot + (event.m_read.m_outcome == store::ReadOutcome::Read ? fleet::Duration(0) : readRetry);
     if (isChanged) {
-        m_ports.log("catalog version=" + std::to_string(m_operators.m_catalog.m_version) + " before=" + std::to_string(version)
-                    + " zones-out=" + std::to_string(m_operators.m_zonesOut.size()));
+        m_ports.log(logging::Line("catalog", "changed")
+                        .add("version", m_operators.m_catalog.m_version)
+                        .add("before", version)
+                        .add("queues", m_operators.m_catalog.m_queues.size())
+                        .add("accounts", m_operators.m_catalog.m_accounts.size())
+                        .add("zones_out", m_operators.m_zonesOut.size())
+                        .add("read_ms", now.m_boot - event.m_sentAt),
+                    now);
         m_duty.onCatalogChanged(now);
     }
 }
@@ -160,7 +165,7 @@
 void Control::take(const StopRequested &, fleet::Now now)
 {
     if (!m_stopRequestedAt) {
-        m_ports.log("stop requested open-calls=" + std::to_string(m_desk.openCalls()));
+        m_ports.log(logging::Line("node", "stop-requested").add("open_calls", m_desk.openCalls()), now);
         m_stopRequestedAt = now.m_boot;
         m_duty.resign(now);
         updateReadiness(now);
@@ -212,7 +217,11 @@
     const bool isReady = !m_stopRequestedAt && m_operators.hasCatalog() && ageOf(m_operators, now.m_boot) < readyAge;
     if (isReady != m_isReady) {
         m_isReady = isReady;
-        m_ports.log(std::string("ready=") + (isReady ? "true" : "false"));
+        m_ports.log(logging::Line("node", "ready")
+                        .add("ready", isReady)
+                        .add("catalog", m_operators.m_catalog.m_version)
+                        .add("view_age_ms", m_operators.m_asOf ? now.m_boot - *m_operators.m_asOf : fleet::Duration(-1)),
+                    now);
         m_ports.setReady(isReady);
     }
 }
@@ -229,7 +238,7 @@
     }
     const bool isServed = m_areDoorsClosed && m_desk.openCalls() == 0 && m_ports.isDrained() && m_duty.isIdle();
     if (isServed || since >= m_settings.m_stopLimit - stopMargin) {
-        m_ports.log("stopped open-calls=" + std::to_string(m_desk.openCalls()) + " drained=" + (m_ports.isDrained() ? "true" : "false"));
+        m_ports.log(logging::Line("node", "stopped").add("open_calls", m_desk.openCalls()).add("drained", m_ports.isDrained()), now);
         m_isStopped = true;
     }
 }
--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -168,9 +168,14 @@
     m_writer.m_epoch = m_journal.m_ledger.m_holder.m_token.m_value + 1;
     m_writer.m_onlyAtEnd = m_journal.m_next;
     journal::enqueue(m_writer, journal::encode(journal::HolderClaimed {m_settings.m_instance, m_settings.m_incarnation, {m_writer.m_epoch}}), 0);
-    m_ports.log("duty claim token=" + std::to_string(m_writer.m_epoch) + " at=" + std::to_string(m_journal.m_next)
-                + " unheard_ms=" + std::to_string((now.m_boot - m_holderHeardAt).count()) + " journal_silent_ms="
-                + std::to_string((now.m_boot - m_journal.m_holderSeenAt).count()) + " holder_without_store=" + (m_isHolderWithoutStore ? "true" : "false"));
+    m_ports.log(logging::Line("duty", "claim")
+                    .add("token", m_writer.m_epoch)
+                    .add("holder", m_journal.m_ledger.m_holder.m_instance.value())
+                    .add("journal_end", m_journal.m_next)
+                    .add("unheard_ms", now.m_boot - m_holderHeardAt)
+                    .add("journal_silent_ms", now.m_boot - m_journal.m_holderSeenAt)
+                    .add("holder_without_store", m_isHolderWithoutStore),
+                now);
     m_lastAppendAt = now.m_boot;
 }
 
@@ -189,7 +194,12 @@
     m_list.clear();
     m_listNext.reset();
     m_nextListReadAt = now.m_boot;
-    m_ports.log("duty hold token=" + std::to_string(m_state.m_token.m_value));
+    m_ports.log(logging::Line("duty", "hold")
+                    .add("token", m_state.m_token.m_value)
+                    .add("journal_end", m_journal.m_next)
+                    .add("jobs", m_journal.m_ledger.m_jobs.size())
+                    .add("former_holders", m_journal.m_ledger.m_formerHolders.size()),
+                now);
     const bool mayFormerRenew = !m_journal.m_ledger.m_formerHolders.empty();
     const fleet::BootTime foreignLeaseUntil
         = lapseOfLeasesGivenUntil(now.m_boot + (mayFormerRenew ? m_settings.m_dispatch.m_holderAuthority : fleet::Duration(0)));
@@ -198,7 +208,7 @@
 
 void Duty::stepDown(const std::string &why, fleet::Now now)
 {
-    m_ports.log("duty end token=" + std::to_string(m_writer.m_epoch) + " why=" + why);
+    m_ports.log(logging::Line("duty", "end").add("token", m_writer.m_epoch).add("why", why), now);
     m_phase = DutyPhase::Following;
     m_writer = journal::Writer();
     m_state = dispatch::State();
@@ -379,7 +389,7 @@
 {
     if (m_phase == DutyPhase::Holding) {
         journal::enqueue(m_writer, journal::encode(journal::HolderResigned {m_state.m_token, {}}), 0);
-        m_ports.log("duty resign token=" + std::to_string(m_state.m_token.m_value));
+        m_ports.log(logging::Line("duty", "resign").add("token", m_state.m_token.m_value), now);
         m_state = dispatch::State();
     }
     m_phase = DutyPhase::Following;
@@ -388,8 +398,8 @@
 
 void Duty::send(dispatch::Outbox &&outbox, fleet::Now now)
 {
-    for (const std::string &line : outbox.m_log) {
-        m_ports.log(line);
+    for (const logging::Line &line : outbox.m_log) {
+        m_ports.log(line, now);
     }
     if (outbox.m_isFenced) {
         stepDown("fenced by a worker", now);
--- a/components/node/front_desk.cpp
+++ b/components/node/front_desk.cpp
@@ -116,27 +116,27 @@
     open.m_giveUpAt = now.m_boot + std::max(fleet::Duration(0), content.m_patience.value_or(usualPatience) - answerMargin);
     open.m_requestId = content.m_requestId;
     if (!m_operators.hasCatalog()) {
-        reply(call, open, refused("no catalog has been read yet; come back shortly"));
+        reply(call, open, refused("no catalog has been read yet; come back shortly"), now);
         return;
     }
     const fleet::Duration age = ageOf(m_operators, now.m_boot);
     if (age >= m_settings.m_keyRevocation - revocationMargin) {
-        reply(call, open, refused("the catalog was last confirmed too long ago; try another instance"));
+        reply(call, open, refused("the catalog was last confirmed too long ago; try another instance"), now);
         return;
     }
     const catalog::Queue *queue = catalog::findQueue(m_operators.m_catalog, content.m_host, content.m_path);
     const catalog::Account *account = catalog::findAccountByKey(m_operators.m_catalog, content.m_key);
     const bool isAllowed = queue != nullptr && (queue->m_isPublic || account != nullptr);
     if (!isAllowed && age > m_settings.m_catalogInForce) {
-        reply(call, open, refused("the catalog may have changed since it was read; try another instance"));
+        reply(call, open, refused("the catalog may have changed since it was read; try another instance"), now);
         return;
     }
     if (queue == nullptr) {
-        reply(call, open, plain(callers::ReplyKind::NoSuchQueue));
+        reply(call, open, plain(callers::ReplyKind::NoSuchQueue), now);
         return;
     }
     if (!isAllowed) {
-        reply(call, open, plain(callers::ReplyKind::KeyRefused));
+        reply(call, open, plain(callers::ReplyKind::KeyRefused), now);
         return;
     }
     open.m_queue = queue->m_id;
@@ -147,7 +147,7 @@
     }
     const auto job = jobs::parseJobId(rest);
     if (!job) {
-        reply(call, open, plain(content.m_kind == callers::CallKind::Submit ? callers::ReplyKind::Malformed : callers::ReplyKind::NoSuchJob));
+        reply(call, open, plain(content.m_kind == callers::CallKind::Submit ? callers::ReplyKind::Malformed : callers::ReplyKind::NoSuchJob), now);
         return;
     }
     open.m_job = *job;
@@ -168,15 +168,15 @@
     std::uint64_t call, OpenCall open, const callers::Call &content, const catalog::Queue &queue, const fleet::AccountId &account, fleet::Now now)
 {
     if (journal::findJob(m_journal.m_ledger, open.m_job) != nullptr) {
-        reply(call, open, plain(callers::ReplyKind::Accepted));
+        reply(call, open, plain(callers::ReplyKind::Accepted), now);
         return;
     }
     if (!content.m_submission) {
-        reply(call, open, {callers::ReplyKind::Malformed, {}, 0, {}, content.m_problem});
+        reply(call, open, {callers::ReplyKind::Malformed, {}, 0, {}, content.m_problem}, now);
         return;
     }
     if (ageOf(m_operators, now.m_boot) > storeSilence) {
-        reply(call, open, refused("the store is out of reach; try another instance"));
+        reply(call, open, refused("the store is out of reach; try another instance"), now);
         return;
     }
     journal::JobAccepted record;
@@ -197,7 +197,7 @@
         return;
     }
     if (job->isOver()) {
-        reply(call, open, plain(callers::ReplyKind::Cancelled));
+        reply(call, open, plain(callers::ReplyKind::Cancelled), now);
         return;
     }
     open.m_waitsForStore = true;
@@ -220,7 +220,7 @@
 {
     open.m_readAfter = now.m_boot - countFreshness;
     if (m_journal.m_asOf && *m_journal.m_asOf >= open.m_readAfter) {
-        reply(call, open, waitingReply(open.m_queue));
+        reply(call, open, waitingReply(open.m_queue), now);
         return;
     }
     waitForRead(call, open);
@@ -259,11 +259,11 @@
 {
     const journal::JobRecord *job = journal::findJob(m_journal.m_ledger, open.m_job);
     if (open.m_kind == callers::CallKind::Show && open.m_job == jobs::JobId()) {
-        reply(call, open, waitingReply(open.m_queue));
+        reply(call, open, waitingReply(open.m_queue), now);
     } else if (job == nullptr) {
-        reply(call, open, plain(callers::ReplyKind::NoSuchJob));
+        reply(call, open, plain(callers::ReplyKind::NoSuchJob), now);
     } else if (open.m_kind == callers::CallKind::Show) {
-        reply(call, open, stateReply(*job));
+        reply(call, open, stateReply(*job), now);
     } else {
         cancel(call, open, now);
         return false;
@@ -291,20 +291,20 @@
         // Nobody else uses this producer's name; a higher epoch begins its sequence anew. Records may be stored twice.
         ++m_writer.m_epoch;
         m_writer.m_sent->m_resendAt = now.m_boot;
-        m_ports.log("front fenced epoch=" + std::to_string(m_writer.m_epoch) + " reason=" + result.m_reason);
+        m_ports.log(logging::Line("callers", "fenced", logging::Level::Warning).add("epoch", m_writer.m_epoch).add("reason", result.m_reason), now);
     }
     m_storedEnd = std::max(m_storedEnd, outcome.m_end);
     for (const std::uint64_t ticket : outcome.m_stored) {
         const auto found = m_open.find(ticket);
         if (found != m_open.end()) {
             const bool isCancel = found->second.m_kind == callers::CallKind::Cancel;
-            reply(ticket, OpenCall(found->second), plain(isCancel ? callers::ReplyKind::Cancelled : callers::ReplyKind::Accepted));
+            reply(ticket, OpenCall(found->second), plain(isCancel ? callers::ReplyKind::Cancelled : callers::ReplyKind::Accepted), now);
         }
     }
     for (const std::uint64_t ticket : outcome.m_refused) {
         const auto found = m_open.find(ticket);
         if (found != m_open.end()) {
-            reply(ticket, OpenCall(found->second), refused("the store refused the job: " + result.m_reason));
+            reply(ticket, OpenCall(found->second), refused("the store refused the job: " + result.m_reason), now);
         } else if (ticket == 0) {
             announce(now);
         }
@@ -322,19 +322,35 @@
     for (const auto &[call, open] : late) {
         const journal::JobRecord *job = open.m_kind == callers::CallKind::Show ? journal::findJob(m_journal.m_ledger, open.m_job) : nullptr;
         if (job != nullptr) {
-            reply(call, open, stateReply(*job));
+            reply(call, open, stateReply(*job), now);
         } else if (open.m_waitsForStore) {
-            reply(call, open, {callers::ReplyKind::Unknown, {}, 0, {}, "the store has not answered; ask for the job again"});
+            reply(call, open, {callers::ReplyKind::Unknown, {}, 0, {}, "the store has not answered; ask for the job again"}, now);
         } else {
-            reply(call, open, refused("the journal could not be read; try another instance"));
+            reply(call, open, refused("the journal could not be read; try another instance"), now);
         }
     }
 }
 
-void FrontDesk::reply(std::uint64_t call, const OpenCall &open, const callers::Reply &reply)
+void FrontDesk::reply(std::uint64_t call, const OpenCall &open, const callers::Reply &reply, fleet::Now now)
 {
-    m_ports.log(std::string("call kind=") + nameOf(open.m_kind) + " request=" + open.m_requestId + " job=" + toString(open.m_job)
-                + " outcome=" + nameOf(reply.m_kind) + " catalog=" + std::to_string(m_operators.m_catalog.m_version) + " reason=" + reply.m_reason);
+    logging::Line line = logging::Line("callers", "answer")
+                             .add("call", nameOf(open.m_kind))
+                             .add("request", open.m_requestId)
+                             .add("job", toString(open.m_job))
+                             .add("queue", open.m_queue.value())
+                             .add("outcome", nameOf(reply.m_kind))
+                             .add("took_ms", now.m_boot - open.m_arrivedAt)
+                             .add("catalog", m_operators.m_catalog.m_version)
+                             .add("catalog_age_ms", m_operators.m_asOf ? now.m_boot - *m_operators.m_asOf : fleet::Duration(-1))
+                             .add("journal", m_journal.m_next)
+                             .add("journal_age_ms", m_journal.m_asOf ? now.m_boot - *m_journal.m_asOf : fleet::Duration(-1));
+    if (reply.m_kind == callers::ReplyKind::State) {
+        std::move(line).add("state", jobs::nameOf(reply.m_state));
+    }
+    if (!reply.m_reason.empty()) {
+        std::move(line).add("reason", reply.m_reason);
+    }
+    m_ports.log(line, now);
     m_ports.reply(call, reply);
     m_open.erase(call);
 }
--- a/components/node/front_desk.hpp
+++ b/components/node/front_desk.hpp
@@ -67,7 +67,7 @@
     bool tryAnswer(std::uint64_t call, const OpenCall &open, fleet::Now now);
     callers::Reply stateReply(const journal::JobRecord &job) const;
     callers::Reply waitingReply(const fleet::QueueId &queue) const;
-    void reply(std::uint64_t call, const OpenCall &open, const callers::Reply &reply);
+    void reply(std::uint64_t call, const OpenCall &open, const callers::Reply &reply, fleet::Now now);
 
     const Settings &m_settings;
     Ports &m_ports;
--- a/components/node/ports.hpp
+++ b/components/node/ports.hpp
@@ -3,7 +3,9 @@
 
 #include "components/callers/reply.hpp"
 #include "components/fleet/boot_time.hpp"
+#include "components/fleet/now.hpp"
 #include "components/fleet/time.hpp"
+#include "components/logging/line.hpp"
 #include "components/node/append_tag.hpp"
 #include "components/store/append_call.hpp"
 #include "components/store/read_call.hpp"
@@ -42,7 +44,7 @@
     virtual void closeDoors() = 0;
     /// No connection of a caller is left.
     virtual bool isDrained() const = 0;
-    virtual void log(const std::string &line) = 0;
+    virtual void log(const logging::Line &line, fleet::Now now) = 0;
 };
 
 }
--- a/components/settings/node_settings.hpp
+++ b/components/settings/node_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "components/fleet/identifiers.hpp"
 #include "components/fleet/time.hpp"
+#include "components/logging/level.hpp"
 #include "components/settings/endpoint.hpp"
 
 namespace settings
@@ -40,6 +41,8 @@
     /// How long the platform waits between asking a process to stop and killing it.
     fleet::Duration m_stopLimit {6000};
 
+    logging::Level m_logLevel = logging::Level::Info;
+
     bool operator==(const NodeSettings &) const = default;
 };
 
