--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -59,6 +59,7 @@
     control.m_keyRevocation = settings.m_keyRevocation;
     control.m_catalogInForce = settings.m_catalogInForce;
     control.m_statusRetention = settings.m_statusRetention;
+    control.m_journalRetention = settings.m_journalRetention;
     control.m_stopLimit = settings.m_stopLimit;
     return control;
 }
--- a/components/journal/changes.hpp
+++ b/components/journal/changes.hpp
@@ -17,6 +17,7 @@
     std::vector<jobs::JobId> m_touched;
     bool m_holderChanged = false;
     bool m_instanceStarted = false;
+    bool m_snapshotWritten = false;
 
     bool operator==(const Changes &) const = default;
 };
--- a/components/journal/former_holder.hpp
+++ b/components/journal/former_holder.hpp
@@ -14,6 +14,12 @@
     fleet::Incarnation m_incarnation;
 
     bool operator==(const FormerHolder &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_instance, m_incarnation);
+    }
 };
 
 }
--- a/components/journal/holder_record.hpp
+++ b/components/journal/holder_record.hpp
@@ -19,6 +19,12 @@
     fleet::ZoneId m_avoidZone;
 
     bool operator==(const HolderRecord &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_token, m_instance, m_incarnation, m_hasResigned, m_avoidZone);
+    }
 };
 
 }
--- a/components/journal/instance_record.hpp
+++ b/components/journal/instance_record.hpp
@@ -18,6 +18,12 @@
     std::string m_peerKey;
 
     bool operator==(const InstanceRecord &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_incarnation, m_zone, m_peerAddress, m_peerKey);
+    }
 };
 
 }
--- a/components/journal/job_record.hpp
+++ b/components/journal/job_record.hpp
@@ -34,6 +34,16 @@
 
     bool operator==(const JobRecord &) const = default;
 
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_spec, m_mostAttempts);
+        fleet::serializeTime(archive, m_acceptedAt);
+        archive(m_isCancelled, m_hasFailed, m_hasBegun);
+        fleet::serializeTime(archive, m_endedAt);
+        archive(m_occurrences, m_doneOccurrences, m_openRuns);
+    }
+
     std::uint32_t occurrenceCount() const
     {
         return m_spec.m_schedule.isTimed() ? m_spec.m_schedule.m_occurrences : 1;
--- a/components/journal/ledger.cpp
+++ b/components/journal/ledger.cpp
@@ -243,6 +243,11 @@
 {
 }
 
+void applyBody(Ledger &, const SnapshotWritten &, Changes &changes)
+{
+    changes.m_snapshotWritten = true;
+}
+
 }
 
 void apply(Ledger &ledger, const Record &record, Changes &changes)
--- a/components/journal/occurrence_record.hpp
+++ b/components/journal/occurrence_record.hpp
@@ -16,6 +16,12 @@
     std::uint32_t m_doneSteps = 0;
 
     bool operator==(const OccurrenceRecord &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_steps, m_doneSteps);
+    }
 };
 
 }
--- a/components/journal/open_run.hpp
+++ b/components/journal/open_run.hpp
@@ -15,6 +15,12 @@
     workers::Life m_on;
 
     bool operator==(const OpenRun &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_run, m_on);
+    }
 };
 
 }
--- a/components/journal/queued_record.hpp
+++ b/components/journal/queued_record.hpp
@@ -10,6 +10,8 @@
 /// A record on its way to the journal; the ticket names it to whoever waits for it.
 struct QueuedRecord
 {
+    /// Keyed topics only.
+    std::string m_key;
     std::string m_bytes;
     std::uint64_t m_ticket = 0;
 };
--- a/components/journal/record.hpp
+++ b/components/journal/record.hpp
@@ -9,6 +9,7 @@
 #include "components/journal/job_cancelled.hpp"
 #include "components/journal/runs_ended.hpp"
 #include "components/journal/runs_launched.hpp"
+#include "components/journal/snapshot_written.hpp"
 
 #include <string>
 #include <string_view>
@@ -18,7 +19,7 @@
 {
 
 /// One fact of the journal. The order of the alternatives is part of the stored format.
-using Record = std::variant<JobAccepted, JobCancelled, RunsLaunched, RunsEnded, InstanceStarted, HolderClaimed, HolderResigned, HolderAlive>;
+using Record = std::variant<JobAccepted, JobCancelled, RunsLaunched, RunsEnded, InstanceStarted, HolderClaimed, HolderResigned, HolderAlive, SnapshotWritten>;
 
 std::string encode(const Record &record);
 
--- /dev/null
+++ b/components/journal/snapshot.cpp
@@ -0,0 +1,147 @@
+#include "components/journal/snapshot.hpp"
+
+#include "components/wire/codec.hpp"
+
+#include <cereal/types/map.hpp>
+#include <cereal/types/set.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace journal
+{
+
+namespace
+{
+
+constexpr std::uint8_t formatVersion = 1;
+/// Bytes of one record, below the store's own limit.
+constexpr std::size_t partBytes = std::size_t {128} * 1024;
+constexpr const char *headKey = "head";
+
+/// What is stored of a ledger. Maps with a fixed order, so that equal ledgers give equal bytes.
+struct Body
+{
+    std::uint64_t m_next = 0;
+    std::map<jobs::JobId, JobRecord> m_jobs;
+    std::map<fleet::InstanceId, InstanceRecord> m_instances;
+    HolderRecord m_holder;
+    std::vector<FormerHolder> m_formerHolders;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_next, m_jobs, m_instances, m_holder, m_formerHolders);
+    }
+};
+
+/// Names the slot that holds the newest snapshot and how many parts it has.
+struct Head
+{
+    std::uint32_t m_slot = 0;
+    std::uint32_t m_parts = 0;
+    std::uint64_t m_next = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_slot, m_parts, m_next);
+    }
+};
+
+/// One part, with what tells it from a part of another snapshot in the same slot.
+struct Part
+{
+    std::uint64_t m_next = 0;
+    std::string m_bytes;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_next, m_bytes);
+    }
+};
+
+std::string partKey(std::uint32_t slot, std::uint32_t part)
+{
+    return "part/" + std::to_string(slot) + '/' + std::to_string(part);
+}
+
+Ledger toLedger(Body body)
+{
+    Ledger ledger;
+    for (auto &[id, job] : body.m_jobs) {
+        if (job.isOver()) {
+            ledger.m_ended.emplace(job.m_endedAt, id);
+        }
+        ledger.m_jobs.emplace(id, std::move(job));
+    }
+    ledger.m_instances = std::move(body.m_instances);
+    ledger.m_holder = body.m_holder;
+    ledger.m_formerHolders = std::move(body.m_formerHolders);
+    return ledger;
+}
+
+std::optional<std::string> joinParts(const std::map<std::string, const store::KeyedRecord *> &records, const Head &head)
+{
+    std::string bytes;
+    for (std::uint32_t i = 0; i < head.m_parts; ++i) {
+        const auto found = records.find(partKey(head.m_slot, i));
+        if (found == records.end()) {
+            return std::nullopt;
+        }
+        const Part part = wire::decode<Part>(formatVersion, found->second->m_value);
+        if (part.m_next != head.m_next) {
+            return std::nullopt;
+        }
+        bytes += part.m_bytes;
+    }
+    return bytes;
+}
+
+}
+
+std::vector<store::KeyedRecord> encodeSnapshot(const Ledger &ledger, std::uint64_t next, unsigned slot)
+{
+    Body body;
+    body.m_next = next;
+    body.m_jobs.insert(ledger.m_jobs.begin(), ledger.m_jobs.end());
+    body.m_instances = ledger.m_instances;
+    body.m_holder = ledger.m_holder;
+    body.m_formerHolders = ledger.m_formerHolders;
+    const std::string bytes = wire::encode(formatVersion, body);
+    Head head {slot, 0, next};
+    std::vector<store::KeyedRecord> records;
+    for (std::size_t from = 0; from < bytes.size(); from += partBytes) {
+        const Part part {next, bytes.substr(from, partBytes)};
+        records.push_back({partKey(slot, head.m_parts++), wire::encode(formatVersion, part), 0});
+    }
+    records.push_back({headKey, wire::encode(formatVersion, head), 0});
+    return records;
+}
+
+std::optional<Snapshot> assembleSnapshot(const std::vector<store::KeyedRecord> &records)
+{
+    std::map<std::string, const store::KeyedRecord *> byKey;
+    for (const store::KeyedRecord &record : records) {
+        byKey[record.m_key] = &record;
+    }
+    const auto head = byKey.find(headKey);
+    if (head == byKey.end()) {
+        return std::nullopt;
+    }
+    try {
+        const Head decoded = wire::decode<Head>(formatVersion, head->second->m_value);
+        const auto bytes = joinParts(byKey, decoded);
+        if (!bytes) {
+            return std::nullopt;
+        }
+        Body body = wire::decode<Body>(formatVersion, *bytes);
+        const std::uint64_t next = body.m_next;
+        return Snapshot {toLedger(std::move(body)), next};
+    } catch (const wire::CodecError &) {
+        return std::nullopt;
+    }
+}
+
+}
--- a/components/journal/step_record.hpp
+++ b/components/journal/step_record.hpp
@@ -22,6 +22,12 @@
 
     bool operator==(const StepRecord &) const = default;
 
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_tasks, m_doneTasks, m_gangFailures, m_lastFailedRun, m_checkpointRun);
+    }
+
     bool isDone() const
     {
         return m_doneTasks == m_tasks.size();
--- a/components/journal/task_record.hpp
+++ b/components/journal/task_record.hpp
@@ -25,6 +25,12 @@
     std::vector<OpenRun> m_neverBegan;
 
     bool operator==(const TaskRecord &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(m_lastRun, m_failures, m_isDone, m_open, m_checkpoint, m_neverBegan);
+    }
 };
 
 }
--- a/components/journal/writer.cpp
+++ b/components/journal/writer.cpp
@@ -38,6 +38,9 @@
     call.m_topic = topic;
     for (const QueuedRecord &record : writer.m_sent->m_records) {
         call.m_records.push_back(record.m_bytes);
+        if (topic.m_isKeyed) {
+            call.m_keys.push_back(record.m_key);
+        }
     }
     call.m_producer = store::Producer {writer.m_producer, writer.m_epoch, writer.m_sent->m_sequence};
     call.m_onlyAtEnd = writer.m_sent->m_onlyAtEnd;
@@ -92,7 +95,12 @@
 
 void enqueue(Writer &writer, std::string bytes, std::uint64_t ticket)
 {
-    writer.m_queued.push_back({std::move(bytes), ticket});
+    writer.m_queued.push_back({{}, std::move(bytes), ticket});
+}
+
+void enqueueKeyed(Writer &writer, std::string key, std::string bytes, std::uint64_t ticket)
+{
+    writer.m_queued.push_back({std::move(key), std::move(bytes), ticket});
 }
 
 std::optional<store::AppendCall> takeDueCall(Writer &writer, const store::Topic &topic, fleet::BootTime now)
--- a/components/journal/writer.hpp
+++ b/components/journal/writer.hpp
@@ -36,6 +36,8 @@
 };
 
 void enqueue(Writer &writer, std::string bytes, std::uint64_t ticket);
+/// For a keyed topic.
+void enqueueKeyed(Writer &writer, std::string key, std::string bytes, std::uint64_t ticket);
 
 /// The call to make now, if any: a new batch, or the present one again.
 std::optional<store::AppendCall> takeDueCall(Writer &writer, const store::Topic &topic, fleet::BootTime now);
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -12,7 +12,8 @@
 
 using namespace std::chrono_literals;
 
-const store::Topic journalTopic {"foxtailcross.journal", 0};
+const store::Topic journalTopic {"foxtailcross.journal", 0, false};
+const store::Topic snapshotTopic {"foxtailcross.snapshot", 0, true};
 
 /// How long the store may wait for a change before it confirms that there is none.
 constexpr fleet::Duration operatorsWait {1000};
@@ -27,6 +28,9 @@
 constexpr fleet::Duration readyAge {3000};
 /// After a stop was requested new connections still come until the platform has seen it twice.
 constexpr fleet::Duration balancerDelay {2200};
+/// Jobs that ended long ago are forgotten this often, and this much later than they must be known, since clocks differ.
+constexpr fleet::Duration forgetInterval {5000};
+constexpr fleet::Duration clockTolerance {15'000};
 /// The process ends this long before the platform would kill it.
 constexpr fleet::Duration stopMargin {700};
 
@@ -55,6 +59,10 @@
 {
     m_duty.onTick(now);
     m_desk.onTick(now);
+    if (now.m_boot - m_forgotAt >= forgetInterval) {
+        m_forgotAt = now.m_boot;
+        journal::forgetEnded(m_journal.m_ledger, now.m_wall - m_settings.m_statusRetention - clockTolerance);
+    }
     updateReadiness(now);
     sendDue(now);
     checkStop(now);
@@ -77,7 +85,7 @@
 
 void Control::take(const AppendEnded &event, fleet::Now now)
 {
-    if (event.m_tag.m_isHolder) {
+    if (event.m_tag.m_writer != WriterKind::Callers) {
         m_duty.onAppendEnded(event.m_tag, event.m_sentAt, event.m_result, now);
     } else if (event.m_tag.m_epoch == m_desk.writer().m_epoch) {
         m_desk.onAppendEnded(event.m_tag.m_sequence, event.m_sentAt, event.m_result, now);
@@ -104,6 +112,14 @@
     }
 }
 
+void Control::take(const KeyedReadEnded &event, fleet::Now now)
+{
+    if (takeSnapshotRead(m_journal, event.m_outcome, event.m_records, now.m_boot)) {
+        m_ports.log(logging::Line("journal", "snapshot-read").add("journal_end", m_journal.m_next).add("jobs", m_journal.m_ledger.m_jobs.size()), now);
+        readJournal(now);
+    }
+}
+
 void Control::take(const OperatorsReadEnded &event, fleet::Now now)
 {
     const std::uint64_t version = m_operators.m_catalog.m_version;
@@ -183,10 +199,13 @@
 void Control::sendAppends(fleet::Now now)
 {
     while (const auto call = journal::takeDueCall(m_duty.writer(), journalTopic, now.m_boot)) {
-        m_ports.append(*call, {true, m_duty.writer().m_epoch, call->m_producer->m_sequence}, now.m_boot);
+        m_ports.append(*call, {WriterKind::Holder, m_duty.writer().m_epoch, call->m_producer->m_sequence}, now.m_boot);
+    }
+    while (const auto call = journal::takeDueCall(m_duty.snapshotWriter(), snapshotTopic, now.m_boot)) {
+        m_ports.append(*call, {WriterKind::Snapshots, m_duty.snapshotWriter().m_epoch, call->m_producer->m_sequence}, now.m_boot);
     }
     while (const auto call = journal::takeDueCall(m_desk.writer(), journalTopic, now.m_boot)) {
-        m_ports.append(*call, {false, m_desk.writer().m_epoch, call->m_producer->m_sequence}, now.m_boot);
+        m_ports.append(*call, {WriterKind::Callers, m_desk.writer().m_epoch, call->m_producer->m_sequence}, now.m_boot);
     }
 }
 
@@ -203,6 +222,13 @@
         m_operators.m_readSentAt = now.m_boot;
         m_ports.readOperators(m_operators.m_next, m_operators.m_next ? operatorsWait : fleet::Duration(0), now.m_boot);
     }
+    if (m_journal.m_needsSnapshot) {
+        if (!m_journal.m_snapshotReadOpen && now.m_boot >= m_journal.m_nextSnapshotReadAt) {
+            m_journal.m_snapshotReadOpen = true;
+            m_ports.readKeyed(snapshotTopic, now.m_boot);
+        }
+        return;
+    }
     if (!m_followSentAt && now.m_boot >= m_nextFollowAt) {
         m_followSentAt = now.m_boot;
         readJournal(now);
--- a/components/node/control.hpp
+++ b/components/node/control.hpp
@@ -32,6 +32,7 @@
     void take(const CallArrived &event, fleet::Now now);
     void take(const AppendEnded &event, fleet::Now now);
     void take(const JournalRead &event, fleet::Now now);
+    void take(const KeyedReadEnded &event, fleet::Now now);
     void take(const OperatorsReadEnded &event, fleet::Now now);
     void take(const ListReadEnded &event, fleet::Now now);
     void take(const StartEnded &event, fleet::Now now);
@@ -59,6 +60,7 @@
     std::uint64_t m_toldEnd = 0;
     bool m_isReady = false;
     std::optional<fleet::BootTime> m_stopRequestedAt;
+    fleet::BootTime m_forgotAt;
     bool m_areDoorsClosed = false;
     bool m_isStopped = false;
 };
--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -1,6 +1,7 @@
 #include "components/node/duty.hpp"
 
 #include "components/dispatch/step.hpp"
+#include "components/journal/snapshot.hpp"
 #include "components/node/ports.hpp"
 
 #include <algorithm>
@@ -16,6 +17,9 @@
 using namespace std::chrono_literals;
 
 constexpr const char *producer = "scheduler";
+constexpr const char *snapshotProducer = "snapshots";
+/// Snapshots within the time that the store keeps a record, so that one may fail.
+constexpr int snapshotsPerRetention = 4;
 /// The holder sends a message to every instance this often.
 constexpr fleet::Duration beatInterval {100};
 /// An instance that has not heard the holder for this long looks for it in the journal.
@@ -44,6 +48,11 @@
 /// While the holder is looked for, the journal is read this often.
 constexpr fleet::Duration suspectReadInterval {100};
 
+fleet::Duration snapshotInterval(const Settings &settings)
+{
+    return settings.m_journalRetention / snapshotsPerRetention;
+}
+
 fleet::Duration spread(const fleet::InstanceId &instance)
 {
     return fleet::Duration(static_cast<std::int64_t>(std::hash<std::string>()(instance.value()) % static_cast<std::size_t>(claimSpread.count())));
@@ -194,6 +203,9 @@
     m_list.clear();
     m_listNext.reset();
     m_nextListReadAt = now.m_boot;
+    m_snapshotWriter = journal::Writer();
+    m_snapshotWriter.m_producer = snapshotProducer;
+    m_snapshotWriter.m_epoch = m_state.m_token.m_value;
     m_ports.log(logging::Line("duty", "hold")
                     .add("token", m_state.m_token.m_value)
                     .add("journal_end", m_journal.m_next)
@@ -209,12 +221,15 @@
 void Duty::stepDown(const std::string &why, fleet::Now now)
 {
     m_ports.log(logging::Line("duty", "end").add("token", m_writer.m_epoch).add("why", why), now);
+    if (m_phase == DutyPhase::Holding) {
+        // The ledger may hold records that were never stored.
+        beginAnew(m_journal);
+    }
     m_phase = DutyPhase::Following;
     m_writer = journal::Writer();
+    m_snapshotWriter = journal::Writer();
     m_state = dispatch::State();
     m_unconfirmed.clear();
-    // The ledger may hold records that were never stored.
-    beginAnew(m_journal);
     m_notBefore = now.m_boot + claimPause;
     m_holderHeardAt = now.m_boot;
     m_startedAt = now.m_boot;
@@ -222,6 +237,13 @@
 
 void Duty::onJournalRead(const journal::Changes &changes, fleet::Now now)
 {
+    if (!m_snapshotAt) {
+        // Nothing is known of the last one yet; a part of the interval passes before this instance would write one.
+        m_snapshotAt = now.m_boot - snapshotInterval(m_settings) * 3 / 4;
+    }
+    if (changes.m_snapshotWritten) {
+        m_snapshotAt = now.m_boot;
+    }
     if (!m_isStarted) {
         m_isStarted = true;
         m_startedAt = now.m_boot;
@@ -253,8 +275,41 @@
     }
 }
 
+void Duty::onSnapshotStored(const journal::WriteOutcome &outcome, fleet::Now now)
+{
+    const bool isLast = !m_snapshotWriter.m_sent && m_snapshotWriter.m_queued.empty();
+    if (outcome.m_stored.empty() || !isLast) {
+        return;
+    }
+    m_snapshotAt = now.m_boot;
+    const std::uint64_t next = outcome.m_stored.back();
+    journal::enqueue(m_writer, journal::encode(journal::SnapshotWritten {next}), 0);
+    m_ports.log(logging::Line("journal", "snapshot-stored").add("journal_end", next).add("records", outcome.m_stored.size()), now);
+}
+
+/// Only between batches does the ledger hold exactly what is stored up to one offset.
+void Duty::writeSnapshotIfDue(fleet::Now now)
+{
+    const bool isDue = m_snapshotAt && now.m_boot - *m_snapshotAt >= snapshotInterval(m_settings);
+    const bool isSettled = isIdle() && m_state.m_unstored.empty() && m_knownEnd <= m_journal.m_next && m_journal.m_readsOpen == 0;
+    if (!isDue || !isSettled || m_snapshotWriter.m_sent) {
+        return;
+    }
+    m_snapshotAt = now.m_boot;
+    m_snapshotSlot = 1 - m_snapshotSlot;
+    for (store::KeyedRecord &record : journal::encodeSnapshot(m_journal.m_ledger, m_journal.m_next, m_snapshotSlot)) {
+        journal::enqueueKeyed(m_snapshotWriter, std::move(record.m_key), std::move(record.m_value), m_journal.m_next);
+    }
+}
+
 void Duty::onAppendEnded(const AppendTag &tag, fleet::BootTime sentAt, const store::AppendResult &result, fleet::Now now)
 {
+    if (tag.m_writer == WriterKind::Snapshots) {
+        if (tag.m_epoch == m_snapshotWriter.m_epoch && m_phase == DutyPhase::Holding) {
+            onSnapshotStored(journal::onAppendEnded(m_snapshotWriter, tag.m_sequence, sentAt, result, now.m_boot), now);
+        }
+        return;
+    }
     if (m_phase == DutyPhase::Following || tag.m_epoch != m_writer.m_epoch) {
         return;
     }
@@ -369,6 +424,11 @@
     send(dispatch::onTick(m_state, around(), now), now);
     if (m_phase == DutyPhase::Holding) {
         sendBeats(now);
+        writeSnapshotIfDue(now);
+    }
+    if (m_phase == DutyPhase::Holding && m_journal.m_needsSnapshot) {
+        stepDown("the journal expired before it was read", now);
+        return;
     }
     const bool isSomeoneSilent = std::any_of(m_answeredAt.begin(), m_answeredAt.end(), [&](const auto &entry) {
         return now.m_boot - entry.second > answerSilence && now.m_boot - entry.second < knownAlive;
@@ -437,6 +497,11 @@
     return m_writer;
 }
 
+journal::Writer &Duty::snapshotWriter()
+{
+    return m_snapshotWriter;
+}
+
 bool Duty::isIdle() const
 {
     return !m_writer.m_sent && m_writer.m_queued.empty();
--- a/components/node/duty.hpp
+++ b/components/node/duty.hpp
@@ -56,6 +56,7 @@
 
     DutyPhase phase() const;
     journal::Writer &writer();
+    journal::Writer &snapshotWriter();
     /// Everything recorded has been stored.
     bool isIdle() const;
     /// The journal should be read at once: another instance appended to it, or the holder may be gone.
@@ -75,6 +76,8 @@
     void begin(fleet::Now now);
     void stepDown(const std::string &why, fleet::Now now);
     void send(dispatch::Outbox &&outbox, fleet::Now now);
+    void onSnapshotStored(const journal::WriteOutcome &outcome, fleet::Now now);
+    void writeSnapshotIfDue(fleet::Now now);
 
     const Settings &m_settings;
     Ports &m_ports;
@@ -82,6 +85,10 @@
     JournalView &m_journal;
     DutyPhase m_phase = DutyPhase::Following;
     journal::Writer m_writer;
+    journal::Writer m_snapshotWriter;
+    /// When a snapshot was last written by any holder, as far as this instance knows.
+    std::optional<fleet::BootTime> m_snapshotAt;
+    unsigned m_snapshotSlot = 0;
     dispatch::State m_state;
     std::map<fleet::WorkerId, workers::Registration> m_list;
     std::optional<std::uint64_t> m_listNext;
--- a/components/node/events.hpp
+++ b/components/node/events.hpp
@@ -6,6 +6,7 @@
 #include "components/fleet/boot_time.hpp"
 #include "components/node/append_tag.hpp"
 #include "components/store/append_result.hpp"
+#include "components/store/keyed_record.hpp"
 #include "components/store/read_call.hpp"
 #include "components/store/read_result.hpp"
 #include "components/workers/list_read.hpp"
@@ -18,6 +19,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace node
 {
@@ -43,6 +45,13 @@
     store::ReadResult m_result;
 };
 
+struct KeyedReadEnded
+{
+    fleet::BootTime m_sentAt;
+    store::ReadOutcome m_outcome = store::ReadOutcome::NoAnswer;
+    std::vector<store::KeyedRecord> m_records;
+};
+
 struct OperatorsReadEnded
 {
     fleet::BootTime m_sentAt;
@@ -86,8 +95,17 @@
 };
 
 /// What the control thread takes in.
-using Event
-    = std::variant<CallArrived, AppendEnded, JournalRead, OperatorsReadEnded, ListReadEnded, StartEnded, StopEnded, LookEnded, DatagramArrived, StopRequested>;
+using Event = std::variant<CallArrived,
+                           AppendEnded,
+                           JournalRead,
+                           KeyedReadEnded,
+                           OperatorsReadEnded,
+                           ListReadEnded,
+                           StartEnded,
+                           StopEnded,
+                           LookEnded,
+                           DatagramArrived,
+                           StopRequested>;
 
 }
 
--- a/components/node/journal_view.cpp
+++ b/components/node/journal_view.cpp
@@ -1,5 +1,6 @@
 #include "components/node/journal_view.hpp"
 
+#include "components/journal/snapshot.hpp"
 #include "components/wire/codec_error.hpp"
 
 #include <algorithm>
@@ -11,12 +12,48 @@
 namespace
 {
 
+/// Pause after a read of the snapshots that failed.
+constexpr fleet::Duration snapshotRetry {150};
+
 bool isFromHolder(const journal::Record &record)
 {
     return std::holds_alternative<journal::RunsLaunched>(record) || std::holds_alternative<journal::RunsEnded>(record)
         || std::holds_alternative<journal::HolderAlive>(record) || std::holds_alternative<journal::HolderClaimed>(record);
 }
 
+/// The records asked for are gone; a snapshot holds what they said.
+void noteExpired(JournalView &view, const store::ReadResult &result)
+{
+    if (result.m_from != view.m_next) {
+        return;
+    }
+    if (view.m_isTorn) {
+        // No snapshot reaches the oldest record. Reading goes on there, and jobs may be unknown.
+        view.m_next = result.m_oldest;
+        return;
+    }
+    view.m_isTorn = true;
+    view.m_needsSnapshot = true;
+}
+
+}
+
+bool takeSnapshotRead(JournalView &view, store::ReadOutcome outcome, const std::vector<store::KeyedRecord> &records, fleet::BootTime now)
+{
+    view.m_snapshotReadOpen = false;
+    if (outcome != store::ReadOutcome::Read) {
+        view.m_answersSince = now;
+        view.m_nextSnapshotReadAt = now + snapshotRetry;
+        return false;
+    }
+    view.m_answeredAt = now;
+    view.m_needsSnapshot = false;
+    if (auto snapshot = journal::assembleSnapshot(records); snapshot && snapshot->m_next > view.m_next) {
+        view.m_ledger = std::move(snapshot->m_ledger);
+        view.m_next = snapshot->m_next;
+        view.m_isTorn = false;
+    }
+    return true;
 }
 
 void beginAnew(JournalView &view)
@@ -31,11 +68,16 @@
 
 bool takeJournalRead(JournalView &view, const store::ReadResult &result, fleet::BootTime sentAt, fleet::BootTime now, journal::Changes &changes)
 {
+    if (result.m_outcome == store::ReadOutcome::Expired) {
+        noteExpired(view, result);
+        return false;
+    }
     if (result.m_outcome != store::ReadOutcome::Read) {
         view.m_answersSince = now;
         return false;
     }
     view.m_answeredAt = now;
+    view.m_isTorn = false;
     // A read from beyond what is known was sent before the view was begun anew.
     if (result.m_from > view.m_next) {
         return false;
--- a/components/node/journal_view.hpp
+++ b/components/node/journal_view.hpp
@@ -4,10 +4,12 @@
 #include "components/fleet/boot_time.hpp"
 #include "components/journal/changes.hpp"
 #include "components/journal/ledger.hpp"
+#include "components/store/keyed_record.hpp"
 #include "components/store/read_result.hpp"
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace node
 {
@@ -21,6 +23,12 @@
     /// Everything stored before this time has been read.
     std::optional<fleet::BootTime> m_asOf;
     int m_readsOpen = 0;
+    /// The newest snapshot has to be read first.
+    bool m_needsSnapshot = true;
+    bool m_snapshotReadOpen = false;
+    fleet::BootTime m_nextSnapshotReadAt;
+    /// The records asked for had expired although no newer snapshot was found.
+    bool m_isTorn = false;
     fleet::BootTime m_lastReadSentAt;
     /// When the store last answered a read, and since when it has answered each.
     fleet::BootTime m_answeredAt;
@@ -37,6 +45,9 @@
 /// Forgets what was read, and keeps what is known of the store.
 void beginAnew(JournalView &view);
 
+/// Takes in what was read of the topic of snapshots; true where the view can go on from there.
+bool takeSnapshotRead(JournalView &view, store::ReadOutcome outcome, const std::vector<store::KeyedRecord> &records, fleet::BootTime now);
+
 /// Takes in a read; true where there is more to read at once.
 bool takeJournalRead(JournalView &view, const store::ReadResult &result, fleet::BootTime sentAt, fleet::BootTime now, journal::Changes &changes);
 
--- a/components/node/ports.hpp
+++ b/components/node/ports.hpp
@@ -32,6 +32,8 @@
     virtual void readOperators(std::optional<std::uint64_t> from, fleet::Duration wait, fleet::BootTime now) = 0;
     /// Reads the platform's list of workers from the offset on, or all of it where there is none.
     virtual void readList(std::optional<std::uint64_t> from, fleet::BootTime now) = 0;
+    /// Reads the newest record of each key of a topic.
+    virtual void readKeyed(const store::Topic &topic, fleet::BootTime now) = 0;
     virtual void start(const workers::StartOrder &order) = 0;
     virtual void stop(const workers::StopOrder &order) = 0;
     virtual void look(const workers::LookOrder &order, fleet::BootTime now) = 0;
--- a/components/node/settings.hpp
+++ b/components/node/settings.hpp
@@ -28,6 +28,8 @@
     fleet::Duration m_catalogInForce {2000};
     /// The state of a job that has ended is kept for this long.
     fleet::Duration m_statusRetention {std::chrono::minutes(2)};
+    /// How long the store keeps the records of the journal.
+    fleet::Duration m_journalRetention {std::chrono::minutes(5)};
     /// How long the platform waits between asking a process to stop and killing it.
     fleet::Duration m_stopLimit {6000};
 
--- a/components/settings/node_settings.cpp
+++ b/components/settings/node_settings.cpp
@@ -23,6 +23,7 @@
     settings.m_keyRevocation = reader.duration("bounds.key_revocation", settings.m_keyRevocation, 1s, 1h);
     settings.m_catalogInForce = reader.duration("bounds.catalog_in_force", settings.m_catalogInForce, 200ms, 1min);
     settings.m_statusRetention = reader.duration("bounds.status_retention", settings.m_statusRetention, 1s, 24h);
+    settings.m_journalRetention = reader.duration("bounds.journal_retention", settings.m_journalRetention, 1s, 720h);
     settings.m_stopLimit = reader.duration("bounds.stop_limit", settings.m_stopLimit, 1s, 1h);
     settings.m_logLevel = reader.level("log.level", settings.m_logLevel);
     reader.finish();
--- a/components/settings/parse.cpp
+++ b/components/settings/parse.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 
 #include <charconv>
+#include <cmath>
 
 namespace settings
 {
@@ -43,6 +44,17 @@
     return value;
 }
 
+/// Digits, with a fraction or without.
+std::optional<double> parseNumber(const std::string &text, std::int64_t most)
+{
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+    if (error != std::errc() || end != text.data() + text.size() || !(value >= 0) || value > static_cast<double>(most)) {
+        return std::nullopt;
+    }
+    return value;
+}
+
 bool isIpNumber(const std::string &address, int family)
 {
     unsigned char buffer[sizeof(in6_addr)];
@@ -57,12 +69,12 @@
     if (space == std::string::npos) {
         return std::nullopt;
     }
-    const std::optional<std::int64_t> count = parseWholeNumber(text.substr(0, space), maxDurationCount);
+    const std::optional<double> count = parseNumber(text.substr(0, space), maxDurationCount);
     const std::optional<fleet::Duration> unit = unitLength(text.substr(space + 1));
     if (!count || !unit) {
         return std::nullopt;
     }
-    return *unit * *count;
+    return fleet::Duration(static_cast<std::int64_t>(std::llround(static_cast<double>(unit->count()) * *count)));
 }
 
 std::optional<Endpoint> parseEndpoint(const std::string &text)
--- a/components/settings/parse.hpp
+++ b/components/settings/parse.hpp
@@ -11,7 +11,7 @@
 namespace settings
 {
 
-/// A whole number and one of the units ms, s, min, h or d; nothing where the text is anything else.
+/// A number and one of the units ms, s, min, h or d; nothing where the text is anything else.
 std::optional<fleet::Duration> parseDuration(const std::string &text);
 
 /// An IPv4 number, or an IPv6 number in brackets, and a port; nothing where the text is anything else.
--- a/components/settings/settings_test.cpp
+++ b/components/settings/settings_test.cpp
@@ -96,3 +96,11 @@
     cr_assert(settings::parseEndpoint("[::1]:80").has_value());
     cr_assert_not(settings::parseEndpoint("127.0.0.1:65536").has_value());
 }
+
+Test(duration, fraction_parse_isRoundedToMilliseconds)
+{
+    cr_assert(settings::parseDuration("6.0 s") == 6s);
+    cr_assert(settings::parseDuration("1.5 s") == 1500ms);
+    cr_assert(!settings::parseDuration("-1 s"));
+    cr_assert(!settings::parseDuration("1e3 ms"));
+}
--- a/components/store/append_call.hpp
+++ b/components/store/append_call.hpp
@@ -17,6 +17,8 @@
 {
     Topic m_topic;
     std::vector<std::string> m_records;
+    /// Keyed topics: the key of each record.
+    std::vector<std::string> m_keys;
     std::optional<Producer> m_producer;
     /// The append is refused unless the topic ends at this offset.
     std::optional<std::uint64_t> m_onlyAtEnd;
--- a/components/store/topic.hpp
+++ b/components/store/topic.hpp
@@ -13,6 +13,8 @@
 {
     std::string m_name;
     std::uint32_t m_partition = 0;
+    /// The newest record of each key is kept for good.
+    bool m_isKeyed = false;
 
     auto operator<=>(const Topic &) const = default;
 };
