--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -48,7 +48,8 @@
 
 bool isStartDue(const Context &context, const RunState &run)
 {
-    return run.m_phase == RunPhase::Starting && !run.m_stopWanted && !run.m_startInFlight && !run.m_isOverThere && context.m_now.m_boot >= run.m_nextStartAt;
+    return context.m_state.m_mayRenew && !run.m_isLifeUnsure && run.m_phase == RunPhase::Starting && !run.m_stopWanted && !run.m_startInFlight
+        && !run.m_isOverThere && context.m_now.m_boot >= run.m_nextStartAt;
 }
 
 bool isStopDue(const Context &context, const RunState &run)
@@ -61,7 +62,7 @@
     const bool hasEndsToForget = worker.m_endsStored > worker.m_endsForgotten;
     const bool isAnyStarted = std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
         const RunState &state = context.m_state.m_runs.at(run);
-        return state.m_phase == RunPhase::Running || state.m_isOverThere || state.m_isUncertain || state.m_stopAnswered;
+        return state.m_phase == RunPhase::Running || state.m_isOverThere || state.m_isUncertain || state.m_stopAnswered || state.m_isLifeUnsure;
     });
     if (worker.m_lookInFlight || context.m_now.m_boot < worker.m_nextLookAt || worker.m_registration.m_address.empty()) {
         return false;
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -53,6 +53,9 @@
         }
     }
     context.m_state.m_reservations.erase(candidate.m_step);
+    if (candidate.m_spec->m_isGang) {
+        context.m_state.m_incompleteGangs.insert(candidate.m_step);
+    }
     context.m_out.m_log.push_back(logging::Line("dispatch", "launch")
                                       .add("job", toString(candidate.m_step.m_job))
                                       .add("occurrence", candidate.m_step.m_occurrence)
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -49,24 +49,23 @@
     worker.m_registration = registration;
 }
 
-/// A worker came back under its id. What the life before ran is gone; a start without an answer may still reach the new
-/// life, which has seen no token, so it is stopped there first.
+/// A worker came back under its id. What the life before ran is gone, but an order that was sent to it may have reached the new
+/// life, which has seen no token: only the lists of the new life tell.
 void moveToNewLife(Context &context, WorkerState &worker, const workers::Registration &registration)
 {
     beginLife(worker, registration);
+    worker.m_foreignLeaseUntil = context.m_now.m_boot + context.m_state.m_settings.longestLease();
     const std::set<jobs::RunId> runs = worker.m_runs;
     for (const jobs::RunId &id : runs) {
         RunState &run = context.m_state.m_runs.at(id);
         run.m_on = registration.m_life;
+        run.m_isUncertain = run.m_isUncertain || run.m_startInFlight;
         run.m_startInFlight = false;
         run.m_stopInFlight = false;
         run.m_stopAnswered = false;
+        run.m_isLifeUnsure = true;
         if (run.m_phase == RunPhase::Recording) {
             wantStop(context, id, "worker-reborn");
-        } else if (run.m_isUncertain && run.m_phase == RunPhase::Starting) {
-            wantStop(context, id, "worker-reborn");
-        } else {
-            endRun(context, id, jobs::RunEnd::LostWithWorker, {});
         }
     }
 }
@@ -164,6 +163,18 @@
     }
 }
 
+/// The new life of a worker does not have the run. An order without an answer may still reach it, so the run is stopped there.
+void settleInNewLife(Context &context, const jobs::RunId &id, RunState &run)
+{
+    run.m_isLifeUnsure = false;
+    if (run.m_isUncertain) {
+        run.m_phase = RunPhase::Starting;
+        wantStop(context, id, "worker-reborn");
+    } else {
+        endRun(context, id, jobs::RunEnd::LostWithWorker, {});
+    }
+}
+
 /// Settles the runs that the worker lists neither as running nor as ended.
 void settleAbsent(Context &context, const WorkerState &worker, const std::vector<workers::RunningTask> &running, fleet::BootTime sentAt)
 {
@@ -175,6 +186,11 @@
     for (const jobs::RunId &id : runs) {
         RunState &run = context.m_state.m_runs.at(id);
         if (present.contains(id)) {
+            run.m_isLifeUnsure = false;
+            continue;
+        }
+        if (run.m_isLifeUnsure) {
+            settleInNewLife(context, id, run);
             continue;
         }
         if (run.m_phase == RunPhase::Starting && run.m_nextStartAt == fleet::BootTime::max()) {
--- a/components/dispatch/run_state.hpp
+++ b/components/dispatch/run_state.hpp
@@ -25,6 +25,8 @@
     int m_startTries = 0;
     /// A start had no answer and may be carried out late.
     bool m_isUncertain = false;
+    /// The worker came back in a new life, and whether it has the run is not known.
+    bool m_isLifeUnsure = false;
     fleet::BootTime m_nextStartAt;
     fleet::BootTime m_startedAt;
     /// The worker said that the run is over; the list of ends tells how.
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -74,6 +74,15 @@
     return runs;
 }
 
+/// A member was ordered long ago and is not there, so that the others would wait in vain.
+bool isMemberMissing(const Context &context, const std::vector<jobs::RunId> &open)
+{
+    return std::any_of(open.begin(), open.end(), [&](const jobs::RunId &run) {
+        const RunState &state = context.m_state.m_runs.at(run);
+        return state.m_phase != RunPhase::Running && context.m_now.m_boot - state.m_launchedAt > context.m_state.m_settings.m_gangWait / 2;
+    });
+}
+
 /// True where the members of the gang that never began may still be given to other workers.
 bool canStillJoin(const Context &context, const journal::StepRecord &record, const std::vector<jobs::RunId> &open)
 {
@@ -99,7 +108,7 @@
         return open;
     }
     if (stepOf(job, step).m_isGang) {
-        const bool isWhole = open.size() == record.m_tasks.size();
+        const bool isWhole = open.size() == record.m_tasks.size() && !isMemberMissing(context, open);
         return isWhole || canStillJoin(context, record, open) ? needless : open;
     }
     std::copy_if(open.begin(), open.end(), std::back_inserter(needless), [&](const jobs::RunId &run) {
@@ -110,8 +119,11 @@
 
 void noteIncomplete(Context &context, const journal::StepRecord &record, const jobs::StepId &step)
 {
-    const std::size_t open = openRuns(record, step).size();
-    if (open > 0 && open < record.m_tasks.size() && context.m_ledger.m_jobs.at(step.m_job).m_spec.m_steps[step.m_step].m_isGang) {
+    const std::vector<jobs::RunId> open = openRuns(record, step);
+    const bool isAnyMissing = open.size() < record.m_tasks.size() || std::any_of(open.begin(), open.end(), [&](const jobs::RunId &run) {
+                                  return context.m_state.m_runs.at(run).m_phase != RunPhase::Running;
+                              });
+    if (!open.empty() && isAnyMissing && context.m_ledger.m_jobs.at(step.m_job).m_spec.m_steps[step.m_step].m_isGang) {
         context.m_state.m_incompleteGangs.insert(step);
     }
 }
--- a/components/dispatch/settings.hpp
+++ b/components/dispatch/settings.hpp
@@ -26,6 +26,14 @@
     /// outage that runs outlive, and the time that a successor waits for workers that do not answer.
     fleet::Duration m_holderAuthority {4000};
 
+    /// The longest that a lease lasts by this machine's clock: a worker's may run 2% slow, and the order needs its way.
+    fleet::Duration longestLease() const
+    {
+        constexpr int numerator = 103;
+        constexpr int denominator = 100;
+        return m_leaseLimit * numerator / denominator;
+    }
+
     bool operator==(const Settings &) const = default;
 };
 
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -26,7 +26,7 @@
     /// Jobs that are not over.
     std::set<jobs::JobId> m_active;
     std::map<jobs::StepId, Reservation> m_reservations;
-    /// Gangs of which some members may still have to be stopped.
+    /// Gangs of which not all members are known to run; the others may have to be stopped.
     std::set<jobs::StepId> m_incompleteGangs;
     std::deque<StoredNote> m_unstored;
     std::uint64_t m_nextBatch = 1;
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -15,8 +15,6 @@
 const store::Topic journalTopic {"foxtailcross.journal", 0, false};
 const store::Topic snapshotTopic {"foxtailcross.snapshot", 0, true};
 
-/// How long the store may wait for a change before it confirms that there is none.
-constexpr fleet::Duration operatorsWait {1000};
 /// Without being told of new records, the holder and the other instances read the journal this often.
 constexpr fleet::Duration holderReadInterval {250};
 constexpr fleet::Duration followInterval {2000};
@@ -34,6 +32,15 @@
 /// The process ends this long before the platform would kill it.
 constexpr fleet::Duration stopMargin {700};
 
+/// How long the store may wait for a change before it confirms that there is none. The view is at most two such waits old, and
+/// must be younger than the time in which a change has to be in force.
+fleet::Duration operatorsWait(const Settings &settings)
+{
+    constexpr int numerator = 2;
+    constexpr int denominator = 5;
+    return settings.m_catalogInForce * numerator / denominator;
+}
+
 }
 
 Control::Control(const Settings &settings, Ports &ports)
@@ -73,6 +80,11 @@
     return now.m_boot + (m_duty.phase() == DutyPhase::Holding ? holderTick : followerTick);
 }
 
+bool Control::holdsDuty() const
+{
+    return m_duty.phase() == DutyPhase::Holding;
+}
+
 bool Control::isStopped() const
 {
     return m_isStopped;
@@ -220,7 +232,7 @@
 {
     if (!m_operators.m_readSentAt && now.m_boot >= m_operators.m_nextReadAt) {
         m_operators.m_readSentAt = now.m_boot;
-        m_ports.readOperators(m_operators.m_next, m_operators.m_next ? operatorsWait : fleet::Duration(0), now.m_boot);
+        m_ports.readOperators(m_operators.m_next, m_operators.m_next ? operatorsWait(m_settings) : fleet::Duration(0), now.m_boot);
     }
     if (m_journal.m_needsSnapshot) {
         if (!m_journal.m_snapshotReadOpen && now.m_boot >= m_journal.m_nextSnapshotReadAt) {
@@ -229,7 +241,9 @@
         }
         return;
     }
-    if (!m_followSentAt && now.m_boot >= m_nextFollowAt) {
+    // An instance that has just taken the duty must not wait for the longer interval of the others to pass.
+    const bool isHolderDue = m_duty.phase() == DutyPhase::Holding && now.m_boot - m_journal.m_lastReadSentAt >= holderReadInterval;
+    if (!m_followSentAt && (now.m_boot >= m_nextFollowAt || isHolderDue)) {
         m_followSentAt = now.m_boot;
         readJournal(now);
     }
--- a/components/node/control.hpp
+++ b/components/node/control.hpp
@@ -25,6 +25,7 @@
     void tick(fleet::Now now);
     /// When tick() should be called next, at the latest.
     fleet::BootTime nextTick(fleet::Now now) const;
+    bool holdsDuty() const;
     /// The planned stop is complete.
     bool isStopped() const;
 
--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -41,9 +41,6 @@
 constexpr fleet::Duration answerSilence {500};
 /// After losing the duty an instance waits this long before it claims again.
 constexpr fleet::Duration claimPause {3000};
-/// A worker's clock may run 2% slow; a lease lasts that much longer, and a little for the way of the last order.
-constexpr int slowClockNumerator = 103;
-constexpr int slowClockDenominator = 100;
 constexpr fleet::Duration listInterval {500};
 /// While the holder is looked for, the journal is read this often.
 constexpr fleet::Duration suspectReadInterval {100};
@@ -120,7 +117,7 @@
 
 fleet::Duration Duty::storeSilence(fleet::Now now) const
 {
-    return now.m_boot - std::max(m_lastStoreContact, m_journal.m_answeredAt);
+    return now.m_boot - std::max(m_appendAnsweredAt, m_journal.m_answeredAt);
 }
 
 void Duty::sendBeats(fleet::Now now)
@@ -188,11 +185,6 @@
     m_lastAppendAt = now.m_boot;
 }
 
-fleet::BootTime Duty::lapseOfLeasesGivenUntil(fleet::BootTime time) const
-{
-    return time + m_settings.m_dispatch.m_leaseLimit * slowClockNumerator / slowClockDenominator;
-}
-
 void Duty::begin(fleet::Now now)
 {
     m_phase = DutyPhase::Holding;
@@ -214,7 +206,7 @@
                 now);
     const bool mayFormerRenew = !m_journal.m_ledger.m_formerHolders.empty();
     const fleet::BootTime foreignLeaseUntil
-        = lapseOfLeasesGivenUntil(now.m_boot + (mayFormerRenew ? m_settings.m_dispatch.m_holderAuthority : fleet::Duration(0)));
+        = now.m_boot + (mayFormerRenew ? m_settings.m_dispatch.m_holderAuthority : fleet::Duration(0)) + m_settings.m_dispatch.longestLease();
     send(dispatch::takeOver(m_state, around(), foreignLeaseUntil, now), now);
 }
 
@@ -266,7 +258,7 @@
         stepDown("another instance holds the duty", now);
     }
     if (m_phase == DutyPhase::Holding && changes.m_instanceStarted && m_journal.m_ledger.m_formerHolders.empty()) {
-        dispatch::noteFormerHoldersEnded(m_state, lapseOfLeasesGivenUntil(now.m_boot));
+        dispatch::noteFormerHoldersEnded(m_state, now.m_boot + m_settings.m_dispatch.longestLease());
     }
     if (m_phase == DutyPhase::Holding && (!changes.m_accepted.empty() || !changes.m_cancelled.empty())) {
         std::vector<jobs::JobId> changed = changes.m_accepted;
@@ -329,6 +321,7 @@
         return;
     }
     m_lastStoreContact = std::max(m_lastStoreContact, sentAt);
+    m_appendAnsweredAt = now.m_boot;
     m_ownEnd = outcome.m_end;
     if (outcome.m_first == m_journal.m_next && m_phase == DutyPhase::Holding) {
         // The ledger has these records already.
@@ -420,6 +413,8 @@
     if (m_phase != DutyPhase::Holding) {
         return;
     }
+    // A read that shows no newer claim proves the duty as well as an append does.
+    m_lastStoreContact = std::max(m_lastStoreContact, m_journal.m_asOf.value_or(m_lastStoreContact));
     m_state.m_mayRenew = now.m_boot - m_lastStoreContact < m_settings.m_dispatch.m_holderAuthority;
     send(dispatch::onTick(m_state, around(), now), now);
     if (m_phase == DutyPhase::Holding) {
--- a/components/node/duty.hpp
+++ b/components/node/duty.hpp
@@ -71,8 +71,6 @@
     void sendBeats(fleet::Now now);
     fleet::Duration storeSilence(fleet::Now now) const;
     void claim(fleet::Now now);
-    /// When a lease that was renewed for the last time at `time` has lapsed.
-    fleet::BootTime lapseOfLeasesGivenUntil(fleet::BootTime time) const;
     void begin(fleet::Now now);
     void stepDown(const std::string &why, fleet::Now now);
     void send(dispatch::Outbox &&outbox, fleet::Now now);
@@ -96,7 +94,9 @@
     fleet::BootTime m_nextListReadAt;
     fleet::BootTime m_startedAt;
     fleet::BootTime m_lastAppendAt;
+    /// The duty was proved at this time: a call that was sent then showed no other holder.
     fleet::BootTime m_lastStoreContact;
+    fleet::BootTime m_appendAnsweredAt;
     /// Holder: when the last messages to the other instances were sent.
     fleet::BootTime m_lastBeatAt;
     bool m_toldSilence = false;
--- /dev/null
+++ b/components/simulation/callers_test.cpp
@@ -0,0 +1,131 @@
+#include "components/simulation/world_fixture_test.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+#include <criterion/criterion.h>
+
+using namespace std::chrono_literals;
+using namespace simulation;
+using namespace simulation::test;
+
+Test(callers, instanceCutFromTheStore_refusesBeforeARevokedKeyCouldBeAccepted)
+{
+    WorldFixture fixture;
+    const int cut = fixture.otherThanHolder();
+    fixture.m_world.m_faults.m_cutFromStore.insert(cut);
+    fixture.m_world.run(5s);
+    jobs::JobId job;
+    const int call = fixture.submitThrough(cut, tasksOf(1), {1s}, 1, job);
+    fixture.m_world.run(100ms);
+    cr_assert(fixture.m_world.outcome(call).m_reply->m_kind == callers::ReplyKind::Refused);
+    cr_assert_gt(fixture.m_world.outcome(call).m_reply->m_retryAfter.count(), 0);
+}
+
+Test(callers, revokedKey_isRefusedEverywhereWithinTheBound)
+{
+    WorldFixture fixture;
+    catalog::Catalog catalog = std::get<catalog::Catalog>(catalog::OperatorChange());
+    catalog.m_version = 2;
+    catalog.m_accounts.push_back({fleet::AccountId("account"), {"another"}, 16});
+    catalog.m_queues.push_back({});
+    catalog.m_queues.back().m_id = fleet::QueueId("q1");
+    catalog.m_queues.back().m_host = "queues.example";
+    catalog.m_queues.back().m_pathPrefix = "/jobs/1/";
+    fixture.m_world.publish(catalog);
+    fixture.m_world.run(2s);
+    for (int i = 0; i < fixture.m_world.instanceCount(); ++i) {
+        jobs::JobId job;
+        const int call = fixture.submitThrough(i, tasksOf(1), {1s}, 1, job);
+        fixture.m_world.run(50ms);
+        cr_assert(fixture.m_world.outcome(call).m_reply->m_kind == callers::ReplyKind::KeyRefused);
+    }
+}
+
+Test(callers, olderCatalogArrivingLate_doesNotTakeEffect)
+{
+    WorldFixture fixture;
+    catalog::Catalog newer;
+    newer.m_version = 9;
+    catalog::Catalog older;
+    older.m_version = 5;
+    older.m_queues.push_back({});
+    older.m_queues.back().m_id = fleet::QueueId("q1");
+    older.m_queues.back().m_host = "queues.example";
+    older.m_queues.back().m_pathPrefix = "/jobs/1/";
+    older.m_queues.back().m_isPublic = true;
+    fixture.m_world.publish(newer);
+    fixture.m_world.publish(older);
+    fixture.m_world.run(2s);
+    jobs::JobId job;
+    const int call = fixture.submitThrough(0, tasksOf(1), {1s}, 1, job);
+    fixture.m_world.run(50ms);
+    cr_assert(fixture.m_world.outcome(call).m_reply->m_kind == callers::ReplyKind::NoSuchQueue);
+}
+
+Test(callers, appendWithoutAnswer_isNeverRefusedAndTheJobRunsOnce)
+{
+    WorldFixture fixture;
+    fixture.m_world.m_faults.m_lostAppends = 0.7;
+    fixture.m_world.m_faults.m_lostAppendsAreLate = true;
+    std::vector<std::pair<int, jobs::JobId>> calls;
+    for (int i = 0; i < 10; ++i) {
+        jobs::JobId job;
+        const int call = fixture.submitThrough(i % fixture.m_world.instanceCount(), tasksOf(1), {300ms}, 1, job);
+        calls.emplace_back(call, job);
+        fixture.m_world.run(300ms);
+    }
+    fixture.m_world.m_faults.m_lostAppends = 0;
+    fixture.m_world.run(12s);
+    for (const auto &[call, job] : calls) {
+        const auto &reply = fixture.m_world.outcome(call).m_reply;
+        cr_assert(reply.has_value());
+        const bool saysItNeverRuns = reply->m_kind == callers::ReplyKind::Refused;
+        cr_assert_not(saysItNeverRuns && fixture.runsOf(job) > 0);
+        cr_assert_leq(fixture.runsThatEnded(job, "done"), 1);
+    }
+    fixture.expectNoViolation();
+}
+
+Test(callers, storeTurnsEverybodyAway_submissionsAreRefusedAndNeverRun)
+{
+    WorldFixture fixture;
+    fixture.m_world.m_faults.m_store = StoreMode::Busy;
+    jobs::JobId job;
+    const int call = fixture.submitThrough(0, tasksOf(1), {300ms}, 1, job);
+    fixture.m_world.run(200ms);
+    cr_assert(fixture.m_world.outcome(call).m_reply->m_kind == callers::ReplyKind::Refused);
+    fixture.m_world.m_faults.m_store = StoreMode::Serves;
+    fixture.m_world.run(5s);
+    cr_assert_eq(fixture.runsOf(job), 0);
+}
+
+Test(callers, instanceAskedToStop_answersWhatItRead)
+{
+    WorldFixture fixture;
+    const int stopping = fixture.otherThanHolder();
+    fixture.m_world.requestStop(stopping);
+    fixture.m_world.run(1s);
+    jobs::JobId job;
+    const int call = fixture.submitThrough(stopping, tasksOf(1), {300ms}, 1, job);
+    fixture.m_world.run(200ms);
+    cr_assert(fixture.m_world.wasAccepted(call));
+    cr_assert_not(fixture.m_world.isReady(stopping));
+    fixture.m_world.run(6s);
+    cr_assert_not(fixture.m_world.isRunning(stopping));
+}
+
+Test(callers, endOfAJobNotStoredYet_isNotToldByTheHolder)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(tasksOf(1), {1s});
+    fixture.m_world.run(500ms);
+    fixture.m_world.m_faults.m_store = StoreMode::Busy;
+    // The run ends while its end cannot be stored; until it is, nobody may call the job completed.
+    fixture.m_world.run(700ms);
+    cr_assert_eq(fixture.runsThatEnded(job, "done"), 1);
+    const int call = fixture.m_world.show(fixture.m_world.holder(), job);
+    fixture.m_world.run(5ms);
+    const auto &reply = fixture.m_world.outcome(call).m_reply;
+    cr_assert(!reply || reply->m_state != jobs::JobState::Completed);
+}
--- /dev/null
+++ b/components/simulation/fleet_model.cpp
@@ -0,0 +1,355 @@
+#include "components/simulation/fleet_model.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace simulation
+{
+
+namespace
+{
+
+constexpr fleet::Duration failureDelay {60};
+constexpr int rateUnit = 1000;
+constexpr int wholePercent = 100;
+
+std::string makeCheckpoint(fleet::Duration progress)
+{
+    return "p" + std::to_string(progress.count());
+}
+
+fleet::Duration readCheckpoint(const std::string &checkpoint)
+{
+    std::int64_t progress = 0;
+    if (checkpoint.size() > 1) {
+        std::from_chars(checkpoint.data() + 1, checkpoint.data() + checkpoint.size(), progress);
+    }
+    return fleet::Duration(progress);
+}
+
+fleet::Duration progressOf(const ModelWorker &worker, const ModelRun &run, fleet::BootTime now)
+{
+    const bool makesProgress = run.m_isWorking && !worker.m_isHung;
+    return run.m_resumedFrom + (makesProgress ? now - run.m_workingSince : fleet::Duration(0));
+}
+
+std::string checkpointOf(const FleetModel &fleet, const ModelWorker &worker, const ModelRun &run, fleet::BootTime now)
+{
+    if (!run.m_step.m_writesCheckpoints) {
+        return {};
+    }
+    const fleet::Duration progress = progressOf(worker, run, now);
+    return makeCheckpoint(progress / fleet.m_checkpointInterval * fleet.m_checkpointInterval);
+}
+
+/// Takes the id by value, since it may be the key that is erased.
+void endRun(FleetModel &fleet, ModelWorker &worker, jobs::RunId id, jobs::RunEnd how, fleet::BootTime now)
+{
+    const auto found = worker.m_running.find(id);
+    if (found == worker.m_running.end()) {
+        return;
+    }
+    std::string checkpoint;
+    if (found->second.m_step.m_writesCheckpoints && how == jobs::RunEnd::Stopped) {
+        checkpoint = makeCheckpoint(progressOf(worker, found->second, now));
+    } else if (how != jobs::RunEnd::Done) {
+        checkpoint = checkpointOf(fleet, worker, found->second, now);
+    }
+    worker.m_running.erase(found);
+    worker.m_ended.push_back({++worker.m_lastEnd, id, how, checkpoint});
+    std::uint32_t &closed = worker.m_closed[id.m_task];
+    closed = std::max(closed, id.m_run);
+    for (RunHistory &entry : fleet.m_history) {
+        if (entry.m_run == id && entry.m_on == worker.m_registration.m_life && entry.m_to == fleet::BootTime::max()) {
+            entry.m_to = now;
+            entry.m_how = jobs::nameOf(how);
+        }
+    }
+}
+
+void lapse(FleetModel &fleet, ModelWorker &worker, fleet::BootTime now)
+{
+    if (worker.m_running.empty() || clockOf(worker, now) < worker.m_leaseUntilMs) {
+        return;
+    }
+    while (!worker.m_running.empty()) {
+        endRun(fleet, worker, worker.m_running.begin()->first, jobs::RunEnd::Lapsed, now);
+    }
+}
+
+/// Members of one gang's run that are present, by worker.
+std::vector<std::pair<ModelWorker *, jobs::RunId>> membersOf(FleetModel &fleet, const jobs::StepId &step, std::uint32_t run)
+{
+    std::vector<std::pair<ModelWorker *, jobs::RunId>> members;
+    for (auto &[id, worker] : fleet.m_workers) {
+        for (const auto &[runId, state] : worker.m_running) {
+            if (runId.m_task.m_step == step && runId.m_run == run) {
+                members.emplace_back(&worker, runId);
+            }
+        }
+    }
+    return members;
+}
+
+void settleGang(FleetModel &fleet, const jobs::StepId &step, std::uint32_t run, fleet::BootTime now)
+{
+    const auto members = membersOf(fleet, step, run);
+    if (members.empty()) {
+        return;
+    }
+    const bool isComplete = members.size() == fleet.m_steps.at(step.m_job)[step.m_step].m_tasks;
+    const bool wasWorking = std::any_of(members.begin(), members.end(), [](const auto &member) {
+        return member.first->m_running.at(member.second).m_isWorking;
+    });
+    for (const auto &[worker, id] : members) {
+        ModelRun &state = worker->m_running.at(id);
+        if (isComplete && !wasWorking) {
+            state.m_isWorking = true;
+            state.m_workingSince = now;
+        } else if (!isComplete && wasWorking) {
+            endRun(fleet, *worker, id, jobs::RunEnd::Broken, now);
+        } else if (!isComplete && now - state.m_presentSince >= fleet.m_gangWait) {
+            endRun(fleet, *worker, id, jobs::RunEnd::Alone, now);
+        }
+    }
+}
+
+bool isDone(const ModelWorker &worker, const ModelRun &run, fleet::BootTime now)
+{
+    return run.m_isWorking && !run.m_step.m_isLasting && !run.m_behaviour.m_alwaysFails && progressOf(worker, run, now) >= run.m_behaviour.m_duration;
+}
+
+bool isFailed(const ModelWorker &worker, const ModelRun &run, fleet::BootTime now)
+{
+    if (worker.m_failsEverything) {
+        return now - run.m_presentSince >= failureDelay;
+    }
+    return run.m_behaviour.m_alwaysFails && run.m_isWorking && progressOf(worker, run, now) >= run.m_behaviour.m_duration;
+}
+
+/// One pass over the runs; true where something ended.
+bool endDue(FleetModel &fleet, ModelWorker &worker, fleet::BootTime now)
+{
+    for (const auto &[id, run] : worker.m_running) {
+        if (run.m_isStopping && now >= run.m_stopsAt) {
+            endRun(fleet, worker, id, jobs::RunEnd::Stopped, now);
+            return true;
+        }
+        if (isFailed(worker, run, now)) {
+            endRun(fleet, worker, id, jobs::RunEnd::Failed, now);
+            return true;
+        }
+        if (isDone(worker, run, now)) {
+            const jobs::RunId done = id;
+            const bool isGang = run.m_step.m_isGang;
+            if (!isGang) {
+                endRun(fleet, worker, done, jobs::RunEnd::Done, now);
+                return true;
+            }
+            for (const auto &[member, memberId] : membersOf(fleet, done.m_task.m_step, done.m_run)) {
+                endRun(fleet, *member, memberId, jobs::RunEnd::Done, now);
+            }
+            return true;
+        }
+    }
+    return false;
+}
+
+std::set<std::pair<jobs::StepId, std::uint32_t>> presentGangs(const FleetModel &fleet)
+{
+    std::set<std::pair<jobs::StepId, std::uint32_t>> gangs;
+    for (const auto &[id, worker] : fleet.m_workers) {
+        for (const auto &[run, state] : worker.m_running) {
+            if (state.m_step.m_isGang) {
+                gangs.emplace(run.m_task.m_step, run.m_run);
+            }
+        }
+    }
+    return gangs;
+}
+
+workers::OrderResult answer(const ModelWorker &worker, workers::OrderOutcome outcome, fleet::BootTime now)
+{
+    return {outcome, clockOf(worker, now), {}};
+}
+
+fleet::Resources usedOn(const ModelWorker &worker)
+{
+    fleet::Resources used;
+    for (const auto &[id, run] : worker.m_running) {
+        fleet::Resources need = run.m_step.m_perTask;
+        need.m_milliCores = run.m_step.m_usesIdleProcessor ? 0 : need.m_milliCores;
+        used = used + need;
+    }
+    return used;
+}
+
+void checkStart(FleetModel &fleet, const jobs::RunId &id, fleet::BootTime now)
+{
+    const jobs::StepSpec &step = fleet.m_steps.at(id.m_task.m_step.m_job)[id.m_task.m_step.m_step];
+    for (const RunHistory &entry : fleet.m_history) {
+        if (entry.m_run.m_task != id.m_task || step.m_allowsCopies) {
+            continue;
+        }
+        if (entry.m_to == fleet::BootTime::max()) {
+            fleet.m_violations.push_back("two runs of " + toString(id.m_task) + " at " + std::to_string(now.time_since_epoch().count()));
+        }
+    }
+    for (const std::uint16_t earlier : step.m_dependsOn) {
+        const std::uint16_t tasks = fleet.m_steps.at(id.m_task.m_step.m_job)[earlier].m_tasks;
+        for (std::uint16_t i = 0; i < tasks; ++i) {
+            const jobs::StepId before {id.m_task.m_step.m_job, id.m_task.m_step.m_occurrence, earlier};
+            const bool isGang = fleet.m_steps.at(before.m_job)[earlier].m_isGang;
+            const bool isDone = std::any_of(fleet.m_history.begin(), fleet.m_history.end(), [&](const RunHistory &entry) {
+                return entry.m_run.m_task.m_step == before && (isGang || entry.m_run.m_task.m_index == i) && entry.m_how == "done";
+            });
+            if (!isDone) {
+                fleet.m_violations.push_back("start of " + toString(id.m_task) + " before step " + std::to_string(earlier) + " was done");
+            }
+        }
+    }
+}
+
+void extendLease(const FleetModel &fleet, ModelWorker &worker, std::int64_t untilMs, fleet::BootTime now)
+{
+    const std::int64_t most = clockOf(worker, now) + fleet.m_leaseLimit.count();
+    worker.m_leaseUntilMs = std::max(worker.m_leaseUntilMs, std::min(untilMs, most));
+}
+
+}
+
+std::int64_t clockOf(const ModelWorker &worker, fleet::BootTime now)
+{
+    return worker.m_clockBase + now.time_since_epoch().count() * worker.m_clockRate / rateUnit;
+}
+
+void advance(FleetModel &fleet, fleet::BootTime now)
+{
+    for (auto &[id, worker] : fleet.m_workers) {
+        lapse(fleet, worker, now);
+        while (endDue(fleet, worker, now)) {}
+    }
+    for (const auto &[step, run] : presentGangs(fleet)) {
+        settleGang(fleet, step, run, now);
+    }
+}
+
+workers::OrderResult start(FleetModel &fleet, const workers::StartOrder &order, fleet::BootTime now)
+{
+    ModelWorker &worker = fleet.m_workers.at(order.m_on.m_worker);
+    if (order.m_token < worker.m_fence) {
+        return answer(worker, workers::OrderOutcome::Fenced, now);
+    }
+    worker.m_fence = order.m_token;
+    if (order.m_leaseUntilMs <= clockOf(worker, now)) {
+        return answer(worker, workers::OrderOutcome::LeaseLapsed, now);
+    }
+    if (worker.m_running.contains(order.m_run)) {
+        return answer(worker, workers::OrderOutcome::Done, now);
+    }
+    if (worker.m_running.empty()) {
+        worker.m_leaseUntilMs = 0;
+    }
+    extendLease(fleet, worker, order.m_leaseUntilMs, now);
+    const auto closed = worker.m_closed.find(order.m_run.m_task);
+    if (closed != worker.m_closed.end() && order.m_run.m_run <= closed->second) {
+        return answer(worker, workers::OrderOutcome::RunIsOver, now);
+    }
+    const jobs::JobId job = order.m_run.m_task.m_step.m_job;
+    const auto steps = fleet.m_steps.find(job);
+    if (steps == fleet.m_steps.end()) {
+        fleet.m_violations.push_back("start of a job that nobody handed in: " + toString(order.m_run.m_task));
+        return answer(worker, workers::OrderOutcome::Malformed, now);
+    }
+    ModelRun run;
+    run.m_step = steps->second[order.m_run.m_task.m_step.m_step];
+    fleet::Resources need = run.m_step.m_perTask;
+    need.m_milliCores = run.m_step.m_usesIdleProcessor ? 0 : need.m_milliCores;
+    if (!(usedOn(worker) + need).fitsIn(worker.m_registration.m_capacity)) {
+        return answer(worker, workers::OrderOutcome::NoRoom, now);
+    }
+    checkStart(fleet, order.m_run, now);
+    run.m_presentSince = now;
+    run.m_workingSince = now;
+    run.m_isWorking = !run.m_step.m_isGang;
+    run.m_resumedFrom = readCheckpoint(order.m_checkpoint);
+    run.m_behaviour = fleet.m_behaviours[job];
+    if (run.m_step.m_isGang) {
+        for (const auto &[member, id] : membersOf(fleet, order.m_run.m_task.m_step, order.m_run.m_run)) {
+            if (member->m_running.at(id).m_resumedFrom != run.m_resumedFrom) {
+                fleet.m_violations.push_back("members of one gang went on from different checkpoints: " + toString(order.m_run.m_task));
+            }
+        }
+    }
+    worker.m_running[order.m_run] = run;
+    fleet.m_history.push_back({order.m_run, worker.m_registration.m_life, now, fleet::BootTime::max(), {}});
+    return answer(worker, workers::OrderOutcome::Done, now);
+}
+
+workers::OrderResult stop(FleetModel &fleet, const workers::StopOrder &order, fleet::BootTime now)
+{
+    ModelWorker &worker = fleet.m_workers.at(order.m_on.m_worker);
+    if (order.m_token < worker.m_fence) {
+        return answer(worker, workers::OrderOutcome::Fenced, now);
+    }
+    worker.m_fence = order.m_token;
+    const auto run = worker.m_running.find(order.m_run);
+    if (run == worker.m_running.end()) {
+        std::uint32_t &closed = worker.m_closed[order.m_run.m_task];
+        closed = std::max(closed, order.m_run.m_run);
+    } else if (!run->second.m_isStopping) {
+        run->second.m_isStopping = true;
+        run->second.m_stopsAt = now + fleet.m_stopGrace / 2;
+    }
+    return answer(worker, workers::OrderOutcome::Done, now);
+}
+
+workers::LookResult look(FleetModel &fleet, const workers::LookOrder &order, fleet::BootTime now)
+{
+    ModelWorker &worker = fleet.m_workers.at(order.m_on.m_worker);
+    workers::LookResult result;
+    result.m_clockMs = clockOf(worker, now);
+    result.m_born = worker.m_registration.m_life.m_born;
+    if (order.m_token < worker.m_fence) {
+        result.m_outcome = workers::LookOutcome::Fenced;
+        return result;
+    }
+    worker.m_fence = order.m_token;
+    if (order.m_leaseUntilMs) {
+        extendLease(fleet, worker, *order.m_leaseUntilMs, now);
+    }
+    result.m_outcome = workers::LookOutcome::Answered;
+    std::erase_if(worker.m_ended, [&](const workers::EndedTask &task) {
+        return task.m_number <= order.m_forgetUpTo;
+    });
+    result.m_ended = worker.m_ended;
+    for (const auto &[id, run] : worker.m_running) {
+        const fleet::Duration progress = progressOf(worker, run, now);
+        const int percent = run.m_step.m_isLasting
+            ? wholePercent
+            : static_cast<int>(
+                std::min<std::int64_t>(wholePercent, progress.count() * wholePercent / std::max<std::int64_t>(1, run.m_behaviour.m_duration.count())));
+        result.m_running.push_back({id, checkpointOf(fleet, worker, run, now), percent, -1});
+    }
+    return result;
+}
+
+void crash(FleetModel &fleet, const fleet::WorkerId &id, bool isReborn, fleet::BootTime now)
+{
+    ModelWorker &worker = fleet.m_workers.at(id);
+    for (RunHistory &entry : fleet.m_history) {
+        if (entry.m_on == worker.m_registration.m_life && entry.m_to == fleet::BootTime::max()) {
+            entry.m_to = now;
+            entry.m_how = "crashed";
+        }
+    }
+    ModelWorker fresh;
+    fresh.m_registration = worker.m_registration;
+    fresh.m_registration.m_life.m_born += 1 + now.time_since_epoch().count();
+    fresh.m_clockBase = worker.m_clockBase;
+    fresh.m_clockRate = worker.m_clockRate;
+    fresh.m_isUp = isReborn;
+    worker = fresh;
+}
+
+}
--- /dev/null
+++ b/components/simulation/holder_test.cpp
@@ -0,0 +1,166 @@
+#include "components/journal/snapshot.hpp"
+#include "components/simulation/world_fixture_test.hpp"
+
+#include <chrono>
+
+#include <criterion/criterion.h>
+
+using namespace std::chrono_literals;
+using namespace simulation;
+using namespace simulation::test;
+
+Test(holder, killed_isReplacedWithinASecondAndNothingRunsTwice)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(tasksOf(6), {4s});
+    fixture.m_world.run(500ms);
+    const int before = fixture.m_world.holder();
+    fixture.m_world.kill(before);
+    cr_assert(fixture.hasHolder(1s));
+    cr_assert_neq(fixture.m_world.holder(), before);
+    cr_assert(fixture.completes(job, 5s));
+    cr_assert_eq(fixture.runsOf(job), 6);
+    fixture.expectNoViolation();
+}
+
+Test(holder, killedBetweenRecordAndOrder_theNextOneStartsTheRun)
+{
+    WorldFixture fixture;
+    jobs::JobId job;
+    fixture.submitThrough(fixture.otherThanHolder(), tasksOf(2), {500ms}, 1, job);
+    // The launch is on its way to the journal.
+    fixture.m_world.run(15ms);
+    fixture.m_world.kill(fixture.m_world.holder());
+    cr_assert(fixture.completes(job, 4s));
+    fixture.expectNoViolation();
+}
+
+Test(holder, cutFromTheStore_isReplacedAndStepsDown)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(tasksOf(6), {4s});
+    fixture.m_world.run(500ms);
+    const int before = fixture.m_world.holder();
+    fixture.m_world.m_faults.m_cutFromStore.insert(before);
+    const bool isReplaced = fixture.m_world.runUntil(
+        [&] {
+            return fixture.m_world.holder() >= 0 && fixture.m_world.holder() != before;
+        },
+        1500ms);
+    cr_assert(isReplaced);
+    fixture.m_world.run(1s);
+    cr_assert_eq(fixture.m_world.m_logged["duty/hold"], 2);
+    cr_assert(fixture.completes(job, 5s));
+    cr_assert_eq(fixture.runsOf(job), 6);
+    fixture.expectNoViolation();
+}
+
+Test(holder, turnedAwayByTheStore_isReplacedWithinASecond)
+{
+    WorldFixture fixture;
+    const int before = fixture.m_world.holder();
+    fixture.submit(tasksOf(2), {10s});
+    fixture.m_world.m_faults.m_refusedByStore.insert(before);
+    const bool isReplaced = fixture.m_world.runUntil(
+        [&] {
+            return fixture.m_world.m_logged["duty/hold"] == 2;
+        },
+        1s);
+    cr_assert(isReplaced);
+}
+
+Test(holder, frozen_isReplacedAndItsLateOrdersDoNoHarm)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(tasksOf(6), {6s});
+    fixture.m_world.run(500ms);
+    fixture.m_world.freeze(fixture.m_world.holder(), 4s);
+    cr_assert(fixture.hasHolder(1500ms));
+    fixture.m_world.run(5s);
+    cr_assert(fixture.completes(job, 5s));
+    cr_assert_eq(fixture.runsOf(job), 6);
+    fixture.expectNoViolation();
+}
+
+Test(holder, askedToStop_handsOverAtOnce)
+{
+    WorldFixture fixture;
+    const int before = fixture.m_world.holder();
+    fixture.m_world.requestStop(before);
+    const bool isReplaced = fixture.m_world.runUntil(
+        [&] {
+            return fixture.m_world.holder() >= 0 && fixture.m_world.holder() != before;
+        },
+        500ms);
+    cr_assert(isReplaced);
+}
+
+Test(holder, answersOfWritesLost_keepsTheDuty)
+{
+    WorldFixture fixture;
+    fixture.m_world.m_faults.m_lostAppends = 0.6;
+    const jobs::JobId job = fixture.submit(tasksOf(4), {1s});
+    cr_assert(fixture.completes(job, 10s));
+    fixture.m_world.run(5s);
+    cr_assert_eq(fixture.m_world.m_logged["duty/hold"], 1);
+    fixture.expectNoViolation();
+}
+
+Test(holder, storeSilentForEverybody_keepsTheDutyAndItsRuns)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(tasksOf(6), {12s});
+    fixture.m_world.run(500ms);
+    fixture.m_world.m_faults.m_store = StoreMode::Silent;
+    fixture.m_world.run(8s);
+    fixture.m_world.m_faults.m_store = StoreMode::Serves;
+    cr_assert(fixture.completes(job, 10s));
+    cr_assert_eq(fixture.runsOf(job), 6);
+    cr_assert_eq(fixture.m_world.m_logged["duty/hold"], 1);
+    fixture.expectNoViolation();
+}
+
+Test(holder, everyInstanceKilledAtOnce_everyAcceptedJobIsKnownAndDone)
+{
+    WorldFixture fixture;
+    std::vector<jobs::JobId> accepted;
+    for (int i = 0; i < 5; ++i) {
+        accepted.push_back(fixture.submit(tasksOf(2), {1s}));
+    }
+    for (int i = 0; i < fixture.m_world.instanceCount(); ++i) {
+        fixture.m_world.kill(i);
+    }
+    fixture.m_world.run(1s);
+    for (int i = 0; i < fixture.m_world.instanceCount(); ++i) {
+        fixture.m_world.restart(i);
+    }
+    cr_assert(fixture.hasHolder(2s));
+    for (const jobs::JobId &job : accepted) {
+        cr_assert(fixture.completes(job, 8s));
+    }
+    fixture.expectNoViolation();
+}
+
+Test(holder, journalExpiredUpToASnapshot_aNewInstanceKnowsTheJobs)
+{
+    WorldSettings settings;
+    settings.m_journalRetention = 8s;
+    WorldFixture fixture(settings);
+    const jobs::JobId done = fixture.submit(tasksOf(1), {300ms});
+    cr_assert(fixture.completes(done, 3s));
+    const jobs::JobId running = fixture.submit(tasksOf(1), {20s});
+    cr_assert(fixture.m_world.runUntil(
+        [&] {
+            return fixture.m_world.m_logged["journal/snapshot-stored"] >= 1;
+        },
+        10s));
+    const auto snapshot = journal::assembleSnapshot(newest(fixture.m_world.m_store, {"foxtailcross.snapshot", 0, true}));
+    cr_assert(snapshot.has_value());
+    expire(fixture.m_world.m_store, {"foxtailcross.journal", 0, false}, snapshot->m_next);
+    const int other = fixture.otherThanHolder();
+    fixture.m_world.kill(other);
+    fixture.m_world.restart(other);
+    fixture.m_world.run(1s);
+    cr_assert(fixture.m_world.stateOf(other, done) == jobs::JobState::Completed);
+    cr_assert(fixture.m_world.stateOf(other, running) == jobs::JobState::Running);
+}
--- /dev/null
+++ b/components/simulation/random_run_test.hpp
@@ -0,0 +1,42 @@
+#ifndef COMPONENTS_SIMULATION_RANDOM_RUN_TEST_HPP
+#define COMPONENTS_SIMULATION_RANDOM_RUN_TEST_HPP
+
+#include "components/simulation/world_fixture_test.hpp"
+
+#include <iosfwd>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace simulation::test
+{
+
+/// One fault or call of a random run; what it does follows from the kind and the two numbers.
+struct Move
+{
+    int m_kind = 0;
+    unsigned m_first = 0;
+    unsigned m_second = 0;
+    /// Time until the next move, in milliseconds.
+    unsigned m_pause = 0;
+};
+
+/// For the report of a failed property.
+std::ostream &operator<<(std::ostream &out, const Move &move);
+
+constexpr int moveKinds = 18;
+
+/// A job of a random run.
+struct RandomJob
+{
+    int m_call = -1;
+    bool m_isCancelled = false;
+    std::vector<jobs::StepSpec> m_steps;
+};
+
+/// Makes the moves, heals everything, and waits until the jobs should be done. Returns what was broken; empty where nothing was.
+std::string playMoves(unsigned seed, const std::vector<Move> &moves);
+
+}
+
+#endif
--- /dev/null
+++ b/components/simulation/store_mode.hpp
@@ -0,0 +1,20 @@
+#ifndef COMPONENTS_SIMULATION_STORE_MODE_HPP
+#define COMPONENTS_SIMULATION_STORE_MODE_HPP
+
+#include <cstdint>
+
+namespace simulation
+{
+
+/// How the store treats calls.
+enum class StoreMode : std::uint8_t {
+    Serves,
+    /// Nothing is done and nothing answered.
+    Silent,
+    /// Nothing is done, and the store says so.
+    Busy,
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/simulation/workers_test.cpp
@@ -0,0 +1,132 @@
+#include "components/simulation/world_fixture_test.hpp"
+
+#include <chrono>
+
+#include <criterion/criterion.h>
+
+using namespace std::chrono_literals;
+using namespace simulation;
+using namespace simulation::test;
+
+Test(worker, gone_itsRunsBeginElsewhereAfterOneLease)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(tasksOf(1), {2s});
+    fixture.m_world.run(300ms);
+    const fleet::WorkerId worker = fixture.workerOf(job);
+    fixture.m_world.crashWorker(worker, false);
+    fixture.m_world.unlist(worker);
+    cr_assert(fixture.completes(job, 10s));
+    cr_assert_eq(fixture.runsOf(job), 2);
+    fixture.expectNoViolation();
+}
+
+Test(worker, cutOff_itsLeaseIsNotExtendedByLooksWithoutAnswer)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(tasksOf(1), {30s});
+    fixture.m_world.run(300ms);
+    fixture.m_world.m_faults.m_cutWorkers.insert(fixture.workerOf(job));
+    const bool beginsElsewhere = fixture.m_world.runUntil(
+        [&] {
+            return fixture.runsOf(job) == 2;
+        },
+        8s);
+    cr_assert(beginsElsewhere);
+    fixture.expectNoViolation();
+}
+
+Test(worker, reborn_itsRunsAreLostAndBeginAgainAtOnce)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(tasksOf(1), {2s});
+    fixture.m_world.run(300ms);
+    fixture.m_world.crashWorker(fixture.workerOf(job), true);
+    const bool beginsAgain = fixture.m_world.runUntil(
+        [&] {
+            return fixture.runsOf(job) == 2;
+        },
+        4s);
+    cr_assert(beginsAgain);
+    cr_assert(fixture.completes(job, 5s));
+    fixture.expectNoViolation();
+}
+
+Test(worker, ordersCarriedOutLate_noTaskRunsTwice)
+{
+    WorldFixture fixture;
+    fixture.m_world.m_faults.m_lateOrders = 0.4;
+    std::vector<jobs::JobId> jobs;
+    for (int i = 0; i < 6; ++i) {
+        jobs.push_back(fixture.submit(tasksOf(4), {700ms}));
+    }
+    fixture.m_world.run(4s);
+    fixture.m_world.m_faults.m_lateOrders = 0;
+    for (const jobs::JobId &job : jobs) {
+        cr_assert(fixture.completes(job, 20s));
+    }
+    fixture.m_world.run(12s);
+    fixture.expectNoViolation();
+}
+
+Test(worker, draining_getsNoNewRuns)
+{
+    WorldFixture fixture;
+    const fleet::WorkerId worker = fixture.m_world.workers().front();
+    fixture.m_world.setDraining(worker, true);
+    fixture.m_world.run(2s);
+    fixture.submit(tasksOf(60), {1s});
+    fixture.m_world.run(3s);
+    for (const RunHistory &run : fixture.m_world.m_fleet.m_history) {
+        cr_assert(run.m_on.m_worker != worker);
+    }
+}
+
+Test(worker, zoneOut_getsNoNewRuns)
+{
+    WorldFixture fixture;
+    fixture.m_world.takeOut(fleet::ZoneId("z0"), true);
+    fixture.m_world.run(2s);
+    fixture.submit(tasksOf(60), {1s});
+    fixture.m_world.run(3s);
+    for (const RunHistory &run : fixture.m_world.m_fleet.m_history) {
+        cr_assert(fixture.m_world.m_fleet.m_workers.at(run.m_on.m_worker).m_registration.m_zone != fleet::ZoneId("z0"));
+    }
+}
+
+Test(worker, idleAndOnceSilent_isUsedAgain)
+{
+    WorldSettings settings;
+    settings.m_zones = 1;
+    settings.m_workersPerZone = 1;
+    WorldFixture fixture(settings);
+    const fleet::WorkerId worker = fixture.m_world.workers().front();
+    fixture.m_world.m_faults.m_cutWorkers.insert(worker);
+    const jobs::JobId job = fixture.submit(tasksOf(1), {500ms});
+    fixture.m_world.run(8s);
+    fixture.m_world.m_faults.m_cutWorkers.clear();
+    cr_assert(fixture.completes(job, 8s));
+}
+
+Test(worker, failsEverything_jobsAreDoneElsewhere)
+{
+    WorldFixture fixture;
+    fixture.m_world.m_fleet.m_workers.begin()->second.m_failsEverything = true;
+    std::vector<jobs::JobId> jobs;
+    for (int i = 0; i < 8; ++i) {
+        jobs.push_back(fixture.submit(tasksOf(4), {400ms}));
+        fixture.m_world.run(200ms);
+    }
+    for (const jobs::JobId &job : jobs) {
+        cr_assert(fixture.completes(job, 8s));
+    }
+}
+
+Test(worker, rebornBeforeTheListTellsIt_anOrderToTheOldLifeRunsOnce)
+{
+    WorldFixture fixture;
+    fixture.m_world.crashWorker(fixture.m_world.workers().front(), true);
+    const jobs::JobId job = fixture.submit(tasksOf(1), {1s});
+    cr_assert(fixture.completes(job, 5s));
+    fixture.expectNoViolation();
+}
--- /dev/null
+++ b/components/simulation/world.cpp
@@ -0,0 +1,643 @@
+#include "components/simulation/world.hpp"
+
+#include "components/node/ports.hpp"
+
+#include <algorithm>
+#include <iostream>
+
+namespace simulation
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// One way between an instance and the store, a worker or another instance.
+constexpr fleet::Duration way {1};
+constexpr fleet::Duration storeTimeout {2500};
+constexpr fleet::Duration readTimeout {1000};
+constexpr fleet::Duration orderTimeout {600};
+constexpr fleet::Duration listDelay {300};
+const std::string queueHost = "queues.example";
+const std::string queuePath = "/jobs/";
+constexpr std::int64_t epochMs = 1'700'000'000'000;
+
+bool isHeard(const Faults &faults, int instance)
+{
+    return faults.m_store != StoreMode::Silent && !faults.m_cutFromStore.contains(instance);
+}
+
+bool isRefused(const Faults &faults, int instance)
+{
+    return faults.m_store == StoreMode::Busy || faults.m_refusedByStore.contains(instance);
+}
+
+}
+
+/// The ports of one instance, each a trip through the world's queue.
+class InstancePorts : public node::Ports
+{
+public:
+    InstancePorts(World &world, int instance, std::uint64_t life)
+        : m_world(world)
+        , m_instance(instance)
+        , m_life(life)
+    {
+    }
+
+    void append(const store::AppendCall &call, const node::AppendTag &tag, fleet::BootTime now) override
+    {
+        const Faults &faults = m_world.m_faults;
+        if (!isHeard(faults, m_instance)) {
+            answer(storeTimeout, node::AppendEnded {tag, now, {}});
+            return;
+        }
+        if (isRefused(faults, m_instance)) {
+            store::AppendResult refused;
+            refused.m_outcome = store::AppendOutcome::Refused;
+            answer(way * 2, node::AppendEnded {tag, now, refused});
+            return;
+        }
+        const bool isLost = m_world.chance() < faults.m_lostAppends;
+        const fleet::Duration delay = isLost && faults.m_lostAppendsAreLate ? fleet::Duration(1000 + m_world.random()() % 5000) : way + faults.m_storeDelay;
+        m_world.after(delay, [call, tag, now, isLost, world = &m_world, instance = m_instance, life = m_life] {
+            const store::AppendResult result = simulation::append(world->m_store, call);
+            if (!isLost) {
+                world->after(way, [world, instance, life, tag, now, result] {
+                    world->deliver(instance, life, node::AppendEnded {tag, now, result});
+                });
+            }
+        });
+        if (isLost) {
+            answer(storeTimeout, node::AppendEnded {tag, now, {}});
+        }
+    }
+
+    void readJournal(const store::ReadCall &call, fleet::BootTime now) override
+    {
+        fromStore<store::ReadResult>(
+            [call](World &world) {
+                return simulation::read(world.m_store, call);
+            },
+            [call, now](const store::ReadResult &result) {
+                return node::JournalRead {call, now, result};
+            });
+    }
+
+    void readOperators(std::optional<std::uint64_t> from, fleet::Duration wait, fleet::BootTime now) override
+    {
+        if (from && *from == m_world.m_operatorLog.size() && wait.count() > 0 && isHeard(m_world.m_faults, m_instance)) {
+            // Waits for a change in steps rather than at the store.
+            const fleet::Duration step = std::min(wait, fleet::Duration(50));
+            m_world.after(step, [world = &m_world, instance = m_instance, life = m_life, from, wait, step, now] {
+                if (life == world->m_instances[instance].m_life && world->m_instances[instance].m_ports) {
+                    world->m_instances[instance].m_ports->readOperators(from, wait - step, now);
+                }
+            });
+            return;
+        }
+        fromStore<catalog::OperatorsRead>(
+            [from](World &world) {
+                catalog::OperatorsRead read;
+                read.m_outcome = store::ReadOutcome::Read;
+                read.m_isWhole = !from;
+                read.m_changes.assign(world.m_operatorLog.begin() + static_cast<std::ptrdiff_t>(from.value_or(0)), world.m_operatorLog.end());
+                read.m_next = world.m_operatorLog.size();
+                return read;
+            },
+            [now](const catalog::OperatorsRead &read) {
+                return node::OperatorsReadEnded {now, read};
+            });
+    }
+
+    void readList(std::optional<std::uint64_t> from, fleet::BootTime now) override
+    {
+        fromStore<workers::ListRead>(
+            [from](World &world) {
+                workers::ListRead read;
+                read.m_outcome = store::ReadOutcome::Read;
+                read.m_isWhole = !from;
+                read.m_changes.assign(world.m_listLog.begin() + static_cast<std::ptrdiff_t>(from.value_or(0)), world.m_listLog.end());
+                read.m_next = world.m_listLog.size();
+                return read;
+            },
+            [now](const workers::ListRead &read) {
+                return node::ListReadEnded {now, read};
+            });
+    }
+
+    void readKeyed(const store::Topic &topic, fleet::BootTime now) override
+    {
+        fromStore<node::KeyedReadEnded>(
+            [topic, now](World &world) {
+                return node::KeyedReadEnded {now, store::ReadOutcome::Read, newest(world.m_store, topic)};
+            },
+            [now](const node::KeyedReadEnded &read) {
+                return node::KeyedReadEnded {now, read.m_outcome, read.m_records};
+            });
+    }
+
+    void start(const workers::StartOrder &order) override
+    {
+        toWorker(order, [](FleetModel &fleet, const workers::StartOrder &sent, fleet::BootTime now) {
+            return simulation::start(fleet, sent, now);
+        });
+    }
+
+    void stop(const workers::StopOrder &order) override
+    {
+        toWorker(order, [](FleetModel &fleet, const workers::StopOrder &sent, fleet::BootTime now) {
+            return simulation::stop(fleet, sent, now);
+        });
+    }
+
+    void look(const workers::LookOrder &order, fleet::BootTime now) override
+    {
+        if (!isReachable(order.m_on.m_worker)) {
+            answer(orderTimeout + order.m_wait, node::LookEnded {order, now, {}});
+            return;
+        }
+        m_world.after(way, [world = &m_world, instance = m_instance, life = m_life, order, now] {
+            lookAt(*world, instance, life, order, now, order.m_wait);
+        });
+    }
+
+    void sendDatagram(const std::string &address, std::string bytes) override
+    {
+        if (m_world.chance() < m_world.m_faults.m_lostDatagrams) {
+            return;
+        }
+        const int target = std::stoi(address);
+        m_world.after(way, [world = &m_world, target, bytes = std::move(bytes)] {
+            world->deliver(target, world->m_instances[static_cast<std::size_t>(target)].m_life, node::DatagramArrived {bytes});
+        });
+    }
+
+    void reply(std::uint64_t call, const callers::Reply &reply) override
+    {
+        const auto open = m_world.m_openCalls.find({m_instance, call});
+        if (open != m_world.m_openCalls.end()) {
+            Outcome &outcome = m_world.m_calls[static_cast<std::size_t>(open->second)];
+            outcome.m_reply = reply;
+            outcome.m_answeredAt = m_world.m_now;
+            m_world.m_openCalls.erase(open);
+        }
+    }
+
+    void setReady(bool isReady) override
+    {
+        m_world.m_instances[static_cast<std::size_t>(m_instance)].m_isReady = isReady;
+    }
+
+    void closeDoors() override
+    {
+    }
+
+    bool isDrained() const override
+    {
+        return true;
+    }
+
+    void log(const logging::Line &line, fleet::Now) override
+    {
+        if (m_world.m_trace) {
+            std::cout << m_world.m_now.time_since_epoch().count() << " i" << m_instance << ' ' << line.text() << '\n';
+        }
+        ++m_world.m_logged[std::string(line.part()) + '/' + line.event()];
+    }
+
+private:
+    static void lookAt(World &world, int instance, std::uint64_t life, workers::LookOrder order, fleet::BootTime sentAt, fleet::Duration wait)
+    {
+        if (!world.m_fleet.m_workers.at(order.m_on.m_worker).m_isUp) {
+            return;
+        }
+        advance(world.m_fleet, world.m_now);
+        const workers::LookResult result = simulation::look(world.m_fleet, order, world.m_now);
+        const bool isAnswered = !result.m_ended.empty() || wait.count() <= 0 || result.m_outcome != workers::LookOutcome::Answered;
+        if (!isAnswered) {
+            const fleet::Duration step = std::min(wait, fleet::Duration(20));
+            order.m_leaseUntilMs.reset();
+            world.after(step, [&world, instance, life, order, sentAt, wait, step] {
+                lookAt(world, instance, life, order, sentAt, wait - step);
+            });
+            return;
+        }
+        if (world.m_faults.m_cutWorkers.contains(order.m_on.m_worker)) {
+            world.after(orderTimeout, [&world, instance, life, order, sentAt] {
+                world.deliver(instance, life, node::LookEnded {order, sentAt, {}});
+            });
+            return;
+        }
+        world.after(way, [&world, instance, life, order, sentAt, result] {
+            world.deliver(instance, life, node::LookEnded {order, sentAt, result});
+        });
+    }
+
+    bool isReachable(const fleet::WorkerId &worker) const
+    {
+        const auto found = m_world.m_fleet.m_workers.find(worker);
+        return found != m_world.m_fleet.m_workers.end() && found->second.m_isUp && !m_world.m_faults.m_cutWorkers.contains(worker);
+    }
+
+    void answer(fleet::Duration delay, const node::Event &event)
+    {
+        m_world.after(delay, [world = &m_world, instance = m_instance, life = m_life, event] {
+            world->deliver(instance, life, event);
+        });
+    }
+
+    template<class Result, class Make, class ToEvent>
+    void fromStore(Make make, ToEvent toEvent)
+    {
+        if (!isHeard(m_world.m_faults, m_instance)) {
+            answer(readTimeout, toEvent(withOutcome<Result>(store::ReadOutcome::NoAnswer)));
+            return;
+        }
+        if (isRefused(m_world.m_faults, m_instance)) {
+            answer(way * 2, toEvent(withOutcome<Result>(store::ReadOutcome::Refused)));
+            return;
+        }
+        m_world.after(way + m_world.m_faults.m_storeDelay, [world = &m_world, instance = m_instance, life = m_life, make, toEvent] {
+            const Result result = make(*world);
+            world->after(way, [world, instance, life, toEvent, result] {
+                world->deliver(instance, life, toEvent(result));
+            });
+        });
+    }
+
+    template<class Result>
+    static Result withOutcome(store::ReadOutcome outcome)
+    {
+        Result result;
+        result.m_outcome = outcome;
+        return result;
+    }
+
+    static node::Event ended(const workers::StartOrder &order, const workers::OrderResult &result)
+    {
+        return node::StartEnded {order, result};
+    }
+
+    static node::Event ended(const workers::StopOrder &order, const workers::OrderResult &result)
+    {
+        return node::StopEnded {order, result};
+    }
+
+    template<class Order, class CarryOut>
+    void toWorker(const Order &order, CarryOut carryOut)
+    {
+        if (!isReachable(order.m_on.m_worker)) {
+            answer(orderTimeout, ended(order, {}));
+            return;
+        }
+        const bool isLate = m_world.chance() < m_world.m_faults.m_lateOrders;
+        const fleet::Duration delay = isLate ? fleet::Duration(2000 + m_world.random()() % 10'000) : way;
+        m_world.after(delay, [world = &m_world, instance = m_instance, life = m_life, order, carryOut, isLate] {
+            const auto worker = world->m_fleet.m_workers.find(order.m_on.m_worker);
+            if (worker == world->m_fleet.m_workers.end() || !worker->second.m_isUp) {
+                return;
+            }
+            advance(world->m_fleet, world->m_now);
+            const workers::OrderResult result = carryOut(world->m_fleet, order, world->m_now);
+            advance(world->m_fleet, world->m_now);
+            if (!isLate) {
+                world->after(way, [world, instance, life, order, result] {
+                    world->deliver(instance, life, ended(order, result));
+                });
+            }
+        });
+        if (isLate) {
+            answer(orderTimeout, ended(order, {}));
+        }
+    }
+
+    World &m_world;
+    int m_instance;
+    std::uint64_t m_life;
+};
+
+World::World(const WorldSettings &settings)
+    : m_settings(settings)
+    , m_random(settings.m_seed)
+    , m_now(1000s)
+{
+    int number = 0;
+    for (int zone = 0; zone < settings.m_zones; ++zone) {
+        for (int i = 0; i < settings.m_workersPerZone; ++i) {
+            ModelWorker worker;
+            worker.m_registration.m_life = {fleet::WorkerId("w" + std::to_string(number)), epochMs + number};
+            worker.m_registration.m_service = fleet::ServiceId("service");
+            worker.m_registration.m_machine = fleet::MachineId("m" + std::to_string(number));
+            worker.m_registration.m_address = "w" + std::to_string(number);
+            worker.m_registration.m_zone = fleet::ZoneId("z" + std::to_string(zone));
+            worker.m_registration.m_rack = fleet::RackId("r" + std::to_string(zone) + '-' + std::to_string(i / settings.m_workersPerRack));
+            worker.m_registration.m_kind = "a";
+            worker.m_registration.m_capacity = settings.m_worker;
+            worker.m_clockBase = static_cast<std::int64_t>(m_random() % 1'000'000);
+            worker.m_clockRate = 980 + static_cast<int>(m_random() % 21);
+            m_fleet.m_workers[worker.m_registration.m_life.m_worker] = worker;
+            writeList(worker.m_registration.m_life.m_worker);
+            ++number;
+        }
+    }
+    catalog::Catalog catalog;
+    catalog.m_version = 1;
+    for (int priority = 0; priority < 3; ++priority) {
+        catalog::Queue queue;
+        queue.m_id = fleet::QueueId("q" + std::to_string(priority));
+        queue.m_host = queueHost;
+        queue.m_pathPrefix = queuePath + std::to_string(priority) + '/';
+        queue.m_service = fleet::ServiceId("service");
+        queue.m_priority = priority;
+        queue.m_mostAttempts = 3;
+        queue.m_stretch = 2;
+        queue.m_slack = 1s;
+        catalog.m_queues.push_back(queue);
+    }
+    catalog.m_services.push_back({fleet::ServiceId("service"), true, false});
+    catalog.m_accounts.push_back({fleet::AccountId("account"), {"key"}, 16});
+    publish(catalog);
+    m_instances.resize(static_cast<std::size_t>(settings.m_zones * settings.m_instancesPerZone));
+    for (int i = 0; i < instanceCount(); ++i) {
+        restart(i);
+    }
+}
+
+World::~World() = default;
+
+node::Settings World::settingsOf(int instance)
+{
+    node::Settings settings;
+    settings.m_instance = fleet::InstanceId("i" + std::to_string(instance));
+    settings.m_incarnation.m_value = (static_cast<std::uint64_t>(m_random()) << 32U) | m_random();
+    settings.m_zone = fleet::ZoneId("z" + std::to_string(instance / m_settings.m_instancesPerZone));
+    settings.m_peerAddress = std::to_string(instance);
+    settings.m_peerKey = "key-of-" + std::to_string(settings.m_incarnation.m_value);
+    settings.m_dispatch.m_leaseLimit = m_fleet.m_leaseLimit;
+    settings.m_dispatch.m_gangWait = m_fleet.m_gangWait;
+    settings.m_journalRetention = m_settings.m_journalRetention;
+    return settings;
+}
+
+fleet::Now World::timeAt() const
+{
+    return {m_now, fleet::TimePoint(m_now.time_since_epoch()) + fleet::Duration(epochMs)};
+}
+
+void World::after(fleet::Duration delay, std::function<void()> action)
+{
+    m_queue.emplace(m_now + delay, std::move(action));
+}
+
+void World::deliver(int instance, std::uint64_t life, const node::Event &event)
+{
+    Instance &target = m_instances[static_cast<std::size_t>(instance)];
+    if (!target.m_control || target.m_life != life) {
+        return;
+    }
+    if (m_now < target.m_frozenUntil) {
+        target.m_heldEvents.push_back(event);
+        return;
+    }
+    target.m_control->handle(event, timeAt());
+}
+
+void World::tick(int instance, std::uint64_t life)
+{
+    Instance &target = m_instances[static_cast<std::size_t>(instance)];
+    if (!target.m_control || target.m_life != life) {
+        return;
+    }
+    if (m_now < target.m_frozenUntil) {
+        m_queue.emplace(target.m_frozenUntil, [this, instance, life] {
+            tick(instance, life);
+        });
+        return;
+    }
+    for (const node::Event &event : std::exchange(target.m_heldEvents, {})) {
+        target.m_control->handle(event, timeAt());
+    }
+    target.m_control->tick(timeAt());
+    if (target.m_control->isStopped()) {
+        kill(instance);
+        return;
+    }
+    m_queue.emplace(target.m_control->nextTick(timeAt()), [this, instance, life] {
+        tick(instance, life);
+    });
+}
+
+void World::run(fleet::Duration length)
+{
+    const fleet::BootTime end = m_now + length;
+    while (!m_queue.empty() && m_queue.begin()->first <= end) {
+        const auto next = m_queue.begin();
+        m_now = std::max(m_now, next->first);
+        const std::function<void()> action = std::move(next->second);
+        m_queue.erase(next);
+        action();
+    }
+    m_now = end;
+    advance(m_fleet, m_now);
+}
+
+bool World::runUntil(const std::function<bool()> &condition, fleet::Duration limit)
+{
+    const fleet::BootTime end = m_now + limit;
+    while (m_now < end) {
+        if (condition()) {
+            return true;
+        }
+        run(10ms);
+    }
+    return condition();
+}
+
+int World::call(int instance, callers::Call content)
+{
+    const int number = static_cast<int>(m_calls.size());
+    m_calls.push_back({m_now, {}, std::nullopt});
+    const std::uint64_t id = m_nextCall++;
+    m_openCalls[{instance, id}] = number;
+    content.m_host = queueHost;
+    content.m_key = "key";
+    content.m_patience = 3s;
+    deliver(instance, m_instances[static_cast<std::size_t>(instance)].m_life, node::CallArrived {id, std::move(content)});
+    return number;
+}
+
+int World::submit(int instance, const jobs::JobSpec &spec, const Behaviour &behaviour)
+{
+    m_fleet.m_steps[spec.m_id] = spec.m_steps;
+    m_fleet.m_behaviours[spec.m_id] = behaviour;
+    callers::Call content;
+    content.m_kind = callers::CallKind::Submit;
+    content.m_path = queuePath + spec.m_queue.value().substr(1) + '/' + toString(spec.m_id);
+    content.m_submission = callers::Submission {spec.m_payload, spec.m_steps, spec.m_schedule};
+    return call(instance, content);
+}
+
+int World::show(int instance, jobs::JobId job)
+{
+    callers::Call content;
+    content.m_kind = callers::CallKind::Show;
+    content.m_path = queuePath + "0/" + toString(job);
+    return call(instance, content);
+}
+
+int World::cancel(int instance, jobs::JobId job)
+{
+    callers::Call content;
+    content.m_kind = callers::CallKind::Cancel;
+    content.m_path = queuePath + "0/" + toString(job);
+    return call(instance, content);
+}
+
+const Outcome &World::outcome(int call) const
+{
+    return m_calls[static_cast<std::size_t>(call)];
+}
+
+bool World::wasAccepted(int call) const
+{
+    const auto &reply = outcome(call).m_reply;
+    return reply && reply->m_kind == callers::ReplyKind::Accepted;
+}
+
+std::optional<jobs::JobState> World::stateOf(int instance, jobs::JobId job)
+{
+    const int number = show(instance, job);
+    runUntil(
+        [&] {
+            return outcome(number).m_reply.has_value();
+        },
+        3s);
+    const auto &reply = outcome(number).m_reply;
+    return reply && reply->m_kind == callers::ReplyKind::State ? std::optional(reply->m_state) : std::nullopt;
+}
+
+void World::publish(const catalog::Catalog &catalog)
+{
+    m_operatorLog.emplace_back(catalog);
+}
+
+void World::takeOut(const fleet::ZoneId &zone, bool isOut)
+{
+    m_operatorLog.emplace_back(catalog::ZoneChange {zone, isOut});
+}
+
+void World::kill(int instance)
+{
+    Instance &target = m_instances[static_cast<std::size_t>(instance)];
+    target.m_life = ++m_lives;
+    target.m_control.reset();
+    target.m_ports.reset();
+    target.m_heldEvents.clear();
+    target.m_isReady = false;
+}
+
+void World::restart(int instance)
+{
+    Instance &target = m_instances[static_cast<std::size_t>(instance)];
+    target = Instance();
+    target.m_life = ++m_lives;
+    target.m_ports = std::make_unique<InstancePorts>(*this, instance, target.m_life);
+    target.m_control = std::make_unique<node::Control>(settingsOf(instance), *target.m_ports);
+    after(fleet::Duration(m_random() % 20), [this, instance, life = target.m_life] {
+        tick(instance, life);
+    });
+}
+
+void World::freeze(int instance, fleet::Duration length)
+{
+    m_instances[static_cast<std::size_t>(instance)].m_frozenUntil = m_now + length;
+}
+
+void World::requestStop(int instance)
+{
+    deliver(instance, m_instances[static_cast<std::size_t>(instance)].m_life, node::StopRequested {});
+}
+
+bool World::isRunning(int instance) const
+{
+    return m_instances[static_cast<std::size_t>(instance)].m_control != nullptr;
+}
+
+int World::holder() const
+{
+    int found = -1;
+    for (int i = 0; i < instanceCount(); ++i) {
+        const Instance &instance = m_instances[static_cast<std::size_t>(i)];
+        if (instance.m_control && m_now >= instance.m_frozenUntil && instance.m_control->holdsDuty()) {
+            found = i;
+        }
+    }
+    return found;
+}
+
+int World::instanceCount() const
+{
+    return static_cast<int>(m_instances.size());
+}
+
+bool World::isReady(int instance) const
+{
+    return m_instances[static_cast<std::size_t>(instance)].m_isReady;
+}
+
+void World::writeList(const fleet::WorkerId &worker)
+{
+    workers::Registration registration = m_fleet.m_workers.at(worker).m_registration;
+    registration.m_clockMs = clockOf(m_fleet.m_workers.at(worker), m_now);
+    m_listLog.push_back({worker, registration});
+}
+
+void World::crashWorker(const fleet::WorkerId &worker, bool isReborn)
+{
+    advance(m_fleet, m_now);
+    crash(m_fleet, worker, isReborn, m_now);
+    if (isReborn) {
+        after(listDelay, [this, worker] {
+            writeList(worker);
+        });
+    }
+}
+
+void World::setDraining(const fleet::WorkerId &worker, bool isDraining)
+{
+    m_fleet.m_workers.at(worker).m_registration.m_isDraining = isDraining;
+    writeList(worker);
+}
+
+void World::unlist(const fleet::WorkerId &worker)
+{
+    m_listLog.push_back({worker, std::nullopt});
+}
+
+std::vector<fleet::WorkerId> World::workers() const
+{
+    std::vector<fleet::WorkerId> ids;
+    for (const auto &[id, worker] : m_fleet.m_workers) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+fleet::BootTime World::now() const
+{
+    return m_now;
+}
+
+std::mt19937 &World::random()
+{
+    return m_random;
+}
+
+double World::chance()
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+}
--- /dev/null
+++ b/components/simulation/world.hpp
@@ -0,0 +1,125 @@
+#ifndef COMPONENTS_SIMULATION_WORLD_HPP
+#define COMPONENTS_SIMULATION_WORLD_HPP
+
+#include "components/callers/call.hpp"
+#include "components/catalog/catalog.hpp"
+#include "components/catalog/operator_change.hpp"
+#include "components/fleet/now.hpp"
+#include "components/jobs/job_spec.hpp"
+#include "components/jobs/job_state.hpp"
+#include "components/node/control.hpp"
+#include "components/simulation/faults.hpp"
+#include "components/simulation/fleet_model.hpp"
+#include "components/simulation/outcome.hpp"
+#include "components/simulation/store_model.hpp"
+#include "components/simulation/world_settings.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace simulation
+{
+
+class InstancePorts;
+
+/// Several instances with their real control, the platform and the workers as models, and one queue of events in virtual time.
+/// The same seed and the same calls give the same run.
+class World
+{
+public:
+    explicit World(const WorldSettings &settings);
+    ~World();
+
+    World(const World &) = delete;
+    World &operator=(const World &) = delete;
+
+    void run(fleet::Duration length);
+    /// Runs until the condition holds, at most `limit`; false where it never did.
+    bool runUntil(const std::function<bool()> &condition, fleet::Duration limit);
+
+    // Callers.
+    /// Hands in a job through an instance; the number names its outcome.
+    int submit(int instance, const jobs::JobSpec &spec, const Behaviour &behaviour);
+    int show(int instance, jobs::JobId job);
+    int cancel(int instance, jobs::JobId job);
+    const Outcome &outcome(int call) const;
+    bool wasAccepted(int call) const;
+    /// State that the instance tells now, waiting for its answer.
+    std::optional<jobs::JobState> stateOf(int instance, jobs::JobId job);
+
+    // Operators.
+    void publish(const catalog::Catalog &catalog);
+    void takeOut(const fleet::ZoneId &zone, bool isOut);
+
+    // Instances.
+    void kill(int instance);
+    void restart(int instance);
+    void freeze(int instance, fleet::Duration length);
+    void requestStop(int instance);
+    bool isRunning(int instance) const;
+    /// The instance that holds the scheduling duty; -1 where none does.
+    int holder() const;
+    int instanceCount() const;
+    bool isReady(int instance) const;
+
+    // Workers.
+    void crashWorker(const fleet::WorkerId &worker, bool isReborn);
+    void setDraining(const fleet::WorkerId &worker, bool isDraining);
+    void unlist(const fleet::WorkerId &worker);
+    std::vector<fleet::WorkerId> workers() const;
+
+    fleet::BootTime now() const;
+    std::mt19937 &random();
+    double chance();
+
+    Faults m_faults;
+    StoreModel m_store;
+    FleetModel m_fleet;
+    /// Prints each line of the instances' logs, for finding out what a failed test did.
+    bool m_trace = false;
+    /// Ends of the scheduling duty and other lines that tests look for, by event.
+    std::map<std::string, int> m_logged;
+
+private:
+    friend class InstancePorts;
+
+    struct Instance
+    {
+        std::unique_ptr<InstancePorts> m_ports;
+        std::unique_ptr<node::Control> m_control;
+        fleet::BootTime m_frozenUntil;
+        std::vector<node::Event> m_heldEvents;
+        std::uint64_t m_life = 0;
+        bool m_isReady = false;
+    };
+
+    void after(fleet::Duration delay, std::function<void()> action);
+    void deliver(int instance, std::uint64_t life, const node::Event &event);
+    void tick(int instance, std::uint64_t life);
+    fleet::Now timeAt() const;
+    int call(int instance, callers::Call content);
+    void writeList(const fleet::WorkerId &worker);
+    node::Settings settingsOf(int instance);
+
+    WorldSettings m_settings;
+    std::mt19937 m_random;
+    fleet::BootTime m_now;
+    std::multimap<fleet::BootTime, std::function<void()>> m_queue;
+    std::vector<Instance> m_instances;
+    std::vector<Outcome> m_calls;
+    std::map<std::pair<int, std::uint64_t>, int> m_openCalls;
+    std::uint64_t m_nextCall = 1;
+    std::vector<catalog::OperatorChange> m_operatorLog;
+    std::vector<workers::ListChange> m_listLog;
+    std::uint64_t m_lives = 0;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/simulation/world_fixture_test.cpp
@@ -0,0 +1,129 @@
+#include "components/simulation/world_fixture_test.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+#include <criterion/criterion.h>
+
+namespace simulation::test
+{
+
+using namespace std::chrono_literals;
+
+jobs::StepSpec tasksOf(std::uint16_t count, std::int64_t accelerators)
+{
+    jobs::StepSpec step;
+    step.m_tasks = count;
+    step.m_perTask = {2000, 4000, accelerators};
+    step.m_estimate = 1000ms;
+    return step;
+}
+
+jobs::StepSpec gangOf(std::uint16_t count, std::int64_t accelerators)
+{
+    jobs::StepSpec step = tasksOf(count, accelerators);
+    step.m_isGang = true;
+    return step;
+}
+
+WorldFixture::WorldFixture(WorldSettings settings)
+    : m_world(settings)
+{
+    cr_assert(hasHolder(3s), "nobody took the scheduling duty");
+    m_world.run(200ms);
+}
+
+int WorldFixture::submitThrough(int instance, const jobs::StepSpec &step, const Behaviour &behaviour, int priority, jobs::JobId &id)
+{
+    id.m_value = m_nextJob++;
+    jobs::JobSpec spec;
+    spec.m_id = id;
+    spec.m_queue = fleet::QueueId("q" + std::to_string(priority));
+    spec.m_payload = "payload";
+    spec.m_steps = {step};
+    return m_world.submit(instance, spec, behaviour);
+}
+
+jobs::JobId WorldFixture::submit(const jobs::StepSpec &step, const Behaviour &behaviour, int priority)
+{
+    jobs::JobId id;
+    const int call = submitThrough(otherThanHolder(), step, behaviour, priority, id);
+    const bool isAnswered = m_world.runUntil(
+        [&] {
+            return m_world.outcome(call).m_reply.has_value();
+        },
+        3s);
+    cr_assert(isAnswered && m_world.wasAccepted(call), "the job was not accepted");
+    return id;
+}
+
+bool WorldFixture::completes(jobs::JobId job, fleet::Duration limit)
+{
+    const fleet::BootTime end = m_world.now() + limit;
+    while (m_world.now() < end) {
+        for (int i = 0; i < m_world.instanceCount(); ++i) {
+            if (m_world.isRunning(i) && m_world.stateOf(i, job) == jobs::JobState::Completed) {
+                return true;
+            }
+        }
+        m_world.run(50ms);
+    }
+    return false;
+}
+
+bool WorldFixture::isRunning(jobs::JobId job) const
+{
+    return std::any_of(m_world.m_fleet.m_history.begin(), m_world.m_fleet.m_history.end(), [&](const RunHistory &run) {
+        return run.m_run.m_task.m_step.m_job == job && run.m_to == fleet::BootTime::max();
+    });
+}
+
+int WorldFixture::runsOf(jobs::JobId job) const
+{
+    return static_cast<int>(std::count_if(m_world.m_fleet.m_history.begin(), m_world.m_fleet.m_history.end(), [&](const RunHistory &run) {
+        return run.m_run.m_task.m_step.m_job == job;
+    }));
+}
+
+int WorldFixture::runsThatEnded(jobs::JobId job, const std::string &how) const
+{
+    return static_cast<int>(std::count_if(m_world.m_fleet.m_history.begin(), m_world.m_fleet.m_history.end(), [&](const RunHistory &run) {
+        return run.m_run.m_task.m_step.m_job == job && run.m_how == how;
+    }));
+}
+
+fleet::WorkerId WorldFixture::workerOf(jobs::JobId job) const
+{
+    for (const RunHistory &run : m_world.m_fleet.m_history) {
+        if (run.m_run.m_task.m_step.m_job == job && run.m_to == fleet::BootTime::max()) {
+            return run.m_on.m_worker;
+        }
+    }
+    return {};
+}
+
+int WorldFixture::otherThanHolder() const
+{
+    for (int i = 0; i < m_world.instanceCount(); ++i) {
+        if (i != m_world.holder() && m_world.isRunning(i)) {
+            return i;
+        }
+    }
+    return 0;
+}
+
+bool WorldFixture::hasHolder(fleet::Duration limit)
+{
+    return m_world.runUntil(
+        [&] {
+            return m_world.holder() >= 0;
+        },
+        limit);
+}
+
+void WorldFixture::expectNoViolation() const
+{
+    cr_assert(m_world.m_fleet.m_violations.empty(), "%s", m_world.m_fleet.m_violations.front().c_str());
+}
+
+}
--- /dev/null
+++ b/components/simulation/world_settings.hpp
@@ -0,0 +1,24 @@
+#ifndef COMPONENTS_SIMULATION_WORLD_SETTINGS_HPP
+#define COMPONENTS_SIMULATION_WORLD_SETTINGS_HPP
+
+#include "components/fleet/resources.hpp"
+#include "components/fleet/time.hpp"
+
+namespace simulation
+{
+
+/// The size of a world.
+struct WorldSettings
+{
+    unsigned m_seed = 1;
+    int m_zones = 3;
+    int m_instancesPerZone = 2;
+    int m_workersPerZone = 4;
+    int m_workersPerRack = 2;
+    fleet::Resources m_worker {32'000, 64'000, 8};
+    fleet::Duration m_journalRetention {std::chrono::minutes(5)};
+};
+
+}
+
+#endif
