--- a/CI/run_checks.sh
+++ b/CI/run_checks.sh
@@ -8,6 +8,6 @@
 mkdir -p build/release/cppcheck
 cppcheck --quiet --error-exitcode=1 --std=c++20 --language=c++ --inline-suppr -j "$(nproc)" --cppcheck-build-dir=build/release/cppcheck \
     --enable=warning,performance,portability --suppress=missingIncludeSystem --suppress=unknownMacro \
-    --suppress=internalAstError --suppress=syntaxError -I . apps components
+    --suppress=internalAstError --suppress=syntaxError -I . apps components platform
 echo "cppcheck: clean"
 CI/run_tidy.py build/release
--- a/components/dispatch/objectives.cpp
+++ b/components/dispatch/objectives.cpp
@@ -10,15 +10,16 @@
 
 fleet::Duration longestChain(const jobs::JobSpec &spec)
 {
-    std::vector<fleet::Duration> ends;
+    std::vector<fleet::Duration> ends(spec.m_steps.size());
     fleet::Duration longest {0};
-    for (const jobs::StepSpec &step : spec.m_steps) {
+    for (std::size_t index = 0; index < ends.size(); ++index) {
+        const jobs::StepSpec &step = spec.m_steps[index];
         fleet::Duration start {0};
         for (const std::uint16_t earlier : step.m_dependsOn) {
-            start = std::max(start, ends[earlier]);
+            start = std::max(start, ends.at(earlier));
         }
-        ends.push_back(start + step.m_estimate);
-        longest = std::max(longest, ends.back());
+        ends[index] = start + step.m_estimate;
+        longest = std::max(longest, ends[index]);
     }
     return longest;
 }
--- a/components/journal/ledger.cpp
+++ b/components/journal/ledger.cpp
@@ -165,13 +165,15 @@
     }
     StepRecord &step = occurrence->second.m_steps[id.m_step.m_step];
     TaskRecord &task = step.m_tasks[id.m_index];
+    // A member of a gang may be open under the same number on another worker. The worker may have begun a new life since.
     const auto open = std::find_if(task.m_open.begin(), task.m_open.end(), [&](const OpenRun &run) {
-        return run.m_run == ended.m_run.m_run;
+        return run.m_run == ended.m_run.m_run && run.m_on.m_worker == ended.m_on.m_worker;
     });
     if (open == task.m_open.end()) {
         return;
     }
     const bool wasOver = job.isOver();
+    const OpenRun launched = *open;
     task.m_open.erase(open);
     --job.m_openRuns;
     noteCheckpoint(job, step, task, ended);
@@ -179,7 +181,7 @@
     if (isGang && ended.m_end == jobs::RunEnd::NeverBegan && task.m_lastRun == ended.m_run.m_run) {
         // Another worker may still join the run of a gang under the same number.
         --task.m_lastRun;
-        task.m_neverBegan.push_back({ended.m_run.m_run, ended.m_on});
+        task.m_neverBegan.push_back(launched);
     }
     if (ended.m_end == jobs::RunEnd::Done && !job.m_spec.m_steps[id.m_step.m_step].m_isLasting) {
         markDone(job, id);
--- a/components/simulation/fleet_model.cpp
+++ b/components/simulation/fleet_model.cpp
@@ -77,26 +77,25 @@
     }
 }
 
-/// Members of one gang's run that are present, by worker.
-std::vector<std::pair<ModelWorker *, jobs::RunId>> membersOf(FleetModel &fleet, const jobs::StepId &step, std::uint32_t run)
+/// Members of one gang's run that are present, with their workers.
+using Members = std::vector<std::pair<ModelWorker *, jobs::RunId>>;
+
+Members membersOf(FleetModel &fleet, const jobs::StepId &step, std::uint32_t run)
 {
-    std::vector<std::pair<ModelWorker *, jobs::RunId>> members;
+    Members members;
     for (auto &[id, worker] : fleet.m_workers) {
-        for (const auto &[runId, state] : worker.m_running) {
-            if (runId.m_task.m_step == step && runId.m_run == run) {
-                members.emplace_back(&worker, runId);
+        const auto first = worker.m_running.lower_bound({{step, 0}, 0});
+        for (auto member = first; member != worker.m_running.end() && member->first.m_task.m_step == step; ++member) {
+            if (member->first.m_run == run) {
+                members.emplace_back(&worker, member->first);
             }
         }
     }
     return members;
 }
 
-void settleGang(FleetModel &fleet, const jobs::StepId &step, std::uint32_t run, fleet::BootTime now)
+void settleGang(FleetModel &fleet, const jobs::StepId &step, const Members &members, fleet::BootTime now)
 {
-    const auto members = membersOf(fleet, step, run);
-    if (members.empty()) {
-        return;
-    }
     const bool isComplete = members.size() == fleet.m_steps.at(step.m_job)[step.m_step].m_tasks;
     const bool wasWorking = std::any_of(members.begin(), members.end(), [](const auto &member) {
         return member.first->m_running.at(member.second).m_isWorking;
@@ -155,13 +154,14 @@
     return false;
 }
 
-std::set<std::pair<jobs::StepId, std::uint32_t>> presentGangs(const FleetModel &fleet)
+/// Members of each gang's run, by step and run.
+std::map<std::pair<jobs::StepId, std::uint32_t>, Members> presentGangs(FleetModel &fleet)
 {
-    std::set<std::pair<jobs::StepId, std::uint32_t>> gangs;
-    for (const auto &[id, worker] : fleet.m_workers) {
+    std::map<std::pair<jobs::StepId, std::uint32_t>, Members> gangs;
+    for (auto &[id, worker] : fleet.m_workers) {
         for (const auto &[run, state] : worker.m_running) {
             if (state.m_step.m_isGang) {
-                gangs.emplace(run.m_task.m_step, run.m_run);
+                gangs[{run.m_task.m_step, run.m_run}].emplace_back(&worker, run);
             }
         }
     }
@@ -229,8 +229,8 @@
         lapse(fleet, worker, now);
         while (endDue(fleet, worker, now)) {}
     }
-    for (const auto &[step, run] : presentGangs(fleet)) {
-        settleGang(fleet, step, run, now);
+    for (const auto &[gang, members] : presentGangs(fleet)) {
+        settleGang(fleet, gang.first, members, now);
     }
 }
 
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -321,7 +321,7 @@
 World::World(const WorldSettings &settings)
     : m_settings(settings)
     , m_random(settings.m_seed)
-    , m_now(1000s)
+    , m_now(std::chrono::seconds(1000))
 {
     int number = 0;
     for (int zone = 0; zone < settings.m_zones; ++zone) {
--- a/components/simulation/world_fixture_test.cpp
+++ b/components/simulation/world_fixture_test.cpp
@@ -26,7 +26,7 @@
     return step;
 }
 
-WorldFixture::WorldFixture(WorldSettings settings)
+WorldFixture::WorldFixture(const WorldSettings &settings)
     : m_world(settings)
 {
     cr_assert(hasHolder(3s), "nobody took the scheduling duty");
--- a/components/simulation/world_fixture_test.hpp
+++ b/components/simulation/world_fixture_test.hpp
@@ -12,7 +12,7 @@
 /// A world in which the scheduling duty is held, and short ways to hand in jobs.
 struct WorldFixture
 {
-    explicit WorldFixture(WorldSettings settings = {});
+    explicit WorldFixture(const WorldSettings &settings = {});
 
     /// Hands in a job of one step and waits until it is accepted.
     jobs::JobId submit(const jobs::StepSpec &step, const Behaviour &behaviour, int priority = 1);
