--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -19,6 +19,7 @@
 constexpr int exitUnclean = 1;
 constexpr int exitUsage = 2;
 constexpr int exitSettings = 3;
+constexpr double permille = 1000;
 
 volatile std::sig_atomic_t stopSignals = 0;
 
@@ -52,6 +53,7 @@
     control.m_zone = settings.m_zone;
     control.m_peerAddress = settings::toString(settings.m_peers);
     control.m_peerKey = drawKey();
+    control.m_processorPermille = static_cast<std::uint32_t>(settings.m_processorShare * permille);
     control.m_dispatch.m_leaseLimit = settings.m_leaseLimit;
     control.m_dispatch.m_stopGrace = settings.m_stopGrace;
     control.m_dispatch.m_gangWait = settings.m_gangWait;
@@ -83,20 +85,26 @@
         {toAddress(settings.m_callers), toAddress(settings.m_readiness), toAddress(settings.m_peers), toAddress(settings.m_store)}, queue, log);
     node::Control control(toControlSettings(settings), adapter);
     fleet::BootTime nextTick;
+    // Between events too, so that a long queue of them does not keep the other instances waiting for a sign of life.
+    const auto tickIfDue = [&] {
+        const fleet::Now now = node::presentTime();
+        if (now.m_boot >= nextTick) {
+            control.tick(now);
+            nextTick = control.nextTick(now);
+            log.tick(now);
+        }
+    };
     while (!control.isStopped()) {
         const fleet::Now before = node::presentTime();
         for (const node::Event &event : queue.take(std::max(fleet::Duration(0), nextTick - before.m_boot))) {
             control.handle(event, node::presentTime());
+            tickIfDue();
         }
-        const fleet::Now now = node::presentTime();
+        control.settle(node::presentTime());
         if (stopSignals > 0) {
-            control.handle(node::StopRequested {}, now);
-        }
-        if (now.m_boot >= nextTick) {
-            control.tick(now);
-            nextTick = control.nextTick(now);
-            log.tick(now);
+            control.handle(node::StopRequested {}, node::presentTime());
         }
+        tickIfDue();
     }
     return 0;
 }
--- a/components/dispatch/evictions.cpp
+++ b/components/dispatch/evictions.cpp
@@ -43,14 +43,21 @@
     return lost.count() * (run.m_booked.m_milliCores / millisPerCore + run.m_booked.m_accelerators * coresPerAccelerator + 1);
 }
 
+/// Losses of gangs that were worked out already.
+using GangLosses = std::map<jobs::StepId, std::int64_t>;
+
 /// Stopping one member of a gang loses the work of all.
-std::int64_t lossWithGang(const Context &context, const jobs::RunId &id, const RunState &run)
+std::int64_t lossWithGang(const Context &context, const jobs::RunId &id, const RunState &run, GangLosses &known)
 {
     const jobs::StepId &step = id.m_task.m_step;
     if (!stepOf(context, step).m_isGang) {
         return lossOf(context, id, run);
     }
-    std::int64_t loss = 0;
+    const auto [entry, isNew] = known.try_emplace(step, 0);
+    if (!isNew) {
+        return entry->second;
+    }
+    std::int64_t &loss = entry->second;
     const auto first = context.m_state.m_runs.lower_bound({{step, 0}, 0});
     for (auto member = first; member != context.m_state.m_runs.end() && member->first.m_task.m_step == step; ++member) {
         loss += lossOf(context, member->first, member->second);
@@ -59,10 +66,10 @@
 }
 
 /// Makes room on one worker for as many tasks as are wanted, with the runs of the lowest priority and the least loss first.
-Eviction planEviction(const Context &context, const Candidate &candidate, Room &room, std::uint32_t wanted)
+Eviction planEviction(const Context &context, const Candidate &candidate, Room &room, std::uint32_t wanted, GangLosses &known)
 {
     Eviction eviction {&room, {}, 0, 0};
-    fleet::Resources free = freeFor(context, candidate, room);
+    fleet::Resources free = freeFor(candidate, room);
     // What is being stopped already will be free soon.
     std::vector<Victim> victims;
     for (const jobs::RunId &id : room.m_worker->m_runs) {
@@ -70,7 +77,7 @@
         if (run.m_stopWanted) {
             free = free + run.m_booked;
         } else if (isVictim(candidate, run)) {
-            victims.push_back({id, &run, lossWithGang(context, id, run)});
+            victims.push_back({id, &run, lossWithGang(context, id, run, known)});
         }
     }
     std::sort(victims.begin(), victims.end(), [](const Victim &a, const Victim &b) {
@@ -157,8 +164,9 @@
 
 std::vector<Eviction> chooseEvictions(const Context &context, const Candidate &candidate, Rooms &rooms)
 {
+    GangLosses known;
     return choose(candidate, rooms, [&](Room &room, std::uint32_t wanted) {
-        return planEviction(context, candidate, room, wanted);
+        return planEviction(context, candidate, room, wanted, known);
     });
 }
 
--- a/components/dispatch/expectations.cpp
+++ b/components/dispatch/expectations.cpp
@@ -29,7 +29,7 @@
         const RunState &run = context.m_state.m_runs.at(id);
         ends.emplace(run.m_stopWanted ? fleet::Duration(0) : remainingTime(context, id, run), run.m_booked);
     }
-    fleet::Resources free = freeFor(context, candidate, room);
+    fleet::Resources free = freeFor(candidate, room);
     const auto wanted = static_cast<std::uint32_t>(candidate.m_tasks.size());
     std::uint32_t slots = std::min(wanted, slotsOn(candidate, *room.m_worker, free));
     openings.insert(openings.end(), slots, {fleet::Duration(0), &room});
--- /dev/null
+++ b/components/dispatch/hold.hpp
@@ -0,0 +1,22 @@
+#ifndef COMPONENTS_DISPATCH_HOLD_HPP
+#define COMPONENTS_DISPATCH_HOLD_HPP
+
+#include "components/fleet/resources.hpp"
+#include "components/jobs/step_id.hpp"
+
+namespace dispatch
+{
+
+/// Room on one worker that is kept for a step; the worker's part of a reservation.
+struct Hold
+{
+    jobs::StepId m_step;
+    int m_priority = 0;
+    fleet::Resources m_resources;
+
+    bool operator==(const Hold &) const = default;
+};
+
+}
+
+#endif
--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -16,6 +16,10 @@
 constexpr fleet::Duration longestRetry {1000};
 /// While ends are not stored, a worker is looked at this often just to keep its lease.
 constexpr fleet::Duration plainLookInterval {1000};
+/// Workers that the platform's list lost while the store was away are back in it within two seconds.
+constexpr fleet::Duration relistTime {2500};
+/// A worker that left this many calls in a row without an answer is taken as lost once its lease has lapsed.
+constexpr int silencesToGiveUp = 3;
 
 fleet::Duration retryPause(int tries)
 {
@@ -59,17 +63,19 @@
 
 bool isLookDue(const Context &context, const WorkerState &worker)
 {
-    const bool hasEndsToForget = worker.m_endsStored > worker.m_endsForgotten;
-    const bool isAnyStarted = std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
-        const RunState &state = context.m_state.m_runs.at(run);
-        return state.m_phase == RunPhase::Running || state.m_isOverThere || state.m_isUncertain || state.m_stopAnswered || state.m_isLifeUnsure;
-    });
     if (worker.m_lookInFlight || context.m_now.m_boot < worker.m_nextLookAt || worker.m_registration.m_address.empty()) {
         return false;
     }
+    const bool hasEndsToForget = worker.m_endsStored > worker.m_endsForgotten;
     // A worker that did not answer gets new runs again once it answers a look.
     const bool isSilent = worker.m_silences > 0 && worker.m_isListed;
-    return isAnyStarted || hasEndsToForget || isSilent;
+    if (hasEndsToForget || isSilent) {
+        return true;
+    }
+    return std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
+        const RunState &state = context.m_state.m_runs.at(run);
+        return state.m_phase == RunPhase::Running || state.m_isOverThere || state.m_isUncertain || state.m_stopAnswered || state.m_isLifeUnsure;
+    });
 }
 
 void sendLook(Context &context, WorkerState &worker)
@@ -107,8 +113,8 @@
         return std::nullopt;
     }
     if (!context.m_state.m_mayRenew || (worker.m_silences > 0 && worker.m_promisedUntilMs > 0)) {
-        // Without the store another instance may hold the duty. An order without an answer may have been carried out; extending the lease with each try would put off for ever
-        // the time when the runs can be given up.
+        // Without the store another instance may hold the duty. An order without an answer may have been carried out; extending
+        // the lease with each try would put off for ever the time when the runs can be given up.
         return worker.m_promisedUntilMs > 0 ? std::optional(worker.m_promisedUntilMs) : std::nullopt;
     }
     return *worker.m_clockMs + (context.m_now.m_boot - worker.m_clockAt).count() + length.count();
@@ -116,7 +122,15 @@
 
 void sendDueOrders(Context &context)
 {
-    for (auto &[id, run] : context.m_state.m_runs) {
+    std::set<jobs::RunId> &unsettled = context.m_state.m_unsettled;
+    for (auto entry = unsettled.begin(); entry != unsettled.end();) {
+        const jobs::RunId &id = *entry;
+        RunState &run = context.m_state.m_runs.at(id);
+        if (run.m_phase == RunPhase::Running && !run.m_stopWanted) {
+            entry = unsettled.erase(entry);
+            continue;
+        }
+        ++entry;
         WorkerState *worker = findWorker(context, run.m_on);
         if (worker == nullptr || worker->m_registration.m_address.empty()) {
             continue;
@@ -138,11 +152,25 @@
     }
 }
 
+namespace
+{
+
+/// A worker that this holder has not heard yet may list ends that nobody stored. It is asked first, unless it is gone or does
+/// not answer.
+bool wasAsked(const Context &context, const WorkerState &worker)
+{
+    const std::optional<fleet::BootTime> &listRead = context.m_state.m_firstListAt;
+    const bool isGone = !worker.m_isListed && listRead && context.m_now.m_boot - *listRead >= relistTime;
+    return worker.m_isFenced || isGone || worker.m_silences >= silencesToGiveUp;
+}
+
+}
+
 void endLapsedRuns(Context &context)
 {
     std::vector<jobs::RunId> lapsed;
     for (const auto &[id, worker] : context.m_state.m_workers) {
-        if (!worker.m_runs.empty() && hasLeaseLapsed(worker, context.m_now.m_boot)) {
+        if (!worker.m_runs.empty() && wasAsked(context, worker) && hasLeaseLapsed(worker, context.m_now.m_boot)) {
             std::copy_if(worker.m_runs.begin(), worker.m_runs.end(), std::back_inserter(lapsed), [&](const jobs::RunId &run) {
                 return context.m_state.m_runs.at(run).m_phase != RunPhase::Recording && context.m_state.m_runs.at(run).m_startTries > 0;
             });
--- a/components/dispatch/placing.cpp
+++ b/components/dispatch/placing.cpp
@@ -1,8 +1,9 @@
 #include "components/dispatch/placing.hpp"
 
 #include "components/dispatch/candidate.hpp"
-#include "components/dispatch/context.hpp"
 #include "components/dispatch/rooms.hpp"
+#include "components/dispatch/worker_state.hpp"
+#include "components/jobs/step_spec.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -30,14 +31,14 @@
     std::tuple<std::int64_t, std::int64_t, std::int64_t> m_order;
 };
 
-std::vector<Option> findOptions(const Context &context, const Candidate &candidate, Rooms &rooms)
+std::vector<Option> findOptions(const Candidate &candidate, Rooms &rooms)
 {
     std::vector<Option> options;
     for (Room &room : rooms) {
         if (!mayRun(candidate, *room.m_worker)) {
             continue;
         }
-        const fleet::Resources free = freeFor(context, candidate, room);
+        const fleet::Resources free = freeFor(candidate, room);
         const std::uint32_t slots = slotsOn(candidate, *room.m_worker, free);
         if (slots > 0) {
             options.push_back({&room, slots, tightness(candidate, *room.m_worker, free)});
@@ -86,10 +87,10 @@
 
 }
 
-Choice choosePlaces(const Context &context, const Candidate &candidate, Rooms &rooms)
+Choice choosePlaces(const Candidate &candidate, Rooms &rooms)
 {
     const auto tasks = static_cast<std::uint32_t>(candidate.m_tasks.size());
-    const std::vector<Option> options = findOptions(context, candidate, rooms);
+    const std::vector<Option> options = findOptions(candidate, rooms);
     const bool isGang = candidate.m_spec->m_isGang;
     const Choice choice = isGang && candidate.m_spec->m_wantsOneRack ? fillOneRack(options, tasks) : fill(options, tasks);
     return isGang && choice.m_tasks < tasks ? Choice() : choice;
--- a/components/dispatch/placing.hpp
+++ b/components/dispatch/placing.hpp
@@ -7,11 +7,10 @@
 {
 
 struct Candidate;
-struct Context;
 
 /// Finds workers with free room for the tasks of the candidate: for all of them where they work only together, else for as
 /// many as there is room for. Empty where there is none.
-Choice choosePlaces(const Context &context, const Candidate &candidate, Rooms &rooms);
+Choice choosePlaces(const Candidate &candidate, Rooms &rooms);
 
 }
 
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -7,10 +7,13 @@
 #include "components/dispatch/placing.hpp"
 #include "components/dispatch/rooms.hpp"
 #include "components/dispatch/runs.hpp"
+#include "components/dispatch/shape.hpp"
 
 #include <algorithm>
+#include <map>
 #include <optional>
-#include <set>
+#include <utility>
+#include <vector>
 
 namespace dispatch
 {
@@ -41,7 +44,7 @@
     return highest + 1;
 }
 
-void start(Context &context, const Candidate &candidate, const Choice &choice)
+void start(Context &context, const Candidate &candidate, const Choice &choice, Rooms &rooms)
 {
     const journal::JobRecord &job = context.m_ledger.m_jobs.at(candidate.m_step.m_job);
     const std::uint32_t run = candidate.m_joinedRun > 0 ? candidate.m_joinedRun : nextRun(job, candidate);
@@ -52,7 +55,13 @@
             room->m_free = room->m_free - candidate.m_perTask;
         }
     }
-    context.m_state.m_reservations.erase(candidate.m_step);
+    if (context.m_state.m_reservations.erase(candidate.m_step) > 0) {
+        for (Room &room : rooms) {
+            std::erase_if(room.m_holds, [&](const Hold &hold) {
+                return hold.m_step == candidate.m_step;
+            });
+        }
+    }
     if (candidate.m_spec->m_isGang) {
         context.m_state.m_incompleteGangs.insert(candidate.m_step);
     }
@@ -69,13 +78,16 @@
                                       .add("catalog", context.m_catalog.m_version));
 }
 
-void reserve(Context &context, const Candidate &candidate, const std::vector<Eviction> &evictions)
+/// Keeps the room of the tasks on each worker for the candidate.
+void reserve(Context &context, const Candidate &candidate, const std::map<Room *, std::uint32_t> &tasks, fleet::Duration length)
 {
     Reservation reservation;
-    reservation.m_until = context.m_now.m_boot + reservationTime;
+    reservation.m_until = context.m_now.m_boot + length;
     reservation.m_priority = candidate.m_queue->m_priority;
-    for (const Eviction &eviction : evictions) {
-        reservation.m_room[eviction.m_room->m_worker->m_registration.m_life.m_worker] = candidate.m_perTask * eviction.m_slots;
+    for (const auto &[room, count] : tasks) {
+        const fleet::Resources resources = candidate.m_perTask * count;
+        reservation.m_room[room->m_worker->m_registration.m_life.m_worker] = resources;
+        room->m_holds.push_back({candidate.m_step, reservation.m_priority, resources});
     }
     context.m_state.m_reservations[candidate.m_step] = std::move(reservation);
 }
@@ -87,7 +99,11 @@
     if (chosen.empty()) {
         return;
     }
-    reserve(context, candidate, chosen);
+    std::map<Room *, std::uint32_t> tasks;
+    for (const Eviction &eviction : chosen) {
+        tasks[eviction.m_room] = eviction.m_slots;
+    }
+    reserve(context, candidate, tasks, reservationTime);
     for (const Eviction &eviction : chosen) {
         for (const jobs::RunId &victim : eviction.m_victims) {
             wantStop(context, victim, "room-for-" + toString(candidate.m_step.m_job));
@@ -95,32 +111,19 @@
     }
 }
 
-std::size_t countHeld(const Context &context)
-{
-    std::set<fleet::WorkerId> held;
-    for (const auto &[step, reservation] : context.m_state.m_reservations) {
-        for (const auto &[worker, room] : reservation.m_room) {
-            held.insert(worker);
-        }
-    }
-    return held.size();
-}
-
 /// Keeps the workers that will have room soonest free for a gang; small tasks would else take each free accelerator for ever.
 void holdRoom(Context &context, const Candidate &candidate, Rooms &rooms)
 {
-    const std::optional<Expectation> expected = expectRoom(context, candidate, rooms);
-    const double held = static_cast<double>(countHeld(context) + (expected ? expected->m_tasks.size() : 0));
-    if (!expected || held > mostHeld * static_cast<double>(rooms.size())) {
+    const auto most = static_cast<std::size_t>(mostHeld * static_cast<double>(rooms.size()));
+    const std::size_t held = countHeld(rooms);
+    if (held >= most) {
         return;
     }
-    Reservation reservation;
-    reservation.m_until = context.m_now.m_boot + holdingTime;
-    reservation.m_priority = candidate.m_queue->m_priority;
-    for (const auto &[room, tasks] : expected->m_tasks) {
-        reservation.m_room[room->m_worker->m_registration.m_life.m_worker] = candidate.m_perTask * tasks;
+    const std::optional<Expectation> expected = expectRoom(context, candidate, rooms);
+    if (!expected || held + expected->m_tasks.size() > most) {
+        return;
     }
-    context.m_state.m_reservations[candidate.m_step] = std::move(reservation);
+    reserve(context, candidate, expected->m_tasks, holdingTime);
     context.m_out.m_log.push_back(logging::Line("dispatch", "hold")
                                       .add("job", toString(candidate.m_step.m_job))
                                       .add("step", candidate.m_step.m_step)
@@ -136,34 +139,93 @@
     });
 }
 
-void placeCandidate(Context &context, Candidate &candidate, Rooms &rooms)
+Shape shapeOf(const Candidate &candidate)
 {
-    const Choice choice = choosePlaces(context, candidate, rooms);
+    return {candidate.m_queue->m_service,
+            candidate.m_spec->m_requiredLabel,
+            candidate.m_perTask,
+            candidate.m_queue->m_priority,
+            candidate.m_spec->m_isGang,
+            candidate.m_spec->m_wantsOneRack};
+}
+
+/// Where one step of a shape found no room, a larger one of the same shape finds none in the same plan. With the fewest tasks.
+using Refused = std::vector<std::pair<Shape, std::size_t>>;
+
+Refused::iterator findShape(Refused &refused, const Shape &shape)
+{
+    return std::find_if(refused.begin(), refused.end(), [&](const auto &entry) {
+        return entry.first == shape;
+    });
+}
+
+bool isComparable(const Context &context, const Candidate &candidate)
+{
+    return candidate.m_joinedRun == 0 && candidate.m_spec->m_mostPerRunner == 0 && !context.m_state.m_reservations.contains(candidate.m_step);
+}
+
+bool isRefused(const Context &context, const Candidate &candidate, Refused &refused)
+{
+    const auto found = findShape(refused, shapeOf(candidate));
+    return found != refused.end() && candidate.m_tasks.size() >= found->second && isComparable(context, candidate);
+}
+
+void noteRefused(const Context &context, const Candidate &candidate, Refused &refused)
+{
+    if (!isComparable(context, candidate)) {
+        return;
+    }
+    const std::size_t tasks = candidate.m_spec->m_isGang ? candidate.m_tasks.size() : 1;
+    const auto found = findShape(refused, shapeOf(candidate));
+    if (found == refused.end()) {
+        refused.emplace_back(shapeOf(candidate), tasks);
+    } else {
+        found->second = std::min(found->second, tasks);
+    }
+}
+
+/// Starts what there is room for, and makes room where the candidate goes before others.
+void tryToPlace(Context &context, Candidate &candidate, Rooms &rooms)
+{
+    const Choice choice = choosePlaces(candidate, rooms);
     if (choice.m_tasks > 0) {
-        start(context, candidate, choice);
+        start(context, candidate, choice, rooms);
         candidate.m_tasks.erase(candidate.m_tasks.begin(), candidate.m_tasks.begin() + choice.m_tasks);
     }
+    const bool isWaitingForRoom = context.m_state.m_reservations.contains(candidate.m_step);
+    if (!candidate.m_tasks.empty() && !isWaitingForRoom && candidate.m_queue->m_priority == 0) {
+        makeRoom(context, candidate, rooms);
+    }
+}
+
+void placeCandidate(Context &context, Candidate &candidate, Rooms &rooms, Refused &refused)
+{
+    if (!isRefused(context, candidate, refused)) {
+        tryToPlace(context, candidate, rooms);
+    }
     if (candidate.m_tasks.empty() || context.m_state.m_reservations.contains(candidate.m_step)) {
         return;
     }
-    if (candidate.m_queue->m_priority == 0) {
-        makeRoom(context, candidate, rooms);
-    }
+    noteRefused(context, candidate, refused);
     const bool hasWaited = context.m_now.m_wall - context.m_ledger.m_jobs.at(candidate.m_step.m_job).m_acceptedAt >= waitBeforeHolding;
-    if (candidate.m_spec->m_isGang && hasWaited && !context.m_state.m_reservations.contains(candidate.m_step)) {
+    if (candidate.m_spec->m_isGang && hasWaited) {
         holdRoom(context, candidate, rooms);
     }
 }
 
 }
 
-void plan(Context &context)
+bool plan(Context &context)
 {
     dropOldReservations(context);
     Rooms rooms = findRooms(context);
+    Refused refused;
+    bool isAnyLeft = false;
     for (Candidate &candidate : findCandidates(context)) {
-        placeCandidate(context, candidate, rooms);
+        placeCandidate(context, candidate, rooms, refused);
+        isAnyLeft = isAnyLeft || !candidate.m_tasks.empty();
     }
+    return isAnyLeft;
 }
 
 }
--- a/components/dispatch/plan.hpp
+++ b/components/dispatch/plan.hpp
@@ -6,8 +6,9 @@
 
 struct Context;
 
-/// Starts what can start, in order of priority and objective, and makes room for what goes before others.
-void plan(Context &context);
+/// Starts what can start, in order of priority and objective, and makes room for what goes before others. True where tasks
+/// are left waiting for room.
+bool plan(Context &context);
 
 }
 
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -169,6 +169,7 @@
     run.m_isLifeUnsure = false;
     if (run.m_isUncertain) {
         run.m_phase = RunPhase::Starting;
+        context.m_state.m_unsettled.insert(id);
         wantStop(context, id, "worker-reborn");
     } else {
         endRun(context, id, jobs::RunEnd::LostWithWorker, {});
--- a/components/dispatch/room.hpp
+++ b/components/dispatch/room.hpp
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_DISPATCH_ROOM_HPP
 #define COMPONENTS_DISPATCH_ROOM_HPP
 
+#include "components/dispatch/hold.hpp"
 #include "components/fleet/resources.hpp"
 
 #include <vector>
@@ -15,6 +16,8 @@
 {
     WorkerState *m_worker = nullptr;
     fleet::Resources m_free;
+    /// What is kept of it for steps.
+    std::vector<Hold> m_holds;
 };
 
 using Rooms = std::vector<Room>;
--- a/components/dispatch/rooms.cpp
+++ b/components/dispatch/rooms.cpp
@@ -36,6 +36,18 @@
         && !context.m_zonesOut.contains(worker.m_registration.m_zone);
 }
 
+std::vector<Hold> findHolds(const Context &context, const fleet::WorkerId &worker)
+{
+    std::vector<Hold> holds;
+    for (const auto &[step, reservation] : context.m_state.m_reservations) {
+        const auto reserved = reservation.m_room.find(worker);
+        if (reserved != reservation.m_room.end()) {
+            holds.push_back({step, reservation.m_priority, reserved->second});
+        }
+    }
+    return holds;
+}
+
 std::uint32_t countOpenRuns(const Candidate &candidate, const WorkerState &worker)
 {
     return static_cast<std::uint32_t>(std::count_if(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
@@ -59,7 +71,7 @@
     Rooms rooms;
     for (auto &[id, worker] : context.m_state.m_workers) {
         if (isUsable(context, worker)) {
-            rooms.push_back({&worker, worker.m_registration.m_capacity - worker.m_booked});
+            rooms.push_back({&worker, worker.m_registration.m_capacity - worker.m_booked, findHolds(context, id)});
         }
     }
     return rooms;
@@ -75,17 +87,22 @@
     return slots;
 }
 
-fleet::Resources freeFor(const Context &context, const Candidate &candidate, const Room &room)
+fleet::Resources freeFor(const Candidate &candidate, const Room &room)
 {
     fleet::Resources free = room.m_free;
-    for (const auto &[step, reservation] : context.m_state.m_reservations) {
-        const auto reserved = reservation.m_room.find(room.m_worker->m_registration.m_life.m_worker);
-        const bool isForOther = step != candidate.m_step && reservation.m_priority <= candidate.m_queue->m_priority;
-        if (isForOther && reserved != reservation.m_room.end()) {
-            free = free - reserved->second;
+    for (const Hold &hold : room.m_holds) {
+        if (hold.m_step != candidate.m_step && hold.m_priority <= candidate.m_queue->m_priority) {
+            free = free - hold.m_resources;
         }
     }
     return free;
 }
 
+std::size_t countHeld(const Rooms &rooms)
+{
+    return static_cast<std::size_t>(std::count_if(rooms.begin(), rooms.end(), [](const Room &room) {
+        return !room.m_holds.empty();
+    }));
+}
+
 }
--- a/components/dispatch/rooms.hpp
+++ b/components/dispatch/rooms.hpp
@@ -18,7 +18,10 @@
 bool mayRun(const Candidate &candidate, const WorkerState &worker);
 
 /// What the room has for the candidate beside what is reserved for other steps.
-fleet::Resources freeFor(const Context &context, const Candidate &candidate, const Room &room);
+fleet::Resources freeFor(const Candidate &candidate, const Room &room);
+
+/// Workers of which something is kept for a step.
+std::size_t countHeld(const Rooms &rooms);
 
 /// Tasks of the candidate that a worker with `free` can take.
 std::uint32_t slotsOn(const Candidate &candidate, const WorkerState &worker, const fleet::Resources &free);
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -201,6 +201,7 @@
     worker.m_booked = worker.m_booked + state.m_booked;
     worker.m_runs.insert(run);
     context.m_state.m_runs.emplace(run, std::move(state));
+    context.m_state.m_unsettled.insert(run);
     context.m_launched.push_back({run, on});
     journal::Changes changes;
     journal::apply(context.m_ledger, journal::RunsLaunched {{{run, on}}}, changes);
@@ -229,6 +230,7 @@
         noteHealth(context, worker->second, run.m_task, end);
     }
     context.m_state.m_runs.erase(found);
+    context.m_state.m_unsettled.erase(run);
     context.m_ended.push_back(ended);
     journal::Changes changes;
     journal::apply(context.m_ledger, journal::RunsEnded {{ended}, context.m_now.m_wall}, changes);
@@ -254,6 +256,7 @@
                                       .add("accelerators", state->m_booked.m_accelerators)
                                       .add("has_checkpoint", !state->m_checkpoint.empty()));
     state->m_stopWanted = true;
+    context.m_state.m_unsettled.insert(run);
     state->m_stopWantedAt = context.m_now.m_boot;
     state->m_nextStopAt = context.m_now.m_boot;
     if (state->m_startTries == 0) {
--- /dev/null
+++ b/components/dispatch/shape.hpp
@@ -0,0 +1,27 @@
+#ifndef COMPONENTS_DISPATCH_SHAPE_HPP
+#define COMPONENTS_DISPATCH_SHAPE_HPP
+
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/resources.hpp"
+
+#include <string>
+
+namespace dispatch
+{
+
+/// What decides whether there is room for a step, the number of its tasks aside.
+struct Shape
+{
+    fleet::ServiceId m_service;
+    std::string m_label;
+    fleet::Resources m_perTask;
+    int m_priority = 0;
+    bool m_isGang = false;
+    bool m_wantsOneRack = false;
+
+    bool operator==(const Shape &) const = default;
+};
+
+}
+
+#endif
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -11,6 +11,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace dispatch
@@ -23,6 +24,10 @@
     fleet::FencingToken m_token;
     std::map<fleet::WorkerId, WorkerState> m_workers;
     std::map<jobs::RunId, RunState> m_runs;
+    /// When the list of workers was first read by this holder.
+    std::optional<fleet::BootTime> m_firstListAt;
+    /// Runs that have not begun or are to be stopped: those that orders may be due for.
+    std::set<jobs::RunId> m_unsettled;
     /// Jobs that are not over.
     std::set<jobs::JobId> m_active;
     std::map<jobs::StepId, Reservation> m_reservations;
@@ -34,6 +39,8 @@
     bool m_mayRenew = true;
     /// Something changed that may let a step start.
     bool m_planIsDue = true;
+    fleet::BootTime m_plannedAt;
+    fleet::BootTime m_nextPlanAt;
 };
 
 }
--- a/components/dispatch/step.cpp
+++ b/components/dispatch/step.cpp
@@ -18,6 +18,10 @@
 
 /// A run that neither began nor ended within this time is reported.
 constexpr fleet::Duration overdueTime {4000};
+/// Without events a plan is made this often: workers are avoided for a time, and occurrences fall due.
+constexpr fleet::Duration idlePlanInterval {100};
+/// While steps wait for room, plans are at least this far apart; each looks at all of them.
+constexpr fleet::Duration backlogPlanPause {20};
 
 Context makeContext(State &state, const Surroundings &around, fleet::Now now)
 {
@@ -91,21 +95,15 @@
 Outbox finish(Context &context)
 {
     settleTouched(context);
-    if (context.m_state.m_planIsDue) {
-        context.m_state.m_planIsDue = false;
-        plan(context);
-        settleTouched(context);
-    }
     recordStep(context);
-    sendDueOrders(context);
-    sendDueLooks(context);
     return std::move(context.m_out);
 }
 
 /// Runs that should long have begun or ended.
 void logOverdueRuns(Context &context)
 {
-    for (auto &[id, run] : context.m_state.m_runs) {
+    for (const jobs::RunId &id : context.m_state.m_unsettled) {
+        RunState &run = context.m_state.m_runs.at(id);
         const fleet::BootTime since = std::max({run.m_overdueLoggedAt, run.m_stopWantedAt, run.m_launchedAt});
         const bool isDue = run.m_stopWanted || run.m_phase != RunPhase::Running;
         if (!isDue || context.m_now.m_boot - since < overdueTime) {
@@ -153,6 +151,7 @@
         run.m_nextStartAt = fleet::BootTime::max();
         worker.m_booked = worker.m_booked + run.m_booked;
         worker.m_runs.insert({task, open.m_run});
+        context.m_state.m_unsettled.insert({task, open.m_run});
         context.m_state.m_runs.emplace(jobs::RunId {task, open.m_run}, std::move(run));
     }
 }
@@ -189,6 +188,7 @@
 {
     Context context = makeContext(state, around, now);
     takeList(context, registrations);
+    state.m_firstListAt = state.m_firstListAt.value_or(now.m_boot);
     return finish(context);
 }
 
@@ -246,8 +246,24 @@
     for (const jobs::StepId &gang : std::exchange(state.m_incompleteGangs, {})) {
         context.m_touched.insert(gang.m_job);
     }
-    state.m_planIsDue = true;
+    state.m_planIsDue = state.m_planIsDue || now.m_boot - state.m_plannedAt >= idlePlanInterval;
     return finish(context);
 }
 
+Outbox settle(State &state, const Surroundings &around, fleet::Now now)
+{
+    Context context = makeContext(state, around, now);
+    if (state.m_planIsDue && now.m_boot >= state.m_nextPlanAt) {
+        state.m_planIsDue = false;
+        state.m_plannedAt = now.m_boot;
+        const bool isAnyLeft = plan(context);
+        state.m_nextPlanAt = now.m_boot + (isAnyLeft ? backlogPlanPause : fleet::Duration(0));
+        settleTouched(context);
+    }
+    recordStep(context);
+    sendDueOrders(context);
+    sendDueLooks(context);
+    return std::move(context.m_out);
+}
+
 }
--- a/components/dispatch/step.hpp
+++ b/components/dispatch/step.hpp
@@ -34,9 +34,13 @@
 /// Jobs were accepted or cancelled.
 Outbox onJobsChanged(State &state, const Surroundings &around, const std::vector<jobs::JobId> &jobs, fleet::Now now);
 
-/// Time passed: leases, retries, due occurrences, and the plan.
+/// Time passed: leases, retries and due occurrences.
 Outbox onTick(State &state, const Surroundings &around, fleet::Now now);
 
+/// Plans and gives the orders that are due. Called once for all events that were waiting, since a plan costs the same for
+/// one event as for many.
+Outbox settle(State &state, const Surroundings &around, fleet::Now now);
+
 }
 
 #endif
--- a/components/journal/instance_record.hpp
+++ b/components/journal/instance_record.hpp
@@ -4,6 +4,7 @@
 #include "components/fleet/identifiers.hpp"
 #include "components/fleet/incarnation.hpp"
 
+#include <cstdint>
 #include <string>
 
 namespace journal
@@ -16,13 +17,15 @@
     fleet::ZoneId m_zone;
     std::string m_peerAddress;
     std::string m_peerKey;
+    /// Processor time that the instance has, in thousandths of a core.
+    std::uint32_t m_processorPermille = 0;
 
     bool operator==(const InstanceRecord &) const = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(m_incarnation, m_zone, m_peerAddress, m_peerKey);
+        archive(m_incarnation, m_zone, m_peerAddress, m_peerKey, m_processorPermille);
     }
 };
 
--- a/components/journal/instance_started.hpp
+++ b/components/journal/instance_started.hpp
@@ -4,6 +4,7 @@
 #include "components/fleet/identifiers.hpp"
 #include "components/fleet/incarnation.hpp"
 
+#include <cstdint>
 #include <string>
 
 namespace journal
@@ -19,13 +20,15 @@
     std::string m_peerAddress;
     /// Others sign what they send to this incarnation with it.
     std::string m_peerKey;
+    /// Processor time that the instance has, in thousandths of a core.
+    std::uint32_t m_processorPermille = 0;
 
     bool operator==(const InstanceStarted &) const = default;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(m_instance, m_incarnation, m_zone, m_peerAddress, m_peerKey);
+        archive(m_instance, m_incarnation, m_zone, m_peerAddress, m_peerKey, m_processorPermille);
     }
 };
 
--- a/components/journal/ledger.cpp
+++ b/components/journal/ledger.cpp
@@ -205,7 +205,7 @@
 
 void applyBody(Ledger &ledger, const InstanceStarted &record, Changes &changes)
 {
-    ledger.m_instances[record.m_instance] = {record.m_incarnation, record.m_zone, record.m_peerAddress, record.m_peerKey};
+    ledger.m_instances[record.m_instance] = {record.m_incarnation, record.m_zone, record.m_peerAddress, record.m_peerKey, record.m_processorPermille};
     // A new incarnation shows that the one before has ended.
     std::erase_if(ledger.m_formerHolders, [&](const FormerHolder &former) {
         return former.m_instance == record.m_instance && former.m_incarnation != record.m_incarnation;
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -59,6 +59,11 @@
             take(body, now);
         },
         event);
+}
+
+void Control::settle(fleet::Now now)
+{
+    m_duty.settle(now);
     sendDue(now);
 }
 
@@ -71,7 +76,7 @@
         journal::forgetEnded(m_journal.m_ledger, now.m_wall - m_settings.m_statusRetention - clockTolerance);
     }
     updateReadiness(now);
-    sendDue(now);
+    settle(now);
     checkStop(now);
 }
 
--- a/components/node/control.hpp
+++ b/components/node/control.hpp
@@ -21,6 +21,8 @@
     Control(const Settings &settings, Ports &ports);
 
     void handle(const Event &event, fleet::Now now);
+    /// Does what the events call for; called once for all that were waiting.
+    void settle(fleet::Now now);
     /// Time passed.
     void tick(fleet::Now now);
     /// When tick() should be called next, at the latest.
--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -33,6 +33,13 @@
 constexpr fleet::Duration longStoreSilence {1500};
 /// Instances claim at different times, so that one claim usually suffices.
 constexpr fleet::Duration claimSpread {100};
+/// An instance with less than this part of the processor time of the largest one leaves the duty to others for a while.
+constexpr std::uint32_t preferredPart = 2;
+constexpr fleet::Duration claimDeference {500};
+/// A new holder reads the list and every worker at once and answers late meanwhile. Each change of hands within this time
+/// but the first doubles how long the others wait before they replace it, up to the limit.
+constexpr fleet::Duration recentChange {10'000};
+constexpr int mostPatienceDoublings = 2;
 /// The holder writes to the journal at least this often while an instance does not answer, and otherwise.
 constexpr fleet::Duration aliveInterval {350};
 constexpr fleet::Duration quietAliveInterval {2000};
@@ -70,6 +77,37 @@
     return {m_journal.m_ledger, m_operators.m_catalog, m_operators.m_zonesOut};
 }
 
+/// True where no instance that the journal knows has far more processor time.
+bool Duty::isPreferred() const
+{
+    std::uint32_t most = 0;
+    for (const auto &[id, instance] : m_journal.m_ledger.m_instances) {
+        most = std::max(most, instance.m_processorPermille);
+    }
+    return m_settings.m_processorPermille * preferredPart >= most;
+}
+
+fleet::Duration Duty::claimDelay() const
+{
+    return spread(m_settings.m_instance) + (isPreferred() ? fleet::Duration(0) : claimDeference);
+}
+
+void Duty::noteHolderChange(fleet::Now now)
+{
+    m_holderChanges.push_back(now.m_boot);
+    while (now.m_boot - m_holderChanges.front() >= recentChange) {
+        m_holderChanges.pop_front();
+    }
+}
+
+fleet::Duration Duty::patience(fleet::Duration limit, fleet::Now now) const
+{
+    const auto changes = std::count_if(m_holderChanges.begin(), m_holderChanges.end(), [&](fleet::BootTime at) {
+        return now.m_boot - at < recentChange;
+    });
+    return limit * (1 << std::clamp(static_cast<int>(changes) - 1, 0, mostPatienceDoublings));
+}
+
 bool Duty::isHolderSilent(fleet::Now now) const
 {
     const journal::HolderRecord &holder = m_journal.m_ledger.m_holder;
@@ -84,17 +122,17 @@
     if (!m_journal.m_asOf || !isHolderSuspect(now)) {
         return false;
     }
-    const fleet::Duration own = spread(m_settings.m_instance);
+    const fleet::Duration own = claimDelay();
     if (m_isHolderWithoutStore) {
         const fleet::Duration silence = *m_journal.m_asOf - m_holderWithoutStoreSince;
         // Where the store was away from everybody, the holder is back as soon as this instance is.
         const bool isMineSteady = now.m_boot - m_journal.m_answersSince > storeSilenceLimit;
         const bool isMineQuick = m_journal.m_readTook < quickAnswer && isMineSteady;
-        return silence > (isMineQuick ? storeSilenceLimit : longStoreSilence) + own;
+        return silence > patience(isMineQuick ? storeSilenceLimit : longStoreSilence, now) + own;
     }
     // The journal must have been read since, to tell silence from not having looked.
     const fleet::BootTime seen = std::max({m_journal.m_holderSeenAt, m_holderHeardAt, m_startedAt});
-    return *m_journal.m_asOf - seen > journalSilence + own;
+    return *m_journal.m_asOf - seen > patience(journalSilence, now) + own;
 }
 
 bool Duty::isHolderSuspect(fleet::Now now) const
@@ -239,9 +277,10 @@
     if (!m_isStarted) {
         m_isStarted = true;
         m_startedAt = now.m_boot;
-        m_notBefore = now.m_boot + spread(m_settings.m_instance);
+        m_notBefore = now.m_boot + claimDelay();
     }
     if (changes.m_holderChanged) {
+        noteHolderChange(now);
         // What was heard was said by or about another holder.
         m_holderHeardAt = now.m_boot;
         m_isHolderWithoutStore = false;
@@ -440,6 +479,13 @@
     }
 }
 
+void Duty::settle(fleet::Now now)
+{
+    if (m_phase == DutyPhase::Holding) {
+        send(dispatch::settle(m_state, around(), now), now);
+    }
+}
+
 void Duty::resign(fleet::Now now)
 {
     if (m_phase == DutyPhase::Holding) {
--- a/components/node/duty.hpp
+++ b/components/node/duty.hpp
@@ -14,6 +14,7 @@
 #include "components/node/settings.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -51,6 +52,8 @@
     /// Another instance sent a message.
     void onPeerMessage(const PeerMessage &message, fleet::Now now);
     void onTick(fleet::Now now);
+    /// Plans and gives orders, after all events that were waiting.
+    void settle(fleet::Now now);
     /// Gives the duty up, because the process stops.
     void resign(fleet::Now now);
 
@@ -66,6 +69,10 @@
 
 private:
     dispatch::Surroundings around() const;
+    bool isPreferred() const;
+    fleet::Duration claimDelay() const;
+    void noteHolderChange(fleet::Now now);
+    fleet::Duration patience(fleet::Duration limit, fleet::Now now) const;
     bool isHolderSilent(fleet::Now now) const;
     bool isHolderSuspect(fleet::Now now) const;
     void sendBeats(fleet::Now now);
@@ -100,6 +107,8 @@
     /// Holder: when the last messages to the other instances were sent.
     fleet::BootTime m_lastBeatAt;
     bool m_toldSilence = false;
+    /// When the duty changed hands of late.
+    std::deque<fleet::BootTime> m_holderChanges;
     /// Others: when the holder was last heard, and that the store left it without answers then.
     fleet::BootTime m_holderHeardAt;
     bool m_isHolderWithoutStore = false;
--- a/components/node/front_desk.cpp
+++ b/components/node/front_desk.cpp
@@ -104,7 +104,8 @@
 
 void FrontDesk::announce(fleet::Now)
 {
-    const journal::InstanceStarted record {m_settings.m_instance, m_settings.m_incarnation, m_settings.m_zone, m_settings.m_peerAddress, m_settings.m_peerKey};
+    const journal::InstanceStarted record {
+        m_settings.m_instance, m_settings.m_incarnation, m_settings.m_zone, m_settings.m_peerAddress, m_settings.m_peerKey, m_settings.m_processorPermille};
     journal::enqueue(m_writer, journal::encode(record), 0);
 }
 
--- a/components/node/settings.hpp
+++ b/components/node/settings.hpp
@@ -6,6 +6,7 @@
 #include "components/fleet/incarnation.hpp"
 #include "components/fleet/time.hpp"
 
+#include <cstdint>
 #include <string>
 
 namespace node
@@ -21,6 +22,8 @@
     std::string m_peerAddress;
     /// Drawn at the start; others sign what they send here with it.
     std::string m_peerKey;
+    /// Processor time of this instance, in thousandths of a core; 0 where it is not known.
+    std::uint32_t m_processorPermille = 0;
     dispatch::Settings m_dispatch;
     /// A key that the operators took away must not be accepted for longer than this.
     fleet::Duration m_keyRevocation {5000};
--- a/components/settings/node_settings.cpp
+++ b/components/settings/node_settings.cpp
@@ -5,6 +5,14 @@
 namespace settings
 {
 
+namespace
+{
+
+/// More than any machine has.
+constexpr double mostCores = 1000;
+
+}
+
 NodeSettings readNodeSettings(Reader &reader)
 {
     using namespace std::chrono_literals;
@@ -16,6 +24,8 @@
     settings.m_readiness = reader.requiredEndpoint("listen.readiness");
     settings.m_peers = reader.requiredEndpoint("listen.peers");
     settings.m_store = reader.requiredEndpoint("platform.store");
+    settings.m_processorShare
+        = reader.number("machine.processor_share", settings.m_processorShare, 0, mostCores) * reader.number("machine.processor_speed", 1, 0, mostCores);
     settings.m_leaseLimit = reader.duration("bounds.lease", settings.m_leaseLimit, 500ms, 10min);
     settings.m_stopGrace = reader.duration("bounds.task_stop", settings.m_stopGrace, 0ms, 1min);
     settings.m_gangWait = reader.duration("bounds.gang_wait", settings.m_gangWait, 100ms, 10min);
--- a/components/settings/node_settings.hpp
+++ b/components/settings/node_settings.hpp
@@ -25,6 +25,8 @@
     Endpoint m_peers;
     Endpoint m_store;
 
+    /// Processor time that the instance has, in cores; 0 where it is not known.
+    double m_processorShare = 0;
     /// Longest lease that a worker grants.
     fleet::Duration m_leaseLimit {6000};
     fleet::Duration m_stopGrace {200};
--- a/components/settings/reader.cpp
+++ b/components/settings/reader.cpp
@@ -209,6 +209,24 @@
     return value;
 }
 
+double Reader::number(const std::string &key, double fallback, double least, double most)
+{
+    const toml::node *node = m_document->take(key);
+    if (node == nullptr) {
+        return fallback;
+    }
+    const std::optional<double> value = node->value<double>();
+    if (!node->is_number() || !value) {
+        report(key, "is not a number", "write a number without quotes");
+        return fallback;
+    }
+    if (*value < least || *value > most) {
+        report(key, "is out of range", "choose a value from " + std::to_string(least) + " to " + std::to_string(most));
+        return fallback;
+    }
+    return *value;
+}
+
 bool Reader::boolean(const std::string &key, bool fallback)
 {
     const toml::node *node = m_document->take(key);
--- a/components/settings/reader.hpp
+++ b/components/settings/reader.hpp
@@ -37,6 +37,8 @@
     std::string requiredText(const std::string &key);
     std::string text(const std::string &key, const std::string &fallback);
     std::vector<std::string> requiredTexts(const std::string &key);
+    /// A whole or decimal number.
+    double number(const std::string &key, double fallback, double least, double most);
     std::int64_t integer(const std::string &key, std::int64_t fallback, std::int64_t least, std::int64_t most);
     bool boolean(const std::string &key, bool fallback);
     /// A number with a unit: "250 ms", "10 s", "5 min" or "1 h".
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -402,6 +402,7 @@
         return;
     }
     target.m_control->handle(event, timeAt());
+    target.m_control->settle(timeAt());
 }
 
 void World::tick(int instance, std::uint64_t life)
