--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -1,6 +1,8 @@
 #include "components/logging/line_log.hpp"
+#include "components/metrics/registry.hpp"
 #include "components/node/clocks.hpp"
 #include "components/node/control.hpp"
+#include "components/settings/file_watch.hpp"
 #include "components/settings/node_settings.hpp"
 #include "components/settings/reader.hpp"
 #include "components/settings/settings_error.hpp"
@@ -20,9 +22,18 @@
 constexpr int exitUsage = 2;
 constexpr int exitSettings = 3;
 constexpr double permille = 1000;
+/// A settings file that changed without a signal is noticed this soon.
+constexpr fleet::Duration settingsInterval {2000};
 
 volatile std::sig_atomic_t stopSignals = 0;
 
+volatile std::sig_atomic_t reloadSignals = 0;
+
+void noteReloadSignal(int)
+{
+    reloadSignals = reloadSignals + 1;
+}
+
 void noteStopSignal(int)
 {
     stopSignals = stopSignals + 1;
@@ -66,11 +77,29 @@
     return control;
 }
 
-int serve(const settings::NodeSettings &settings)
+/// Reads the settings again. What cannot be read is refused and the settings in force stay.
+void reload(const std::string &file, settings::NodeSettings &inForce, node::Control &control, logging::LineLog &log)
+{
+    const fleet::Now now = node::presentTime();
+    try {
+        settings::Reader reader = settings::Reader::fromFile(file);
+        const settings::NodeSettings read = settings::readNodeSettings(reader);
+        const bool isChanged = read != inForce;
+        if (isChanged) {
+            inForce = read;
+            control.setBounds(toControlSettings(read));
+        }
+        log.write(logging::Line("node", "reload").add("file", file).add("changed", isChanged), now);
+    } catch (const settings::SettingsError &error) {
+        log.write(logging::Line("node", "reload-refused", logging::Level::Warning).add("file", file).add("reason", error.what()), now);
+    }
+}
+
+int serve(const std::string &file, settings::NodeSettings settings)
 {
     std::signal(SIGTERM, noteStopSignal);
     std::signal(SIGINT, noteStopSignal);
-    std::signal(SIGHUP, SIG_IGN);
+    std::signal(SIGHUP, noteReloadSignal);
     std::signal(SIGPIPE, SIG_IGN);
     logging::LineLog log(settings.m_logLevel, {});
     log.write(logging::Line("node", "start")
@@ -80,10 +109,19 @@
                   .add("callers", settings::toString(settings.m_callers))
                   .add("store", settings::toString(settings.m_store)),
               node::presentTime());
+    metrics::Registry registry;
     node::EventQueue queue;
-    platform::Adapter adapter(
-        {toAddress(settings.m_callers), toAddress(settings.m_readiness), toAddress(settings.m_peers), toAddress(settings.m_store)}, queue, log);
-    node::Control control(toControlSettings(settings), adapter);
+    platform::Adapter adapter({toAddress(settings.m_callers),
+                               toAddress(settings.m_readiness),
+                               toAddress(settings.m_peers),
+                               toAddress(settings.m_store),
+                               toAddress(settings.m_metrics)},
+                              queue,
+                              log,
+                              registry);
+    node::Control control(toControlSettings(settings), adapter, registry);
+    settings::FileWatch watch(file, settingsInterval);
+    std::sig_atomic_t reloadsDone = 0;
     fleet::BootTime nextTick;
     // Between events too, so that a long queue of them does not keep the other instances waiting for a sign of life.
     const auto tickIfDue = [&] {
@@ -104,6 +142,11 @@
         if (stopSignals > 0) {
             control.handle(node::StopRequested {}, node::presentTime());
         }
+        const bool isWritten = watch.hasChanged(node::presentTime().m_boot);
+        if (isWritten || reloadSignals != reloadsDone) {
+            reloadsDone = reloadSignals;
+            reload(file, settings, control, log);
+        }
         tickIfDue();
     }
     return 0;
@@ -126,7 +169,7 @@
             return fail(exitUsage, "name the settings file");
         }
         settings::Reader reader = settings::Reader::fromFile(file);
-        return serve(settings::readNodeSettings(reader));
+        return serve(file, settings::readNodeSettings(reader));
     } catch (const settings::SettingsError &error) {
         return fail(exitSettings, error.what());
     } catch (const std::exception &error) {
--- a/components/metrics/registry.hpp
+++ b/components/metrics/registry.hpp
@@ -3,6 +3,7 @@
 
 #include "components/metrics/counter.hpp"
 #include "components/metrics/gauge.hpp"
+#include "components/metrics/histogram.hpp"
 
 #include <map>
 #include <mutex>
@@ -11,30 +12,33 @@
 namespace metrics
 {
 
-/// Owns the counters and gauges of one process and renders them in the Prometheus text format.
+/// Owns the metrics of one process and renders them in the Prometheus text format.
 ///
-/// A metric is named once with its help text; asking for the same name again returns the same metric. References stay
-/// valid as long as the registry lives. Names follow `foxtailcross_<part>_<what>[_total]`.
+/// A metric is named once with its help text; asking for the same name and labels again returns the same metric. References
+/// stay valid as long as the registry lives. Names follow `foxtailcross_<part>_<what>[_total]`; labels are written as
+/// `kind="submit",outcome="accepted"` and must be few.
 class Registry
 {
 public:
-    Counter &counter(const std::string &name, const std::string &help);
-    Gauge &gauge(const std::string &name, const std::string &help);
+    Counter &counter(const std::string &name, const std::string &help, const std::string &labels = {});
+    Gauge &gauge(const std::string &name, const std::string &help, const std::string &labels = {});
+    Histogram &histogram(const std::string &name, const std::string &help, const std::string &labels = {});
 
-    /// Text of every metric in name order, each with its help and type line.
+    /// Text of every metric in name order, each name with its help and type line.
     std::string render() const;
 
 private:
     template<class Metric>
-    struct Entry
+    struct Family
     {
         std::string m_help;
-        Metric m_metric;
+        std::map<std::string, Metric> m_metrics;
     };
 
     mutable std::mutex m_mutex;
-    std::map<std::string, Entry<Counter>> m_counters;
-    std::map<std::string, Entry<Gauge>> m_gauges;
+    std::map<std::string, Family<Counter>> m_counters;
+    std::map<std::string, Family<Gauge>> m_gauges;
+    std::map<std::string, Family<Histogram>> m_histograms;
 };
 
 }
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -43,17 +43,19 @@
 
 }
 
-Control::Control(const Settings &settings, Ports &ports)
+Control::Control(const Settings &settings, Ports &ports, metrics::Registry &registry)
     : m_settings(settings)
     , m_ports(ports)
+    , m_meter(registry)
     , m_duty(m_settings, m_ports, m_operators, m_journal)
-    , m_desk(m_settings, m_ports, m_operators, m_journal, m_duty.unconfirmed())
+    , m_desk(m_settings, m_ports, m_operators, m_journal, m_duty.unconfirmed(), m_meter)
 {
     m_desk.announce(fleet::Now());
 }
 
 void Control::handle(const Event &event, fleet::Now now)
 {
+    m_meter.count(event, now);
     std::visit(
         [&](const auto &body) {
             take(body, now);
@@ -77,6 +79,7 @@
     }
     updateReadiness(now);
     settle(now);
+    m_meter.show(figures(now));
     checkStop(now);
 }
 
@@ -85,6 +88,17 @@
     return now.m_boot + (m_duty.phase() == DutyPhase::Holding ? holderTick : followerTick);
 }
 
+void Control::setBounds(const Settings &settings)
+{
+    m_settings.m_dispatch = settings.m_dispatch;
+    m_settings.m_keyRevocation = settings.m_keyRevocation;
+    m_settings.m_catalogInForce = settings.m_catalogInForce;
+    m_settings.m_statusRetention = settings.m_statusRetention;
+    m_settings.m_journalRetention = settings.m_journalRetention;
+    m_settings.m_stopLimit = settings.m_stopLimit;
+    m_duty.onBoundsChanged();
+}
+
 bool Control::holdsDuty() const
 {
     return m_duty.phase() == DutyPhase::Holding;
@@ -271,6 +285,26 @@
     }
 }
 
+Figures Control::figures(fleet::Now now) const
+{
+    const auto ageSince = [&](const std::optional<fleet::BootTime> &asOf) {
+        return asOf ? (now.m_boot - *asOf).count() : -1;
+    };
+    Figures figures;
+    figures.m_isReady = m_isReady;
+    figures.m_holdsDuty = holdsDuty();
+    figures.m_holderToken = m_journal.m_ledger.m_holder.m_token.m_value;
+    figures.m_catalogVersion = m_operators.m_catalog.m_version;
+    figures.m_catalogAge = ageSince(m_operators.m_asOf);
+    figures.m_journalAge = ageSince(m_journal.m_asOf);
+    figures.m_journalEnd = m_journal.m_next;
+    figures.m_unreadableRecords = m_journal.m_unreadableRecords;
+    figures.m_jobs = m_journal.m_ledger.m_jobs.size();
+    figures.m_openCalls = m_desk.openCalls();
+    m_duty.addTo(figures);
+    return figures;
+}
+
 void Control::checkStop(fleet::Now now)
 {
     if (!m_stopRequestedAt) {
--- a/components/node/control.hpp
+++ b/components/node/control.hpp
@@ -3,12 +3,18 @@
 
 #include "components/fleet/now.hpp"
 #include "components/node/duty.hpp"
+#include "components/node/event_meter.hpp"
 #include "components/node/events.hpp"
 #include "components/node/front_desk.hpp"
 #include "components/node/journal_view.hpp"
 #include "components/node/operator_view.hpp"
 #include "components/node/settings.hpp"
 
+namespace metrics
+{
+class Registry;
+}
+
 namespace node
 {
 
@@ -18,7 +24,8 @@
 class Control
 {
 public:
-    Control(const Settings &settings, Ports &ports);
+    /// `registry` must outlive this object.
+    Control(const Settings &settings, Ports &ports, metrics::Registry &registry);
 
     void handle(const Event &event, fleet::Now now);
     /// Does what the events call for; called once for all that were waiting.
@@ -27,6 +34,8 @@
     void tick(fleet::Now now);
     /// When tick() should be called next, at the latest.
     fleet::BootTime nextTick(fleet::Now now) const;
+    /// New bounds of the deployment; what names this instance stays as it was at the start.
+    void setBounds(const Settings &settings);
     bool holdsDuty() const;
     /// The planned stop is complete.
     bool isStopped() const;
@@ -50,11 +59,13 @@
     void readJournal(fleet::Now now);
     void updateReadiness(fleet::Now now);
     void checkStop(fleet::Now now);
+    Figures figures(fleet::Now now) const;
 
     Settings m_settings;
     Ports &m_ports;
     OperatorView m_operators;
     JournalView m_journal;
+    EventMeter m_meter;
     Duty m_duty;
     FrontDesk m_desk;
     std::optional<fleet::BootTime> m_followSentAt;
--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -2,6 +2,7 @@
 
 #include "components/dispatch/step.hpp"
 #include "components/journal/snapshot.hpp"
+#include "components/node/figures.hpp"
 #include "components/node/ports.hpp"
 
 #include <algorithm>
@@ -441,6 +442,11 @@
     }
 }
 
+void Duty::onBoundsChanged()
+{
+    m_state.m_settings = m_settings.m_dispatch;
+}
+
 void Duty::onTick(fleet::Now now)
 {
     if (m_phase == DutyPhase::Following) {
@@ -528,6 +534,17 @@
     }
 }
 
+void Duty::addTo(Figures &figures) const
+{
+    figures.m_activeJobs = m_state.m_active.size();
+    figures.m_openRuns = m_state.m_runs.size();
+    figures.m_workers = m_state.m_workers.size();
+    figures.m_silentWorkers = static_cast<std::size_t>(std::count_if(m_state.m_workers.begin(), m_state.m_workers.end(), [](const auto &entry) {
+        return entry.second.m_silences > 0;
+    }));
+    figures.m_unstoredBatches = m_state.m_unstored.size();
+}
+
 DutyPhase Duty::phase() const
 {
     return m_phase;
--- a/components/node/duty.hpp
+++ b/components/node/duty.hpp
@@ -22,6 +22,7 @@
 {
 
 class Ports;
+struct Figures;
 
 /// Where the instance stands with the scheduling duty.
 enum class DutyPhase : std::uint8_t {
@@ -47,6 +48,7 @@
     void onStopEnded(const StopEnded &event, fleet::Now now);
     void onLookEnded(const LookEnded &event, fleet::Now now);
     void onCatalogChanged(fleet::Now now);
+    void onBoundsChanged();
     /// The journal reaches at least as far as this.
     void noteJournalEnd(std::uint64_t end);
     /// Another instance sent a message.
@@ -58,6 +60,8 @@
     void resign(fleet::Now now);
 
     DutyPhase phase() const;
+    /// Fills in what only the holder knows.
+    void addTo(Figures &figures) const;
     journal::Writer &writer();
     journal::Writer &snapshotWriter();
     /// Everything recorded has been stored.
--- /dev/null
+++ b/components/node/event_meter.cpp
@@ -0,0 +1,172 @@
+#include "components/node/event_meter.hpp"
+
+#include "components/metrics/registry.hpp"
+
+#include <string>
+#include <variant>
+
+namespace node
+{
+
+namespace
+{
+
+const char *nameOf(store::AppendOutcome outcome)
+{
+    switch (outcome) {
+    case store::AppendOutcome::Stored:
+        return "stored";
+    case store::AppendOutcome::Fenced:
+        return "fenced";
+    case store::AppendOutcome::OutOfSequence:
+        return "out-of-sequence";
+    case store::AppendOutcome::EndMoved:
+        return "end-moved";
+    case store::AppendOutcome::Refused:
+        return "refused";
+    case store::AppendOutcome::Unknown:
+        return "no-answer";
+    }
+    return "";
+}
+
+const char *nameOf(store::ReadOutcome outcome)
+{
+    switch (outcome) {
+    case store::ReadOutcome::Read:
+        return "read";
+    case store::ReadOutcome::Expired:
+        return "expired";
+    case store::ReadOutcome::Refused:
+        return "refused";
+    case store::ReadOutcome::NoAnswer:
+        return "no-answer";
+    }
+    return "";
+}
+
+const char *nameOf(workers::OrderOutcome outcome)
+{
+    switch (outcome) {
+    case workers::OrderOutcome::Done:
+        return "done";
+    case workers::OrderOutcome::Fenced:
+        return "fenced";
+    case workers::OrderOutcome::RunIsOver:
+        return "over";
+    case workers::OrderOutcome::LeaseLapsed:
+        return "lapsed";
+    case workers::OrderOutcome::NoRoom:
+        return "no-room";
+    case workers::OrderOutcome::BadTicket:
+        return "bad-ticket";
+    case workers::OrderOutcome::Unhealthy:
+        return "unhealthy";
+    case workers::OrderOutcome::OtherLife:
+        return "other-life";
+    case workers::OrderOutcome::Malformed:
+        return "malformed";
+    case workers::OrderOutcome::NotSent:
+        return "not-sent";
+    case workers::OrderOutcome::Unknown:
+        return "no-answer";
+    }
+    return "";
+}
+
+const char *nameOf(workers::LookOutcome outcome)
+{
+    switch (outcome) {
+    case workers::LookOutcome::Answered:
+        return "answered";
+    case workers::LookOutcome::Fenced:
+        return "fenced";
+    case workers::LookOutcome::OtherLife:
+        return "other-life";
+    case workers::LookOutcome::Unhealthy:
+        return "unhealthy";
+    case workers::LookOutcome::NoAnswer:
+        return "no-answer";
+    }
+    return "";
+}
+
+std::string label(const char *name, const char *value)
+{
+    return std::string(name) + "=\"" + value + '"';
+}
+
+}
+
+EventMeter::EventMeter(metrics::Registry &registry)
+    : m_registry(registry)
+{
+}
+
+void EventMeter::count(const Event &event, fleet::Now now)
+{
+    if (const auto *append = std::get_if<AppendEnded>(&event)) {
+        countCall("append", nameOf(append->m_result.m_outcome), now.m_boot - append->m_sentAt);
+    } else if (const auto *journal = std::get_if<JournalRead>(&event)) {
+        countCall("read-journal", nameOf(journal->m_result.m_outcome), now.m_boot - journal->m_sentAt);
+    } else if (const auto *keyed = std::get_if<KeyedReadEnded>(&event)) {
+        countCall("read-snapshot", nameOf(keyed->m_outcome), now.m_boot - keyed->m_sentAt);
+    } else if (const auto *operators = std::get_if<OperatorsReadEnded>(&event)) {
+        countCall("read-catalog", nameOf(operators->m_read.m_outcome), now.m_boot - operators->m_sentAt);
+    } else if (const auto *list = std::get_if<ListReadEnded>(&event)) {
+        countCall("read-list", nameOf(list->m_read.m_outcome), now.m_boot - list->m_sentAt);
+    } else if (const auto *start = std::get_if<StartEnded>(&event)) {
+        countOrder("start", nameOf(start->m_result.m_outcome));
+    } else if (const auto *stop = std::get_if<StopEnded>(&event)) {
+        countOrder("stop", nameOf(stop->m_result.m_outcome));
+    } else if (const auto *look = std::get_if<LookEnded>(&event)) {
+        countOrder("look", nameOf(look->m_result.m_outcome));
+    }
+}
+
+void EventMeter::countAnswer(const char *call, const char *outcome, fleet::Duration took)
+{
+    m_registry.counter("foxtailcross_answers_total", "Answers to callers, by call and outcome.", label("call", call) + ',' + label("outcome", outcome)).add();
+    m_registry.histogram("foxtailcross_answer_ms", "Time from a caller's call to its answer in milliseconds.", label("call", call)).add(took);
+}
+
+void EventMeter::countCall(const char *call, const char *outcome, fleet::Duration took)
+{
+    m_registry.counter("foxtailcross_store_calls_total", "Calls of the store, by call and outcome.", label("call", call) + ',' + label("outcome", outcome))
+        .add();
+    m_registry.histogram("foxtailcross_store_call_ms", "Time until the store answered, waits included, in milliseconds.", label("call", call)).add(took);
+}
+
+void EventMeter::countOrder(const char *order, const char *outcome)
+{
+    m_registry.counter("foxtailcross_worker_calls_total", "Orders and looks at workers, by outcome.", label("call", order) + ',' + label("outcome", outcome))
+        .add();
+}
+
+void EventMeter::show(const Figures &figures)
+{
+    const auto set = [this](const char *name, const char *help, auto value) {
+        m_registry.gauge(name, help).set(static_cast<std::int64_t>(value));
+    };
+    if (figures.m_holderToken != m_shown.m_holderToken) {
+        m_registry.counter("foxtailcross_duty_changes_total", "Changes of the holder of the scheduling duty that this instance saw.").add();
+    }
+    set("foxtailcross_ready", "1 while the instance asks for new connections.", figures.m_isReady);
+    set("foxtailcross_duty_held", "1 while the instance holds the scheduling duty.", figures.m_holdsDuty);
+    set("foxtailcross_duty_token", "Fencing token of the holder that the instance knows.", figures.m_holderToken);
+    set("foxtailcross_catalog_version", "Version of the operators' catalog in force.", figures.m_catalogVersion);
+    set("foxtailcross_catalog_age_ms", "Age of the last confirmation of the catalog; -1 before the first.", figures.m_catalogAge);
+    set("foxtailcross_journal_age_ms", "Age of what was read of the journal; -1 before the first read.", figures.m_journalAge);
+    set("foxtailcross_journal_end", "Offset of the next record of the journal.", figures.m_journalEnd);
+    set("foxtailcross_journal_unreadable", "Records of the journal that could not be read.", figures.m_unreadableRecords);
+    set("foxtailcross_jobs_known", "Jobs in the ledger, ended ones within their retention included.", figures.m_jobs);
+    set("foxtailcross_calls_open", "Callers' calls that wait for the store.", figures.m_openCalls);
+    set("foxtailcross_jobs_active", "Holder: jobs that are not over.", figures.m_activeJobs);
+    set("foxtailcross_runs_open", "Holder: runs that are not over.", figures.m_openRuns);
+    set("foxtailcross_workers_known", "Holder: workers in its list or with open runs.", figures.m_workers);
+    set("foxtailcross_workers_silent", "Holder: workers that left the last call without an answer.", figures.m_silentWorkers);
+    set("foxtailcross_batches_unstored", "Holder: batches of records that the store has not confirmed.", figures.m_unstoredBatches);
+    m_shown = figures;
+}
+
+}
--- /dev/null
+++ b/components/node/figures.hpp
@@ -0,0 +1,37 @@
+#ifndef COMPONENTS_NODE_FIGURES_HPP
+#define COMPONENTS_NODE_FIGURES_HPP
+
+#include <cstddef>
+#include <cstdint>
+
+namespace node
+{
+
+/// What one instance believes and has to do, for the metrics.
+struct Figures
+{
+    bool m_isReady = false;
+    bool m_holdsDuty = false;
+    /// Token of the holder that the instance knows.
+    std::uint64_t m_holderToken = 0;
+    std::uint64_t m_catalogVersion = 0;
+    /// Milliseconds; -1 before the first read.
+    std::int64_t m_catalogAge = -1;
+    std::int64_t m_journalAge = -1;
+    std::uint64_t m_journalEnd = 0;
+    std::uint64_t m_unreadableRecords = 0;
+    std::size_t m_jobs = 0;
+    std::size_t m_openCalls = 0;
+    /// Of the holder alone.
+    std::size_t m_activeJobs = 0;
+    std::size_t m_openRuns = 0;
+    std::size_t m_workers = 0;
+    std::size_t m_silentWorkers = 0;
+    std::size_t m_unstoredBatches = 0;
+
+    bool operator==(const Figures &) const = default;
+};
+
+}
+
+#endif
--- a/components/node/front_desk.cpp
+++ b/components/node/front_desk.cpp
@@ -1,5 +1,6 @@
 #include "components/node/front_desk.hpp"
 
+#include "components/node/event_meter.hpp"
 #include "components/node/ports.hpp"
 #include "components/store/append_result.hpp"
 
@@ -89,10 +90,15 @@
 
 }
 
-FrontDesk::FrontDesk(
-    const Settings &settings, Ports &ports, const OperatorView &operators, JournalView &journal, const std::map<jobs::JobId, std::uint64_t> &unconfirmed)
+FrontDesk::FrontDesk(const Settings &settings,
+                     Ports &ports,
+                     const OperatorView &operators,
+                     JournalView &journal,
+                     const std::map<jobs::JobId, std::uint64_t> &unconfirmed,
+                     EventMeter &meter)
     : m_settings(settings)
     , m_ports(ports)
+    , m_meter(meter)
     , m_operators(operators)
     , m_journal(journal)
     , m_unconfirmed(unconfirmed)
@@ -352,6 +358,7 @@
         std::move(line).add("reason", reply.m_reason);
     }
     m_ports.log(line, now);
+    m_meter.countAnswer(nameOf(open.m_kind), nameOf(reply.m_kind), now.m_boot - open.m_arrivedAt);
     m_ports.reply(call, reply);
     m_open.erase(call);
 }
--- a/components/node/front_desk.hpp
+++ b/components/node/front_desk.hpp
@@ -17,6 +17,7 @@
 namespace node
 {
 
+class EventMeter;
 class Ports;
 
 /// Answers the calls of callers: checks them against the catalog, stores what they hand in, and tells them what the
@@ -24,8 +25,12 @@
 class FrontDesk
 {
 public:
-    FrontDesk(
-        const Settings &settings, Ports &ports, const OperatorView &operators, JournalView &journal, const std::map<jobs::JobId, std::uint64_t> &unconfirmed);
+    FrontDesk(const Settings &settings,
+              Ports &ports,
+              const OperatorView &operators,
+              JournalView &journal,
+              const std::map<jobs::JobId, std::uint64_t> &unconfirmed,
+              EventMeter &meter);
 
     void onCall(std::uint64_t call, const callers::Call &content, fleet::Now now);
     /// An append of this desk's writer ended.
@@ -71,6 +76,7 @@
 
     const Settings &m_settings;
     Ports &m_ports;
+    EventMeter &m_meter;
     const OperatorView &m_operators;
     JournalView &m_journal;
     /// Jobs whose end is not stored yet are shown as running.
--- /dev/null
+++ b/components/settings/file_watch.cpp
@@ -0,0 +1,34 @@
+#include "components/settings/file_watch.hpp"
+
+#include <system_error>
+#include <utility>
+
+namespace settings
+{
+
+FileWatch::FileWatch(std::string file, fleet::Duration interval)
+    : m_file(std::move(file))
+    , m_interval(interval)
+    , m_writtenAt(writtenAt())
+{
+}
+
+bool FileWatch::hasChanged(fleet::BootTime now)
+{
+    if (now - m_lookedAt < m_interval) {
+        return false;
+    }
+    m_lookedAt = now;
+    const auto before = std::exchange(m_writtenAt, writtenAt());
+    return before != m_writtenAt;
+}
+
+std::filesystem::file_time_type FileWatch::writtenAt() const
+{
+    // A file that is being replaced is looked at again after the next interval.
+    std::error_code error;
+    const auto time = std::filesystem::last_write_time(m_file, error);
+    return error ? m_writtenAt : time;
+}
+
+}
--- a/components/settings/node_settings.hpp
+++ b/components/settings/node_settings.hpp
@@ -24,6 +24,8 @@
     /// Other instances, UDP.
     Endpoint m_peers;
     Endpoint m_store;
+    /// Metrics, HTTP; port 0 serves none.
+    Endpoint m_metrics;
 
     /// Processor time that the instance has, in cores; 0 where it is not known.
     double m_processorShare = 0;
--- /dev/null
+++ b/components/settings/node_settings_test.cpp
@@ -0,0 +1,71 @@
+#include "components/settings/file_watch.hpp"
+#include "components/settings/node_settings.hpp"
+#include "components/settings/reader.hpp"
+#include "components/settings/settings_error.hpp"
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include <criterion/criterion.h>
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+settings::NodeSettings read(const std::string &tail)
+{
+    const std::string head = "instance = \"kochi-1\"\nzone = \"kochi\"\nregion = \"kerala\"\n"
+                             "[listen]\ncallers = \"127.0.0.1:7400\"\nreadiness = \"127.0.0.1:7401\"\npeers = \"127.0.0.1:7402\"\n"
+                             "[platform]\nstore = \"127.0.0.1:7300\"\n";
+    settings::Reader reader = settings::Reader::fromText(head + tail, "node.toml");
+    return settings::readNodeSettings(reader);
+}
+
+/// The one problem that the file has.
+settings::Problem onlyProblem(const std::string &tail)
+{
+    try {
+        read(tail);
+    } catch (const settings::SettingsError &error) {
+        cr_assert_eq(error.problems().size(), 1, "%s", error.what());
+        return error.problems().front();
+    }
+    cr_assert_fail("the file was accepted");
+}
+
+}
+
+Test(nodeSettings, processorShareAndSpeed_read_areMultiplied)
+{
+    const auto settings = read("[machine]\nprocessor_share = 0.25\nprocessor_speed = 2\n");
+    cr_assert_float_eq(settings.m_processorShare, 0.5, 1e-9);
+}
+
+Test(nodeSettings, metricsAddressMissing_read_servesNone)
+{
+    cr_assert_eq(read("").m_metrics.m_port, 0);
+}
+
+Test(nodeSettings, shareThatIsText_read_isRefusedWithRemedy)
+{
+    const auto problem = onlyProblem("[machine]\nprocessor_share = \"a quarter\"\n");
+    cr_assert(problem.m_key == "machine.processor_share");
+    cr_assert(problem.m_remedy == "write a number without quotes");
+}
+
+Test(fileWatch, fileWrittenAgain_isNoticedOnceAfterTheInterval)
+{
+    const std::filesystem::path file = std::filesystem::temp_directory_path() / ("foxtailcross-watch-" + std::to_string(getpid()));
+    std::ofstream(file) << "a";
+    settings::FileWatch watch(file.string(), 2s);
+    const fleet::BootTime start(10s);
+    cr_assert_not(watch.hasChanged(start));
+    std::filesystem::last_write_time(file, std::filesystem::last_write_time(file) + 5s);
+    cr_assert_not(watch.hasChanged(start + 1s));
+    cr_assert(watch.hasChanged(start + 2s));
+    cr_assert_not(watch.hasChanged(start + 4s));
+    std::filesystem::remove(file);
+}
--- a/components/settings/reader.cpp
+++ b/components/settings/reader.cpp
@@ -262,9 +262,17 @@
 Endpoint Reader::requiredEndpoint(const std::string &key)
 {
     const std::string written = requiredText(key);
-    if (written.empty()) {
-        return {};
-    }
+    return written.empty() ? Endpoint() : readEndpoint(key, written);
+}
+
+Endpoint Reader::endpoint(const std::string &key, const Endpoint &fallback)
+{
+    const std::string written = text(key, {});
+    return written.empty() ? fallback : readEndpoint(key, written);
+}
+
+Endpoint Reader::readEndpoint(const std::string &key, const std::string &written)
+{
     const std::optional<Endpoint> endpoint = parseEndpoint(written);
     if (!endpoint) {
         report(key, "\"" + written + "\" is not an address", "write an IP number and a port, as in \"127.0.0.1:7400\"");
--- a/components/settings/reader.hpp
+++ b/components/settings/reader.hpp
@@ -45,6 +45,7 @@
     fleet::Duration duration(const std::string &key, fleet::Duration fallback, fleet::Duration least, fleet::Duration most);
     /// "IP number:port", IPv4 or IPv6 in brackets.
     Endpoint requiredEndpoint(const std::string &key);
+    Endpoint endpoint(const std::string &key, const Endpoint &fallback);
     logging::Level level(const std::string &key, logging::Level fallback);
 
     /// Adds a problem found by the caller at `key`.
@@ -54,6 +55,7 @@
     void finish();
 
 private:
+    Endpoint readEndpoint(const std::string &key, const std::string &written);
     struct Document;
     explicit Reader(std::unique_ptr<Document> document);
 
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -546,7 +546,8 @@
     target = Instance();
     target.m_life = ++m_lives;
     target.m_ports = std::make_unique<InstancePorts>(*this, instance, target.m_life);
-    target.m_control = std::make_unique<node::Control>(settingsOf(instance), *target.m_ports);
+    target.m_registry = std::make_unique<metrics::Registry>();
+    target.m_control = std::make_unique<node::Control>(settingsOf(instance), *target.m_ports, *target.m_registry);
     after(fleet::Duration(m_random() % 20), [this, instance, life = target.m_life] {
         tick(instance, life);
     });
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -7,6 +7,7 @@
 #include "components/fleet/now.hpp"
 #include "components/jobs/job_spec.hpp"
 #include "components/jobs/job_state.hpp"
+#include "components/metrics/registry.hpp"
 #include "components/node/control.hpp"
 #include "components/simulation/faults.hpp"
 #include "components/simulation/fleet_model.hpp"
@@ -93,6 +94,7 @@
 
     struct Instance
     {
+        std::unique_ptr<metrics::Registry> m_registry;
         std::unique_ptr<InstancePorts> m_ports;
         std::unique_ptr<node::Control> m_control;
         fleet::BootTime m_frozenUntil;
