Guaranteed room is taken back from urgent jobs of other accounts; lasting steps keep what they may not miss

Cause: steps of priority 0 could only stop runs of lower priority. Stops did not respect how many tasks of a lasting step may be away, and a guaranteed gang waited for one rack for ever. Ruled out: lost events (the job was a candidate in each plan). Change: candidates whose account needs no more than its guarantee go first, take borrowed room back after a quarter of the bound and accept any racks after half of it; stops count the tasks of lasting steps that are away. Waiting is measured on the holder's steady clock.

--- a/components/dispatch/candidate.hpp
+++ b/components/dispatch/candidate.hpp
@@ -30,6 +30,13 @@
     jobs::StepId m_step;
     const jobs::StepSpec *m_spec = nullptr;
     const catalog::Queue *m_queue = nullptr;
+    fleet::AccountId m_account;
+    /// The account needs no more for its jobs of priority 0 than it is guaranteed.
+    bool m_isGuaranteed = false;
+    /// It has waited long enough to take back what other accounts borrow.
+    bool m_mayReclaim = false;
+    /// All tasks belong in one rack.
+    bool m_wantsOneRack = false;
     std::vector<std::uint16_t> m_tasks;
     /// The run that the tasks join, where the rest of their gang is there already; else 0.
     std::uint32_t m_joinedRun = 0;
--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -1,6 +1,7 @@
 #include "components/dispatch/candidates.hpp"
 
 #include "components/dispatch/context.hpp"
+#include "components/dispatch/guarantees.hpp"
 #include "components/dispatch/objectives.hpp"
 
 #include <algorithm>
@@ -40,7 +41,7 @@
     for (const journal::TaskRecord &task : record.m_tasks) {
         if (!task.m_open.empty()) {
             const auto worker = context.m_state.m_workers.find(task.m_open.front().m_on.m_worker);
-            const bool isKnown = worker != context.m_state.m_workers.end() && candidate.m_spec->m_wantsOneRack;
+            const bool isKnown = worker != context.m_state.m_workers.end() && candidate.m_wantsOneRack;
             candidate.m_joinedRack = isKnown ? worker->second.m_registration.m_rack : candidate.m_joinedRack;
         }
         for (const journal::OpenRun &refused : task.m_neverBegan) {
@@ -70,6 +71,8 @@
         candidate.m_step = id;
         candidate.m_spec = &spec;
         candidate.m_queue = &queue;
+        candidate.m_account = job.m_spec.m_account;
+        candidate.m_wantsOneRack = spec.m_isGang && spec.m_wantsOneRack;
         candidate.m_perTask = perTask;
         candidate.m_objective = objectiveOf(job, queue, occurrence);
         candidate.m_tasks = std::move(tasks);
@@ -98,7 +101,9 @@
 
 bool goesBefore(const Candidate &a, const Candidate &b)
 {
-    return std::tie(a.m_queue->m_priority, a.m_objective, a.m_step) < std::tie(b.m_queue->m_priority, b.m_objective, b.m_step);
+    const int rankA = rankOf(a);
+    const int rankB = rankOf(b);
+    return std::tie(rankA, a.m_objective, a.m_step) < std::tie(rankB, b.m_objective, b.m_step);
 }
 
 }
@@ -106,7 +111,7 @@
 std::vector<Candidate> findCandidates(const Context &context)
 {
     std::vector<Candidate> candidates;
-    for (const jobs::JobId &id : context.m_state.m_active) {
+    for (const auto &[id, seenAt] : context.m_state.m_active) {
         const journal::JobRecord &job = context.m_ledger.m_jobs.at(id);
         const catalog::Queue *queue = catalog::findQueue(context.m_catalog, job.m_spec.m_queue);
         if (queue == nullptr || job.isOver()) {
@@ -119,6 +124,7 @@
             }
         }
     }
+    markGuaranteed(context, measureUse(context), candidates);
     std::sort(candidates.begin(), candidates.end(), goesBefore);
     return candidates;
 }
--- a/components/dispatch/evictions.cpp
+++ b/components/dispatch/evictions.cpp
@@ -2,6 +2,7 @@
 
 #include "components/dispatch/candidate.hpp"
 #include "components/dispatch/context.hpp"
+#include "components/dispatch/guarantees.hpp"
 #include "components/dispatch/rooms.hpp"
 #include "components/dispatch/victim.hpp"
 
@@ -9,6 +10,7 @@
 #include <limits>
 #include <map>
 #include <set>
+#include <tuple>
 
 namespace dispatch
 {
@@ -19,19 +21,81 @@
 /// What one accelerator counts for in lost work, in cores; from the users' price of wasted work.
 constexpr std::int64_t coresPerAccelerator = 8;
 constexpr std::int64_t millisPerCore = 1000;
+/// Progress of a lasting task that is at work.
+constexpr int wholePercent = 100;
 /// A run that goes on from a checkpoint loses about this much; a run that starts anew loses its start besides.
 constexpr fleet::Duration restoreTime {600};
 constexpr fleet::Duration startOverhead {50};
 
-/// A run that may be stopped for the candidate.
-bool isVictim(const Candidate &candidate, const RunState &run)
+const jobs::StepSpec &stepOf(const Context &context, const jobs::StepId &step)
 {
-    return run.m_priority > candidate.m_queue->m_priority && !run.m_stopWanted;
+    return context.m_ledger.m_jobs.at(step.m_job).m_spec.m_steps[step.m_step];
 }
 
-const jobs::StepSpec &stepOf(const Context &context, const jobs::StepId &step)
+/// What was worked out already for the candidate.
+struct Known
 {
-    return context.m_ledger.m_jobs.at(step.m_job).m_spec.m_steps[step.m_step];
+    std::map<jobs::StepId, std::int64_t> m_gangLosses;
+    UrgentUse m_use;
+};
+
+/// Tasks of lasting steps that are away, with those that are to be stopped.
+using Away = std::map<jobs::StepId, std::int32_t>;
+
+/// Tasks of the step that are not at work, or are being stopped.
+std::int32_t countAway(const Context &context, const jobs::StepId &step)
+{
+    std::int32_t atWork = 0;
+    const auto first = context.m_state.m_runs.lower_bound({{step, 0}, 0});
+    for (auto run = first; run != context.m_state.m_runs.end() && run->first.m_task.m_step == step; ++run) {
+        const bool isAtWork = run->second.m_phase == RunPhase::Running && run->second.m_percent >= wholePercent && !run->second.m_stopWanted;
+        atWork += isAtWork ? 1 : 0;
+    }
+    return static_cast<std::int32_t>(stepOf(context, step).m_tasks) - atWork;
+}
+
+/// True where one more task of the run's step may be kept from work; it is counted as away then.
+bool takeAllowance(const Context &context, const jobs::RunId &id, Away &away)
+{
+    const jobs::StepId &step = id.m_task.m_step;
+    const std::int32_t most = stepOf(context, step).m_mostUnavailable;
+    if (most < 0) {
+        return true;
+    }
+    const auto [entry, isNew] = away.try_emplace(step, 0);
+    if (isNew) {
+        entry->second = countAway(context, step);
+    }
+    if (entry->second >= most) {
+        return false;
+    }
+    ++entry->second;
+    return true;
+}
+
+bool takeAllowances(const Context &context, const Eviction &eviction, Away &away)
+{
+    Away tried = away;
+    const bool areAllGranted = std::all_of(eviction.m_victims.begin(), eviction.m_victims.end(), [&](const jobs::RunId &victim) {
+        return takeAllowance(context, victim, tried);
+    });
+    if (areAllGranted) {
+        away = std::move(tried);
+    }
+    return areAllGranted;
+}
+
+/// A run that may be stopped for the candidate. What an account borrows beyond its guarantee goes to candidates that are
+/// guaranteed their room, after a while, since urgent jobs are short.
+bool isVictim(const Context &context, const Candidate &candidate, const RunState &run, const Known &known)
+{
+    if (run.m_stopWanted) {
+        return false;
+    }
+    if (run.m_priority > candidate.m_queue->m_priority) {
+        return true;
+    }
+    return candidate.m_mayReclaim && run.m_account != candidate.m_account && isBorrowed(context, known.m_use, run);
 }
 
 /// Work that stopping the run would lose, in core-milliseconds.
@@ -43,17 +107,14 @@
     return lost.count() * (run.m_booked.m_milliCores / millisPerCore + run.m_booked.m_accelerators * coresPerAccelerator + 1);
 }
 
-/// Losses of gangs that were worked out already.
-using GangLosses = std::map<jobs::StepId, std::int64_t>;
-
 /// Stopping one member of a gang loses the work of all.
-std::int64_t lossWithGang(const Context &context, const jobs::RunId &id, const RunState &run, GangLosses &known)
+std::int64_t lossWithGang(const Context &context, const jobs::RunId &id, const RunState &run, Known &known)
 {
     const jobs::StepId &step = id.m_task.m_step;
     if (!stepOf(context, step).m_isGang) {
         return lossOf(context, id, run);
     }
-    const auto [entry, isNew] = known.try_emplace(step, 0);
+    const auto [entry, isNew] = known.m_gangLosses.try_emplace(step, 0);
     if (!isNew) {
         return entry->second;
     }
@@ -66,22 +127,25 @@
 }
 
 /// Makes room on one worker for as many tasks as are wanted, with the runs of the lowest priority and the least loss first.
-Eviction planEviction(const Context &context, const Candidate &candidate, Room &room, std::uint32_t wanted, GangLosses &known)
+Eviction planEviction(const Context &context, const Candidate &candidate, Room &room, std::uint32_t wanted, Known &known)
 {
     Eviction eviction {&room, {}, 0, 0};
     fleet::Resources free = freeFor(candidate, room);
     // What is being stopped already will be free soon.
     std::vector<Victim> victims;
+    Away away;
     for (const jobs::RunId &id : room.m_worker->m_runs) {
         const RunState &run = context.m_state.m_runs.at(id);
         if (run.m_stopWanted) {
             free = free + run.m_booked;
-        } else if (isVictim(candidate, run)) {
+        } else if (isVictim(context, candidate, run, known) && takeAllowance(context, id, away)) {
             victims.push_back({id, &run, lossWithGang(context, id, run, known)});
         }
     }
     std::sort(victims.begin(), victims.end(), [](const Victim &a, const Victim &b) {
-        return a.m_loss < b.m_loss;
+        const bool isUrgentA = a.m_state->m_priority == 0;
+        const bool isUrgentB = b.m_state->m_priority == 0;
+        return std::tie(isUrgentA, a.m_loss) < std::tie(isUrgentB, b.m_loss);
     });
     eviction.m_slots = slotsOn(candidate, *room.m_worker, free);
     std::set<jobs::StepId> gangs;
@@ -101,15 +165,20 @@
 
 /// Takes workers in order until there is room for all tasks; no more is stopped on the last than is needed.
 template<class Replan>
-std::vector<Eviction> takeInOrder(const std::vector<Eviction> &evictions, std::uint32_t wanted, Replan replan)
+std::vector<Eviction> takeInOrder(const Context &context, const std::vector<Eviction> &evictions, std::uint32_t wanted, Replan replan)
 {
     std::vector<Eviction> chosen;
+    Away away;
     std::uint32_t left = wanted;
     for (const Eviction &eviction : evictions) {
         if (left == 0) {
             break;
         }
-        chosen.push_back(eviction.m_slots > left ? replan(*eviction.m_room, left) : eviction);
+        Eviction fitting = eviction.m_slots > left ? replan(*eviction.m_room, left) : eviction;
+        if (!takeAllowances(context, fitting, away)) {
+            continue;
+        }
+        chosen.push_back(std::move(fitting));
         chosen.back().m_slots = std::min(chosen.back().m_slots, left);
         left -= chosen.back().m_slots;
     }
@@ -117,7 +186,7 @@
 }
 
 template<class Replan>
-std::vector<Eviction> takeInOneRack(const std::vector<Eviction> &evictions, std::uint32_t wanted, Replan replan)
+std::vector<Eviction> takeInOneRack(const Context &context, const std::vector<Eviction> &evictions, std::uint32_t wanted, Replan replan)
 {
     std::map<fleet::RackId, std::vector<Eviction>> racks;
     for (const Eviction &eviction : evictions) {
@@ -126,7 +195,7 @@
     std::vector<Eviction> best;
     std::int64_t least = std::numeric_limits<std::int64_t>::max();
     for (const auto &[rack, rackEvictions] : racks) {
-        std::vector<Eviction> chosen = takeInOrder(rackEvictions, wanted, replan);
+        std::vector<Eviction> chosen = takeInOrder(context, rackEvictions, wanted, replan);
         std::int64_t loss = 0;
         for (const Eviction &eviction : chosen) {
             loss += eviction.m_loss;
@@ -141,7 +210,7 @@
 
 /// Plans each worker and takes the cheapest for all tasks.
 template<class Replan>
-std::vector<Eviction> choose(const Candidate &candidate, Rooms &rooms, Replan replan)
+std::vector<Eviction> choose(const Context &context, const Candidate &candidate, Rooms &rooms, Replan replan)
 {
     const auto wanted = static_cast<std::uint32_t>(candidate.m_tasks.size());
     std::vector<Eviction> evictions;
@@ -156,16 +225,18 @@
     std::sort(evictions.begin(), evictions.end(), [](const Eviction &a, const Eviction &b) {
         return a.m_loss * b.m_slots < b.m_loss * a.m_slots;
     });
-    const bool wantsOneRack = candidate.m_spec->m_isGang && candidate.m_spec->m_wantsOneRack;
-    return wantsOneRack ? takeInOneRack(evictions, wanted, replan) : takeInOrder(evictions, wanted, replan);
+    return candidate.m_wantsOneRack ? takeInOneRack(context, evictions, wanted, replan) : takeInOrder(context, evictions, wanted, replan);
 }
 
 }
 
 std::vector<Eviction> chooseEvictions(const Context &context, const Candidate &candidate, Rooms &rooms)
 {
-    GangLosses known;
-    return choose(candidate, rooms, [&](Room &room, std::uint32_t wanted) {
+    Known known;
+    if (candidate.m_mayReclaim) {
+        known.m_use = measureUse(context);
+    }
+    return choose(context, candidate, rooms, [&](Room &room, std::uint32_t wanted) {
         return planEviction(context, candidate, room, wanted, known);
     });
 }
--- a/components/dispatch/expectations.cpp
+++ b/components/dispatch/expectations.cpp
@@ -63,7 +63,7 @@
 
 std::optional<Expectation> expectRoom(const Context &context, const Candidate &candidate, Rooms &rooms)
 {
-    const bool wantsOneRack = candidate.m_spec->m_isGang && candidate.m_spec->m_wantsOneRack;
+    const bool wantsOneRack = candidate.m_wantsOneRack;
     std::map<fleet::RackId, std::vector<Opening>> openings;
     for (Room &room : rooms) {
         if (mayRun(candidate, *room.m_worker)) {
--- a/components/dispatch/hold.hpp
+++ b/components/dispatch/hold.hpp
@@ -11,7 +11,7 @@
 struct Hold
 {
     jobs::StepId m_step;
-    int m_priority = 0;
+    int m_rank = 0;
     fleet::Resources m_resources;
 
     bool operator==(const Hold &) const = default;
--- a/components/dispatch/placing.cpp
+++ b/components/dispatch/placing.cpp
@@ -92,7 +92,7 @@
     const auto tasks = static_cast<std::uint32_t>(candidate.m_tasks.size());
     const std::vector<Option> options = findOptions(candidate, rooms);
     const bool isGang = candidate.m_spec->m_isGang;
-    const Choice choice = isGang && candidate.m_spec->m_wantsOneRack ? fillOneRack(options, tasks) : fill(options, tasks);
+    const Choice choice = candidate.m_wantsOneRack ? fillOneRack(options, tasks) : fill(options, tasks);
     return isGang && choice.m_tasks < tasks ? Choice() : choice;
 }
 
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -4,6 +4,7 @@
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/evictions.hpp"
 #include "components/dispatch/expectations.hpp"
+#include "components/dispatch/guarantees.hpp"
 #include "components/dispatch/placing.hpp"
 #include "components/dispatch/rooms.hpp"
 #include "components/dispatch/runs.hpp"
@@ -26,6 +27,9 @@
 /// A gang that has waited this long for room has workers kept free for it, and for how long before others are chosen.
 constexpr fleet::Duration waitBeforeHolding {1500};
 constexpr fleet::Duration holdingTime {6000};
+/// Parts of the bound for guaranteed room after which borrowed room is taken back, and any rack is good enough.
+constexpr int reclaimAfterPart = 4;
+constexpr int anyRackAfterPart = 2;
 /// Part of the workers in use that may be kept free for waiting gangs.
 constexpr double mostHeld = 0.25;
 
@@ -83,11 +87,11 @@
 {
     Reservation reservation;
     reservation.m_until = context.m_now.m_boot + length;
-    reservation.m_priority = candidate.m_queue->m_priority;
+    reservation.m_rank = rankOf(candidate);
     for (const auto &[room, count] : tasks) {
         const fleet::Resources resources = candidate.m_perTask * count;
         reservation.m_room[room->m_worker->m_registration.m_life.m_worker] = resources;
-        room->m_holds.push_back({candidate.m_step, reservation.m_priority, resources});
+        room->m_holds.push_back({candidate.m_step, reservation.m_rank, resources});
     }
     context.m_state.m_reservations[candidate.m_step] = std::move(reservation);
 }
@@ -144,9 +148,9 @@
     return {candidate.m_queue->m_service,
             candidate.m_spec->m_requiredLabel,
             candidate.m_perTask,
-            candidate.m_queue->m_priority,
+            rankOf(candidate),
             candidate.m_spec->m_isGang,
-            candidate.m_spec->m_wantsOneRack};
+            candidate.m_wantsOneRack};
 }
 
 /// Where one step of a shape found no room, a larger one of the same shape finds none in the same plan. With the fewest tasks.
@@ -198,8 +202,24 @@
     }
 }
 
+fleet::Duration waitedFor(const Context &context, const Candidate &candidate)
+{
+    return context.m_now.m_boot - context.m_state.m_active.at(candidate.m_step.m_job);
+}
+
+/// A guaranteed step must begin within the bound: after a part of it, it takes back what others borrow, and any rack will do.
+void pressGuarantee(const Context &context, Candidate &candidate)
+{
+    const fleet::Duration waited = waitedFor(context, candidate);
+    candidate.m_mayReclaim = candidate.m_isGuaranteed && waited >= context.m_state.m_settings.m_reclaimLimit / reclaimAfterPart;
+    if (candidate.m_isGuaranteed && waited >= context.m_state.m_settings.m_reclaimLimit / anyRackAfterPart) {
+        candidate.m_wantsOneRack = false;
+    }
+}
+
 void placeCandidate(Context &context, Candidate &candidate, Rooms &rooms, Refused &refused)
 {
+    pressGuarantee(context, candidate);
     if (!isRefused(context, candidate, refused)) {
         tryToPlace(context, candidate, rooms);
     }
@@ -207,7 +227,7 @@
         return;
     }
     noteRefused(context, candidate, refused);
-    const bool hasWaited = context.m_now.m_wall - context.m_ledger.m_jobs.at(candidate.m_step.m_job).m_acceptedAt >= waitBeforeHolding;
+    const bool hasWaited = waitedFor(context, candidate) >= waitBeforeHolding;
     if (candidate.m_spec->m_isGang && hasWaited) {
         holdRoom(context, candidate, rooms);
     }
--- a/components/dispatch/reservation.hpp
+++ b/components/dispatch/reservation.hpp
@@ -15,8 +15,8 @@
 {
     std::map<fleet::WorkerId, fleet::Resources> m_room;
     fleet::BootTime m_until;
-    /// Priority of the step; steps that go before it may take the room.
-    int m_priority = 0;
+    /// Rank of the step; steps that go before it may take the room.
+    int m_rank = 0;
 };
 
 }
--- a/components/dispatch/rooms.cpp
+++ b/components/dispatch/rooms.cpp
@@ -2,6 +2,7 @@
 
 #include "components/dispatch/candidate.hpp"
 #include "components/dispatch/context.hpp"
+#include "components/dispatch/guarantees.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -42,7 +43,7 @@
     for (const auto &[step, reservation] : context.m_state.m_reservations) {
         const auto reserved = reservation.m_room.find(worker);
         if (reserved != reservation.m_room.end()) {
-            holds.push_back({step, reservation.m_priority, reserved->second});
+            holds.push_back({step, reservation.m_rank, reserved->second});
         }
     }
     return holds;
@@ -91,7 +92,7 @@
 {
     fleet::Resources free = room.m_free;
     for (const Hold &hold : room.m_holds) {
-        if (hold.m_step != candidate.m_step && hold.m_priority <= candidate.m_queue->m_priority) {
+        if (hold.m_step != candidate.m_step && hold.m_rank <= rankOf(candidate)) {
             free = free - hold.m_resources;
         }
     }
--- a/components/dispatch/run_state.hpp
+++ b/components/dispatch/run_state.hpp
@@ -3,6 +3,7 @@
 
 #include "components/dispatch/run_phase.hpp"
 #include "components/fleet/boot_time.hpp"
+#include "components/fleet/identifiers.hpp"
 #include "components/fleet/resources.hpp"
 #include "components/workers/life.hpp"
 
@@ -18,6 +19,7 @@
     workers::Life m_on;
     fleet::Resources m_booked;
     int m_priority = 0;
+    fleet::AccountId m_account;
     RunPhase m_phase = RunPhase::Recording;
     fleet::BootTime m_launchedAt;
 
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -193,6 +193,7 @@
     state.m_on = on;
     state.m_booked = bookingFor(stepOf(job, run.m_task.m_step));
     state.m_priority = priorityOf(context, job);
+    state.m_account = job.m_spec.m_account;
     state.m_launchedAt = context.m_now.m_boot;
     state.m_ticket = ticket;
     const journal::TaskRecord *task = journal::findTask(job, run.m_task);
--- a/components/dispatch/shape.hpp
+++ b/components/dispatch/shape.hpp
@@ -15,7 +15,7 @@
     fleet::ServiceId m_service;
     std::string m_label;
     fleet::Resources m_perTask;
-    int m_priority = 0;
+    int m_rank = 0;
     bool m_isGang = false;
     bool m_wantsOneRack = false;
 
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -28,8 +28,8 @@
     std::optional<fleet::BootTime> m_firstListAt;
     /// Runs that have not begun or are to be stopped: those that orders may be due for.
     std::set<jobs::RunId> m_unsettled;
-    /// Jobs that are not over.
-    std::set<jobs::JobId> m_active;
+    /// Jobs that are not over, with when this holder first saw them. The time of day of their acceptance is another instance's.
+    std::map<jobs::JobId, fleet::BootTime> m_active;
     std::map<jobs::StepId, Reservation> m_reservations;
     /// Gangs of which not all members are known to run; the others may have to be stopped.
     std::set<jobs::StepId> m_incompleteGangs;
--- a/components/dispatch/step.cpp
+++ b/components/dispatch/step.cpp
@@ -141,6 +141,7 @@
         run.m_booked.m_milliCores = step.m_usesIdleProcessor ? 0 : run.m_booked.m_milliCores;
         const catalog::Queue *queue = catalog::findQueue(context.m_catalog, job.m_spec.m_queue);
         run.m_priority = queue == nullptr ? 0 : queue->m_priority;
+        run.m_account = job.m_spec.m_account;
         run.m_phase = RunPhase::Starting;
         run.m_launchedAt = context.m_now.m_boot;
         run.m_checkpoint = record.m_checkpoint;
@@ -163,7 +164,7 @@
     Context context = makeContext(state, around, now);
     for (const auto &[id, job] : around.m_ledger.m_jobs) {
         if (!job.isOver()) {
-            state.m_active.insert(id);
+            state.m_active.try_emplace(id, now.m_boot);
         }
         for (const auto &[number, occurrence] : job.m_occurrences) {
             for (std::uint16_t i = 0; i < occurrence.m_steps.size(); ++i) {
@@ -230,7 +231,7 @@
     for (const jobs::JobId &id : jobs) {
         const journal::JobRecord *job = journal::findJob(around.m_ledger, id);
         if (job != nullptr && !job->isOver()) {
-            state.m_active.insert(id);
+            state.m_active.try_emplace(id, now.m_boot);
         }
         context.m_touched.insert(id);
     }
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -359,6 +359,7 @@
     }
     catalog.m_services.push_back({fleet::ServiceId("service"), true, false});
     catalog.m_accounts.push_back({fleet::AccountId("account"), {"key"}, 16});
+    catalog.m_accounts.push_back({fleet::AccountId("other"), {"other-key"}, 16});
     publish(catalog);
     m_instances.resize(static_cast<std::size_t>(settings.m_zones * settings.m_instancesPerZone));
     for (int i = 0; i < instanceCount(); ++i) {
@@ -464,7 +465,7 @@
     const std::uint64_t id = m_nextCall++;
     m_openCalls[{instance, id}] = number;
     content.m_host = queueHost;
-    content.m_key = "key";
+    content.m_key = m_callerKey;
     content.m_patience = 3s;
     deliver(instance, m_instances[static_cast<std::size_t>(instance)].m_life, node::CallArrived {id, std::move(content)});
     return number;
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -82,6 +82,8 @@
     Faults m_faults;
     StoreModel m_store;
     FleetModel m_fleet;
+    /// Key of the account whose calls are made.
+    std::string m_callerKey = "key";
     /// Prints each line of the instances' logs, for finding out what a failed test did.
     bool m_trace = false;
     /// Looks that workers answered.
