Steps whose workers only the advice service knows

Cause: tasks of queues with advice were never started, as their starts need a ticket. Ruled out: asking when a job is accepted, since tickets expire while it waits.

--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -115,6 +115,7 @@
                                toAddress(settings.m_readiness),
                                toAddress(settings.m_peers),
                                toAddress(settings.m_store),
+                               toAddress(settings.m_advice),
                                toAddress(settings.m_metrics)},
                               queue,
                               log,
--- a/components/dispatch/candidate.hpp
+++ b/components/dispatch/candidate.hpp
@@ -8,7 +8,10 @@
 #include "components/workers/life.hpp"
 
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace catalog
@@ -44,6 +47,8 @@
     fleet::RackId m_joinedRack;
     std::set<workers::Life> m_refusedBy;
     fleet::Resources m_perTask;
+    /// Tickets of the workers that may run the step, where only an advice service knows them.
+    std::optional<std::map<fleet::WorkerId, std::string>> m_tickets;
     /// When the job should be complete to meet its objective.
     fleet::TimePoint m_objective;
 };
--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -1,5 +1,6 @@
 #include "components/dispatch/candidates.hpp"
 
+#include "components/dispatch/advice.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/guarantees.hpp"
 #include "components/dispatch/objectives.hpp"
@@ -76,6 +77,9 @@
         candidate.m_perTask = perTask;
         candidate.m_objective = objectiveOf(job, queue, occurrence);
         candidate.m_tasks = std::move(tasks);
+        if (queue.m_advice) {
+            candidate.m_tickets = usableTickets(context, id);
+        }
         if (spec.m_isGang && candidate.m_tasks.size() < spec.m_tasks) {
             joinGang(context, *journal::findStep(job, id), candidate);
         }
--- a/components/dispatch/outbox.hpp
+++ b/components/dispatch/outbox.hpp
@@ -3,6 +3,7 @@
 
 #include "components/journal/record.hpp"
 #include "components/logging/line.hpp"
+#include "components/workers/advice_question.hpp"
 #include "components/workers/look_order.hpp"
 #include "components/workers/start_order.hpp"
 #include "components/workers/stop_order.hpp"
@@ -22,6 +23,7 @@
     std::vector<workers::StartOrder> m_starts;
     std::vector<workers::StopOrder> m_stops;
     std::vector<workers::LookOrder> m_looks;
+    std::vector<workers::AdviceQuestion> m_questions;
     /// A worker has seen a higher token: another holder gives orders.
     bool m_isFenced = false;
     std::vector<logging::Line> m_log;
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -1,5 +1,6 @@
 #include "components/dispatch/plan.hpp"
 
+#include "components/dispatch/advice.hpp"
 #include "components/dispatch/candidates.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/evictions.hpp"
@@ -48,6 +49,11 @@
     return highest + 1;
 }
 
+std::string ticketFor(const Candidate &candidate, const fleet::WorkerId &worker)
+{
+    return candidate.m_tickets ? candidate.m_tickets->at(worker) : std::string();
+}
+
 void start(Context &context, const Candidate &candidate, const Choice &choice, Rooms &rooms)
 {
     const journal::JobRecord &job = context.m_ledger.m_jobs.at(candidate.m_step.m_job);
@@ -55,7 +61,8 @@
     std::size_t next = 0;
     for (const auto &[room, tasks] : choice.m_places) {
         for (std::uint32_t i = 0; i < tasks; ++i) {
-            launch(context, {{candidate.m_step, candidate.m_tasks[next++]}, run}, room->m_worker->m_registration.m_life, {});
+            const workers::Life &life = room->m_worker->m_registration.m_life;
+            launch(context, {{candidate.m_step, candidate.m_tasks[next++]}, run}, life, ticketFor(candidate, life.m_worker));
             room->m_free = room->m_free - candidate.m_perTask;
         }
     }
@@ -165,7 +172,8 @@
 
 bool isComparable(const Context &context, const Candidate &candidate)
 {
-    return candidate.m_joinedRun == 0 && candidate.m_spec->m_mostPerRunner == 0 && !context.m_state.m_reservations.contains(candidate.m_step);
+    return candidate.m_joinedRun == 0 && !candidate.m_tickets && candidate.m_spec->m_mostPerRunner == 0
+        && !context.m_state.m_reservations.contains(candidate.m_step);
 }
 
 bool isRefused(const Context &context, const Candidate &candidate, Refused &refused)
@@ -227,6 +235,9 @@
         return;
     }
     noteRefused(context, candidate, refused);
+    if (candidate.m_tickets) {
+        askAdvice(context, candidate, rooms);
+    }
     const bool hasWaited = waitedFor(context, candidate) >= waitBeforeHolding;
     if (candidate.m_spec->m_isGang && hasWaited) {
         holdRoom(context, candidate, rooms);
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -1,5 +1,6 @@
 #include "components/dispatch/reports.hpp"
 
+#include "components/dispatch/advice.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/runs.hpp"
 
@@ -326,6 +327,10 @@
         avoid(*worker, now + noRoomPause);
         giveUpStart(context, order.m_run, *run, "no-room");
         break;
+    case workers::OrderOutcome::BadTicket:
+        dropTicket(context, order.m_run.m_task.m_step, order.m_on.m_worker);
+        giveUpStart(context, order.m_run, *run, "bad-ticket");
+        break;
     case workers::OrderOutcome::OtherLife:
         avoid(*worker, now + unwellPause);
         run->m_isUncertain = false;
--- a/components/dispatch/rooms.cpp
+++ b/components/dispatch/rooms.cpp
@@ -58,7 +58,7 @@
 
 }
 
-bool mayRun(const Candidate &candidate, const WorkerState &worker)
+bool isSuitable(const Candidate &candidate, const WorkerState &worker)
 {
     const std::string &label = candidate.m_spec->m_requiredLabel;
     const workers::Registration &registration = worker.m_registration;
@@ -67,6 +67,12 @@
         && (label.empty() || label == registration.m_kind || label == registration.m_rack.value());
 }
 
+bool mayRun(const Candidate &candidate, const WorkerState &worker)
+{
+    const bool isPermitted = !candidate.m_tickets || candidate.m_tickets->contains(worker.m_registration.m_life.m_worker);
+    return isPermitted && isSuitable(candidate, worker);
+}
+
 Rooms findRooms(Context &context)
 {
     Rooms rooms;
--- a/components/dispatch/rooms.hpp
+++ b/components/dispatch/rooms.hpp
@@ -14,7 +14,10 @@
 /// Every worker that new runs may be given to.
 Rooms findRooms(Context &context);
 
-/// True where the worker has what the step asks for, room aside.
+/// True where the worker has what the step asks for, room and advice aside.
+bool isSuitable(const Candidate &candidate, const WorkerState &worker);
+
+/// The same, and the worker may run the step as far as advice is asked for.
 bool mayRun(const Candidate &candidate, const WorkerState &worker);
 
 /// What the room has for the candidate beside what is reserved for other steps.
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -284,6 +284,9 @@
         wantStop(context, run, job->isOver() ? "job-over" : "not-needed");
     }
     if (job->isOver() && context.m_state.m_active.erase(id) > 0) {
+        std::erase_if(context.m_state.m_advice, [&](const auto &entry) {
+            return entry.first.m_job == id;
+        });
         logJobEnd(context, *job);
     }
 }
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -4,6 +4,7 @@
 #include "components/dispatch/reservation.hpp"
 #include "components/dispatch/run_state.hpp"
 #include "components/dispatch/settings.hpp"
+#include "components/dispatch/step_advice.hpp"
 #include "components/dispatch/stored_note.hpp"
 #include "components/dispatch/worker_state.hpp"
 #include "components/fleet/fencing_token.hpp"
@@ -31,6 +32,11 @@
     /// Jobs that are not over, with when this holder first saw them. The time of day of their acceptance is another instance's.
     std::map<jobs::JobId, fleet::BootTime> m_active;
     std::map<jobs::StepId, Reservation> m_reservations;
+    /// Of steps whose workers only the advice service knows.
+    std::map<jobs::StepId, StepAdvice> m_advice;
+    /// The advice service answers one question of an instance at a time.
+    bool m_isQuestionOpen = false;
+    fleet::BootTime m_nextQuestionAt;
     /// Gangs of which not all members are known to run; the others may have to be stopped.
     std::set<jobs::StepId> m_incompleteGangs;
     std::deque<StoredNote> m_unstored;
--- a/components/dispatch/step.cpp
+++ b/components/dispatch/step.cpp
@@ -1,5 +1,6 @@
 #include "components/dispatch/step.hpp"
 
+#include "components/dispatch/advice.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/orders.hpp"
 #include "components/dispatch/plan.hpp"
@@ -215,6 +216,18 @@
     return finish(context);
 }
 
+Outbox onAdviceEnded(State &state,
+                     const Surroundings &around,
+                     const workers::AdviceQuestion &question,
+                     fleet::BootTime sentAt,
+                     const workers::AdviceAnswer &answer,
+                     fleet::Now now)
+{
+    Context context = makeContext(state, around, now);
+    takeAdvice(context, question, sentAt, answer);
+    return finish(context);
+}
+
 Outbox onStored(State &state, const Surroundings &around, std::uint64_t batch, fleet::Now now)
 {
     Context context = makeContext(state, around, now);
--- a/components/dispatch/step.hpp
+++ b/components/dispatch/step.hpp
@@ -5,6 +5,8 @@
 #include "components/dispatch/state.hpp"
 #include "components/dispatch/surroundings.hpp"
 #include "components/fleet/now.hpp"
+#include "components/workers/advice_answer.hpp"
+#include "components/workers/advice_question.hpp"
 #include "components/workers/look_result.hpp"
 #include "components/workers/order_result.hpp"
 
@@ -28,6 +30,14 @@
 Outbox onStartEnded(State &state, const Surroundings &around, const workers::StartOrder &order, const workers::OrderResult &result, fleet::Now now);
 Outbox onStopEnded(State &state, const Surroundings &around, const workers::StopOrder &order, const workers::OrderResult &result, fleet::Now now);
 
+/// The advice service answered, or did not.
+Outbox onAdviceEnded(State &state,
+                     const Surroundings &around,
+                     const workers::AdviceQuestion &question,
+                     fleet::BootTime sentAt,
+                     const workers::AdviceAnswer &answer,
+                     fleet::Now now);
+
 /// The records of a batch are stored.
 Outbox onStored(State &state, const Surroundings &around, std::uint64_t batch, fleet::Now now);
 
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -189,6 +189,11 @@
     m_duty.onLookEnded(event, now);
 }
 
+void Control::take(const AdviceEnded &event, fleet::Now now)
+{
+    m_duty.onAdviceEnded(event, now);
+}
+
 void Control::take(const DatagramArrived &event, fleet::Now now)
 {
     if (const auto message = openPeerMessage(event.m_bytes, m_settings.m_peerKey)) {
--- a/components/node/control.hpp
+++ b/components/node/control.hpp
@@ -50,6 +50,7 @@
     void take(const StartEnded &event, fleet::Now now);
     void take(const StopEnded &event, fleet::Now now);
     void take(const LookEnded &event, fleet::Now now);
+    void take(const AdviceEnded &event, fleet::Now now);
     void take(const DatagramArrived &event, fleet::Now now);
     void take(const StopRequested &event, fleet::Now now);
     void tellHolder();
--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -435,6 +435,13 @@
     }
 }
 
+void Duty::onAdviceEnded(const AdviceEnded &event, fleet::Now now)
+{
+    if (m_phase == DutyPhase::Holding && event.m_question.m_token == m_state.m_token) {
+        send(dispatch::onAdviceEnded(m_state, around(), event.m_question, event.m_sentAt, event.m_answer, now), now);
+    }
+}
+
 void Duty::onCatalogChanged(fleet::Now now)
 {
     if (m_phase == DutyPhase::Holding) {
@@ -532,6 +539,9 @@
     for (const workers::LookOrder &order : outbox.m_looks) {
         m_ports.look(order, now.m_boot);
     }
+    for (const workers::AdviceQuestion &question : outbox.m_questions) {
+        m_ports.advise(question, now.m_boot);
+    }
 }
 
 void Duty::addTo(Figures &figures) const
--- a/components/node/duty.hpp
+++ b/components/node/duty.hpp
@@ -47,6 +47,7 @@
     void onStartEnded(const StartEnded &event, fleet::Now now);
     void onStopEnded(const StopEnded &event, fleet::Now now);
     void onLookEnded(const LookEnded &event, fleet::Now now);
+    void onAdviceEnded(const AdviceEnded &event, fleet::Now now);
     void onCatalogChanged(fleet::Now now);
     void onBoundsChanged();
     /// The journal reaches at least as far as this.
--- a/components/node/event_meter.cpp
+++ b/components/node/event_meter.cpp
@@ -121,6 +121,8 @@
         countOrder("stop", nameOf(stop->m_result.m_outcome));
     } else if (const auto *look = std::get_if<LookEnded>(&event)) {
         countOrder("look", nameOf(look->m_result.m_outcome));
+    } else if (const auto *advice = std::get_if<AdviceEnded>(&event)) {
+        countOrder("advice", advice->m_answer.m_isAnswered ? "answered" : "no-answer");
     }
 }
 
--- a/components/node/events.hpp
+++ b/components/node/events.hpp
@@ -9,6 +9,8 @@
 #include "components/store/keyed_record.hpp"
 #include "components/store/read_call.hpp"
 #include "components/store/read_result.hpp"
+#include "components/workers/advice_answer.hpp"
+#include "components/workers/advice_question.hpp"
 #include "components/workers/list_read.hpp"
 #include "components/workers/look_order.hpp"
 #include "components/workers/look_result.hpp"
@@ -83,6 +85,13 @@
     workers::LookResult m_result;
 };
 
+struct AdviceEnded
+{
+    workers::AdviceQuestion m_question;
+    fleet::BootTime m_sentAt;
+    workers::AdviceAnswer m_answer;
+};
+
 /// A datagram of another instance arrived.
 struct DatagramArrived
 {
@@ -104,6 +113,7 @@
                            StartEnded,
                            StopEnded,
                            LookEnded,
+                           AdviceEnded,
                            DatagramArrived,
                            StopRequested>;
 
--- a/components/node/ports.hpp
+++ b/components/node/ports.hpp
@@ -9,6 +9,7 @@
 #include "components/node/append_tag.hpp"
 #include "components/store/append_call.hpp"
 #include "components/store/read_call.hpp"
+#include "components/workers/advice_question.hpp"
 #include "components/workers/look_order.hpp"
 #include "components/workers/start_order.hpp"
 #include "components/workers/stop_order.hpp"
@@ -37,6 +38,7 @@
     virtual void start(const workers::StartOrder &order) = 0;
     virtual void stop(const workers::StopOrder &order) = 0;
     virtual void look(const workers::LookOrder &order, fleet::BootTime now) = 0;
+    virtual void advise(const workers::AdviceQuestion &question, fleet::BootTime now) = 0;
     /// Sends a datagram to another instance; it may be lost.
     virtual void sendDatagram(const std::string &address, std::string bytes) = 0;
     virtual void reply(std::uint64_t call, const callers::Reply &reply) = 0;
--- a/components/settings/node_settings.cpp
+++ b/components/settings/node_settings.cpp
@@ -24,6 +24,7 @@
     settings.m_readiness = reader.requiredEndpoint("listen.readiness");
     settings.m_peers = reader.requiredEndpoint("listen.peers");
     settings.m_store = reader.requiredEndpoint("platform.store");
+    settings.m_advice = reader.endpoint("platform.advice", settings.m_advice);
     settings.m_metrics = reader.endpoint("listen.metrics", settings.m_metrics);
     settings.m_processorShare
         = reader.number("machine.processor_share", settings.m_processorShare, 0, mostCores) * reader.number("machine.processor_speed", 1, 0, mostCores);
--- a/components/settings/node_settings.hpp
+++ b/components/settings/node_settings.hpp
@@ -24,6 +24,8 @@
     /// Other instances, UDP.
     Endpoint m_peers;
     Endpoint m_store;
+    /// The advice service; port 0 where there is none.
+    Endpoint m_advice;
     /// Metrics, HTTP; port 0 serves none.
     Endpoint m_metrics;
 
--- a/components/simulation/faults.hpp
+++ b/components/simulation/faults.hpp
@@ -26,6 +26,8 @@
     std::set<fleet::WorkerId> m_cutWorkers;
     /// Share of orders that are not answered and carried out seconds later.
     double m_lateOrders = 0;
+    /// The advice service does not answer.
+    bool m_isAdviceAway = false;
     /// Share of datagrams that are lost.
     double m_lostDatagrams = 0;
 };
--- a/components/simulation/fleet_model.cpp
+++ b/components/simulation/fleet_model.cpp
@@ -223,6 +223,24 @@
     return worker.m_clockBase + now.time_since_epoch().count() * worker.m_clockRate / rateUnit;
 }
 
+std::string ticketFor(const FleetModel &fleet, const jobs::StepId &step, const fleet::WorkerId &worker)
+{
+    return fleet.m_permitted.contains(worker) ? "ticket-" + toString(step.m_job) + '-' + worker.value() : "none";
+}
+
+workers::AdviceAnswer advise(const FleetModel &fleet, const workers::AdviceQuestion &question)
+{
+    workers::AdviceAnswer answer;
+    answer.m_isAnswered = true;
+    answer.m_validFor = fleet.m_ticketLife;
+    for (const fleet::WorkerId &worker : question.m_workers) {
+        if (fleet.m_permitted.contains(worker)) {
+            answer.m_tickets.emplace(worker, ticketFor(fleet, question.m_step, worker));
+        }
+    }
+    return answer;
+}
+
 void advance(FleetModel &fleet, fleet::BootTime now)
 {
     for (auto &[id, worker] : fleet.m_workers) {
@@ -261,6 +279,9 @@
         fleet.m_violations.push_back("start of a job that nobody handed in: " + toString(order.m_run.m_task));
         return answer(worker, workers::OrderOutcome::Malformed, now);
     }
+    if (fleet.m_advised.contains(job) && order.m_ticket != ticketFor(fleet, order.m_run.m_task.m_step, worker.m_registration.m_life.m_worker)) {
+        return answer(worker, workers::OrderOutcome::BadTicket, now);
+    }
     ModelRun run;
     run.m_step = steps->second[order.m_run.m_task.m_step.m_step];
     fleet::Resources need = run.m_step.m_perTask;
--- a/components/simulation/fleet_model.hpp
+++ b/components/simulation/fleet_model.hpp
@@ -6,6 +6,8 @@
 #include "components/jobs/run_id.hpp"
 #include "components/jobs/step_spec.hpp"
 #include "components/simulation/behaviour.hpp"
+#include "components/workers/advice_answer.hpp"
+#include "components/workers/advice_question.hpp"
 #include "components/workers/ended_task.hpp"
 #include "components/workers/look_order.hpp"
 #include "components/workers/look_result.hpp"
@@ -78,6 +80,10 @@
     /// Behaviour and steps of the jobs that were handed in.
     std::map<jobs::JobId, std::vector<jobs::StepSpec>> m_steps;
     std::map<jobs::JobId, Behaviour> m_behaviours;
+    /// Jobs that start only with a ticket, and the workers that may run them.
+    std::set<jobs::JobId> m_advised;
+    std::set<fleet::WorkerId> m_permitted;
+    fleet::Duration m_ticketLife {3000};
     fleet::Duration m_leaseLimit {6000};
     fleet::Duration m_gangWait {3000};
     fleet::Duration m_stopGrace {200};
@@ -90,6 +96,10 @@
 /// Lets time pass: leases lapse, tasks end, gangs begin or are given up.
 void advance(FleetModel &fleet, fleet::BootTime now);
 
+/// What a start of the step on the worker has to carry where the job needs advice.
+std::string ticketFor(const FleetModel &fleet, const jobs::StepId &step, const fleet::WorkerId &worker);
+workers::AdviceAnswer advise(const FleetModel &fleet, const workers::AdviceQuestion &question);
+
 workers::OrderResult start(FleetModel &fleet, const workers::StartOrder &order, fleet::BootTime now);
 workers::OrderResult stop(FleetModel &fleet, const workers::StopOrder &order, fleet::BootTime now);
 workers::LookResult look(FleetModel &fleet, const workers::LookOrder &order, fleet::BootTime now);
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -18,6 +18,8 @@
 constexpr fleet::Duration storeTimeout {2500};
 constexpr fleet::Duration readTimeout {1000};
 constexpr fleet::Duration orderTimeout {600};
+constexpr fleet::Duration adviceTimeout {4000};
+constexpr fleet::Duration adviceTime {50};
 constexpr fleet::Duration listDelay {300};
 const std::string queueHost = "queues.example";
 const std::string queuePath = "/jobs/";
@@ -163,6 +165,15 @@
         });
     }
 
+    void advise(const workers::AdviceQuestion &question, fleet::BootTime now) override
+    {
+        if (m_world.m_faults.m_isAdviceAway) {
+            answer(adviceTimeout, node::AdviceEnded {question, now, {}});
+            return;
+        }
+        answer(adviceTime, node::AdviceEnded {question, now, simulation::advise(m_world.m_fleet, question)});
+    }
+
     void sendDatagram(const std::string &address, std::string bytes) override
     {
         if (m_world.chance() < m_world.m_faults.m_lostDatagrams) {
@@ -357,6 +368,11 @@
         queue.m_slack = 1s;
         catalog.m_queues.push_back(queue);
     }
+    catalog::Queue advised = catalog.m_queues[1];
+    advised.m_id = fleet::QueueId("q3");
+    advised.m_pathPrefix = queuePath + "3/";
+    advised.m_advice = catalog::AdvicePolicy {20ms, 1ms, 3s};
+    catalog.m_queues.push_back(advised);
     catalog.m_services.push_back({fleet::ServiceId("service"), true, false});
     catalog.m_accounts.push_back({fleet::AccountId("account"), {"key"}, 16});
     catalog.m_accounts.push_back({fleet::AccountId("other"), {"other-key"}, 16});
