Upkeep of machines in waves

Change: the holder takes the machines of a wave, those with the fewest runs first and no more than the wave allows at once; they get no new runs, what runs may end for as long as the wave's time allows and is stopped then, as far as lasting steps may miss it; the order is fenced, repeated until it is known, and recorded. A new holder waits one machine lease. A wave is reported completed once each machine has begun. Ruled out: reading the platform's list of machines, since the workers' list names them.

--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -69,6 +69,7 @@
     control.m_dispatch.m_stopGrace = settings.m_stopGrace;
     control.m_dispatch.m_gangWait = settings.m_gangWait;
     control.m_dispatch.m_reclaimLimit = settings.m_reclaimLimit;
+    control.m_dispatch.m_machineLease = settings.m_machineLease;
     control.m_keyRevocation = settings.m_keyRevocation;
     control.m_catalogInForce = settings.m_catalogInForce;
     control.m_statusRetention = settings.m_statusRetention;
@@ -116,6 +117,7 @@
                                toAddress(settings.m_peers),
                                toAddress(settings.m_store),
                                toAddress(settings.m_advice),
+                               toAddress(settings.m_machines),
                                toAddress(settings.m_metrics)},
                               queue,
                               log,
--- a/components/catalog/upkeep_wave.hpp
+++ b/components/catalog/upkeep_wave.hpp
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_CATALOG_UPKEEP_WAVE_HPP
 #define COMPONENTS_CATALOG_UPKEEP_WAVE_HPP
 
+#include "components/fleet/boot_time.hpp"
 #include "components/fleet/identifiers.hpp"
 #include "components/fleet/time.hpp"
 
@@ -19,6 +20,9 @@
     /// Most machines of the wave that may be down at the same time.
     std::uint32_t m_mostAtOnce = 1;
 
+    /// When this instance first read of it; m_within counts from then, about.
+    fleet::BootTime m_seenAt;
+
     bool operator==(const UpkeepWave &) const = default;
 };
 
--- a/components/dispatch/context.hpp
+++ b/components/dispatch/context.hpp
@@ -2,6 +2,7 @@
 #define COMPONENTS_DISPATCH_CONTEXT_HPP
 
 #include "components/catalog/catalog.hpp"
+#include "components/catalog/upkeep_wave.hpp"
 #include "components/dispatch/outbox.hpp"
 #include "components/dispatch/state.hpp"
 #include "components/fleet/now.hpp"
@@ -23,6 +24,7 @@
     journal::Ledger &m_ledger;
     const catalog::Catalog &m_catalog;
     const std::set<fleet::ZoneId> &m_zonesOut;
+    const std::map<std::string, catalog::UpkeepWave> &m_waves;
     fleet::Now m_now;
     /// Records of this step; they are applied to the ledger as they are made.
     std::vector<journal::EndedRun> m_ended;
--- a/components/dispatch/evictions.cpp
+++ b/components/dispatch/evictions.cpp
@@ -1,5 +1,6 @@
 #include "components/dispatch/evictions.hpp"
 
+#include "components/dispatch/allowances.hpp"
 #include "components/dispatch/candidate.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/guarantees.hpp"
@@ -21,8 +22,6 @@
 /// What one accelerator counts for in lost work, in cores; from the users' price of wasted work.
 constexpr std::int64_t coresPerAccelerator = 8;
 constexpr std::int64_t millisPerCore = 1000;
-/// Progress of a lasting task that is at work.
-constexpr int wholePercent = 100;
 /// A run that goes on from a checkpoint loses about this much; a run that starts anew loses its start besides.
 constexpr fleet::Duration restoreTime {600};
 constexpr fleet::Duration startOverhead {50};
@@ -39,40 +38,6 @@
     UrgentUse m_use;
 };
 
-/// Tasks of lasting steps that are away, with those that are to be stopped.
-using Away = std::map<jobs::StepId, std::int32_t>;
-
-/// Tasks of the step that are not at work, or are being stopped.
-std::int32_t countAway(const Context &context, const jobs::StepId &step)
-{
-    std::int32_t atWork = 0;
-    const auto first = context.m_state.m_runs.lower_bound({{step, 0}, 0});
-    for (auto run = first; run != context.m_state.m_runs.end() && run->first.m_task.m_step == step; ++run) {
-        const bool isAtWork = run->second.m_phase == RunPhase::Running && run->second.m_percent >= wholePercent && !run->second.m_stopWanted;
-        atWork += isAtWork ? 1 : 0;
-    }
-    return static_cast<std::int32_t>(stepOf(context, step).m_tasks) - atWork;
-}
-
-/// True where one more task of the run's step may be kept from work; it is counted as away then.
-bool takeAllowance(const Context &context, const jobs::RunId &id, Away &away)
-{
-    const jobs::StepId &step = id.m_task.m_step;
-    const std::int32_t most = stepOf(context, step).m_mostUnavailable;
-    if (most < 0) {
-        return true;
-    }
-    const auto [entry, isNew] = away.try_emplace(step, 0);
-    if (isNew) {
-        entry->second = countAway(context, step);
-    }
-    if (entry->second >= most) {
-        return false;
-    }
-    ++entry->second;
-    return true;
-}
-
 bool takeAllowances(const Context &context, const Eviction &eviction, Away &away)
 {
     Away tried = away;
--- a/components/dispatch/outbox.hpp
+++ b/components/dispatch/outbox.hpp
@@ -3,6 +3,8 @@
 
 #include "components/journal/record.hpp"
 #include "components/logging/line.hpp"
+#include "components/machines/upkeep_order.hpp"
+#include "components/machines/wave_report.hpp"
 #include "components/workers/advice_question.hpp"
 #include "components/workers/look_order.hpp"
 #include "components/workers/start_order.hpp"
@@ -24,6 +26,9 @@
     std::vector<workers::StopOrder> m_stops;
     std::vector<workers::LookOrder> m_looks;
     std::vector<workers::AdviceQuestion> m_questions;
+    /// The name of the holder is filled in by the sender.
+    std::vector<machines::UpkeepOrder> m_upkeeps;
+    std::vector<machines::WaveReport> m_reports;
     /// A worker has seen a higher token: another holder gives orders.
     bool m_isFenced = false;
     std::vector<logging::Line> m_log;
--- a/components/dispatch/rooms.cpp
+++ b/components/dispatch/rooms.cpp
@@ -33,7 +33,7 @@
 bool isUsable(const Context &context, const WorkerState &worker)
 {
     const fleet::BootTime now = context.m_now.m_boot;
-    return worker.m_isListed && !worker.m_registration.m_isDraining && now >= worker.m_avoidUntil && worker.m_silences < silencesToAvoid
+    return worker.m_isListed && !worker.m_isCordoned && !worker.m_registration.m_isDraining && now >= worker.m_avoidUntil && worker.m_silences < silencesToAvoid
         && !context.m_zonesOut.contains(worker.m_registration.m_zone);
 }
 
--- a/components/dispatch/settings.hpp
+++ b/components/dispatch/settings.hpp
@@ -22,6 +22,8 @@
     fleet::Duration m_lookWait {1500};
     /// Lease that an order to start gives; short, so that an order without an answer is settled early.
     fleet::Duration m_startLease {3000};
+    /// A new holder gives no order for a machine within this time, since those of the holder before may be under way.
+    fleet::Duration m_machineLease {3000};
     /// How long a holder may go on renewing leases after it last reached the store. With the lease it makes up the store
     /// outage that runs outlive, and the time that a successor waits for workers that do not answer.
     fleet::Duration m_holderAuthority {4000};
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -6,6 +6,7 @@
 #include "components/dispatch/settings.hpp"
 #include "components/dispatch/step_advice.hpp"
 #include "components/dispatch/stored_note.hpp"
+#include "components/dispatch/wave_state.hpp"
 #include "components/dispatch/worker_state.hpp"
 #include "components/fleet/fencing_token.hpp"
 #include "components/jobs/step_id.hpp"
@@ -39,6 +40,9 @@
     fleet::BootTime m_nextQuestionAt;
     /// Gangs of which not all members are known to run; the others may have to be stopped.
     std::set<jobs::StepId> m_incompleteGangs;
+    std::map<std::uint64_t, WaveState> m_waves;
+    /// No order for a machine is given before then.
+    fleet::BootTime m_upkeepNotBefore;
     std::deque<StoredNote> m_unstored;
     std::uint64_t m_nextBatch = 1;
     /// The store was reached lately enough to renew leases.
--- a/components/dispatch/step.cpp
+++ b/components/dispatch/step.cpp
@@ -6,6 +6,7 @@
 #include "components/dispatch/plan.hpp"
 #include "components/dispatch/reports.hpp"
 #include "components/dispatch/runs.hpp"
+#include "components/dispatch/upkeep.hpp"
 #include "components/journal/ledger.hpp"
 
 #include <algorithm>
@@ -26,7 +27,7 @@
 
 Context makeContext(State &state, const Surroundings &around, fleet::Now now)
 {
-    return {state, around.m_ledger, around.m_catalog, around.m_zonesOut, now, {}, {}, {}, {}, {}};
+    return {state, around.m_ledger, around.m_catalog, around.m_zonesOut, around.m_waves, now, {}, {}, {}, {}, {}};
 }
 
 void settleTouched(Context &context)
@@ -73,7 +74,8 @@
 /// Gathers what the step recorded into one batch and notes what may go on once it is stored.
 void recordStep(Context &context)
 {
-    if (context.m_ended.empty() && context.m_launched.empty()) {
+    const bool hasUpkeep = !context.m_out.m_records.empty();
+    if (context.m_ended.empty() && context.m_launched.empty() && !hasUpkeep) {
         noteKnownEnds(context);
         return;
     }
@@ -162,6 +164,7 @@
 
 Outbox takeOver(State &state, const Surroundings &around, fleet::BootTime foreignLeaseUntil, fleet::Now now)
 {
+    state.m_upkeepNotBefore = now.m_boot + state.m_settings.m_machineLease;
     Context context = makeContext(state, around, now);
     for (const auto &[id, job] : around.m_ledger.m_jobs) {
         if (!job.isOver()) {
@@ -257,6 +260,7 @@
     Context context = makeContext(state, around, now);
     endLapsedRuns(context);
     logOverdueRuns(context);
+    carryOnWaves(context);
     for (const jobs::StepId &gang : std::exchange(state.m_incompleteGangs, {})) {
         context.m_touched.insert(gang.m_job);
     }
@@ -264,6 +268,20 @@
     return finish(context);
 }
 
+Outbox onUpkeepEnded(State &state, const Surroundings &around, const machines::UpkeepOrder &order, machines::UpkeepOutcome outcome, fleet::Now now)
+{
+    Context context = makeContext(state, around, now);
+    takeUpkeep(context, order, outcome);
+    return finish(context);
+}
+
+Outbox onWaveReported(State &state, const Surroundings &around, const machines::WaveReport &report, bool isStored, fleet::Now now)
+{
+    Context context = makeContext(state, around, now);
+    takeReport(context, report, isStored);
+    return finish(context);
+}
+
 Outbox settle(State &state, const Surroundings &around, fleet::Now now)
 {
     Context context = makeContext(state, around, now);
--- a/components/dispatch/step.hpp
+++ b/components/dispatch/step.hpp
@@ -5,6 +5,7 @@
 #include "components/dispatch/state.hpp"
 #include "components/dispatch/surroundings.hpp"
 #include "components/fleet/now.hpp"
+#include "components/machines/upkeep_outcome.hpp"
 #include "components/workers/advice_answer.hpp"
 #include "components/workers/advice_question.hpp"
 #include "components/workers/look_result.hpp"
@@ -44,6 +45,12 @@
 /// Jobs were accepted or cancelled.
 Outbox onJobsChanged(State &state, const Surroundings &around, const std::vector<jobs::JobId> &jobs, fleet::Now now);
 
+/// An order for a machine ended.
+Outbox onUpkeepEnded(State &state, const Surroundings &around, const machines::UpkeepOrder &order, machines::UpkeepOutcome outcome, fleet::Now now);
+
+/// A report on a wave was stored, or was not.
+Outbox onWaveReported(State &state, const Surroundings &around, const machines::WaveReport &report, bool isStored, fleet::Now now);
+
 /// Time passed: leases, retries and due occurrences.
 Outbox onTick(State &state, const Surroundings &around, fleet::Now now);
 
--- a/components/dispatch/surroundings.hpp
+++ b/components/dispatch/surroundings.hpp
@@ -3,11 +3,14 @@
 
 #include "components/fleet/identifiers.hpp"
 
+#include <map>
 #include <set>
+#include <string>
 
 namespace catalog
 {
 struct Catalog;
+struct UpkeepWave;
 }
 
 namespace journal
@@ -25,6 +28,8 @@
     journal::Ledger &m_ledger;
     const catalog::Catalog &m_catalog;
     const std::set<fleet::ZoneId> &m_zonesOut;
+    /// Waves of upkeep that the operators ask for, by their keys.
+    const std::map<std::string, catalog::UpkeepWave> &m_waves;
 };
 
 }
--- /dev/null
+++ b/components/dispatch/upkeep.hpp
@@ -0,0 +1,21 @@
+#ifndef COMPONENTS_DISPATCH_UPKEEP_HPP
+#define COMPONENTS_DISPATCH_UPKEEP_HPP
+
+#include "components/machines/upkeep_order.hpp"
+#include "components/machines/upkeep_outcome.hpp"
+#include "components/machines/wave_report.hpp"
+
+namespace dispatch
+{
+
+struct Context;
+
+/// Carries the waves on: chooses machines, empties them, orders their upkeep, and tells how far the waves are.
+void carryOnWaves(Context &context);
+
+void takeUpkeep(Context &context, const machines::UpkeepOrder &order, machines::UpkeepOutcome outcome);
+void takeReport(Context &context, const machines::WaveReport &report, bool isStored);
+
+}
+
+#endif
--- a/components/dispatch/worker_state.hpp
+++ b/components/dispatch/worker_state.hpp
@@ -47,6 +47,8 @@
     fleet::Resources m_booked;
     std::set<jobs::RunId> m_runs;
 
+    /// The machine goes down soon; no new runs.
+    bool m_isCordoned = false;
     /// Failed runs in a row.
     int m_failuresInRow = 0;
     /// No new run is given to the worker before then.
--- a/components/journal/ledger.cpp
+++ b/components/journal/ledger.cpp
@@ -245,6 +245,11 @@
 {
 }
 
+void applyBody(Ledger &ledger, const UpkeepBegun &record, Changes &)
+{
+    ledger.m_upkeeps[record.m_wave].insert(record.m_machine);
+}
+
 void applyBody(Ledger &, const SnapshotWritten &, Changes &changes)
 {
     changes.m_snapshotWritten = true;
--- a/components/journal/ledger.hpp
+++ b/components/journal/ledger.hpp
@@ -8,7 +8,9 @@
 #include "components/journal/job_record.hpp"
 #include "components/journal/record.hpp"
 
+#include <cstdint>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -25,6 +27,8 @@
     std::map<fleet::InstanceId, InstanceRecord> m_instances;
     HolderRecord m_holder;
     std::vector<FormerHolder> m_formerHolders;
+    /// Machines that went down for their upkeep, by wave.
+    std::map<std::uint64_t, std::set<fleet::MachineId>> m_upkeeps;
     /// Jobs by the time they ended, for forgetting them.
     std::multimap<fleet::TimePoint, jobs::JobId> m_ended;
 
--- a/components/journal/record.hpp
+++ b/components/journal/record.hpp
@@ -10,6 +10,7 @@
 #include "components/journal/runs_ended.hpp"
 #include "components/journal/runs_launched.hpp"
 #include "components/journal/snapshot_written.hpp"
+#include "components/journal/upkeep_begun.hpp"
 
 #include <string>
 #include <string_view>
@@ -19,7 +20,8 @@
 {
 
 /// One fact of the journal. The order of the alternatives is part of the stored format.
-using Record = std::variant<JobAccepted, JobCancelled, RunsLaunched, RunsEnded, InstanceStarted, HolderClaimed, HolderResigned, HolderAlive, SnapshotWritten>;
+using Record = std::
+    variant<JobAccepted, JobCancelled, RunsLaunched, RunsEnded, InstanceStarted, HolderClaimed, HolderResigned, HolderAlive, SnapshotWritten, UpkeepBegun>;
 
 std::string encode(const Record &record);
 
--- a/components/journal/snapshot.cpp
+++ b/components/journal/snapshot.cpp
@@ -27,11 +27,12 @@
     std::map<fleet::InstanceId, InstanceRecord> m_instances;
     HolderRecord m_holder;
     std::vector<FormerHolder> m_formerHolders;
+    std::map<std::uint64_t, std::set<fleet::MachineId>> m_upkeeps;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(m_next, m_jobs, m_instances, m_holder, m_formerHolders);
+        archive(m_next, m_jobs, m_instances, m_holder, m_formerHolders, m_upkeeps);
     }
 };
 
@@ -79,6 +80,7 @@
     ledger.m_instances = std::move(body.m_instances);
     ledger.m_holder = body.m_holder;
     ledger.m_formerHolders = std::move(body.m_formerHolders);
+    ledger.m_upkeeps = std::move(body.m_upkeeps);
     return ledger;
 }
 
@@ -109,6 +111,7 @@
     body.m_instances = ledger.m_instances;
     body.m_holder = ledger.m_holder;
     body.m_formerHolders = ledger.m_formerHolders;
+    body.m_upkeeps = ledger.m_upkeeps;
     const std::string bytes = wire::encode(formatVersion, body);
     Head head {slot, 0, next};
     std::vector<store::KeyedRecord> records;
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -194,6 +194,16 @@
     m_duty.onAdviceEnded(event, now);
 }
 
+void Control::take(const UpkeepEnded &event, fleet::Now now)
+{
+    m_duty.onUpkeepEnded(event, now);
+}
+
+void Control::take(const WaveReported &event, fleet::Now now)
+{
+    m_duty.onWaveReported(event, now);
+}
+
 void Control::take(const DatagramArrived &event, fleet::Now now)
 {
     if (const auto message = openPeerMessage(event.m_bytes, m_settings.m_peerKey)) {
--- a/components/node/control.hpp
+++ b/components/node/control.hpp
@@ -51,6 +51,8 @@
     void take(const StopEnded &event, fleet::Now now);
     void take(const LookEnded &event, fleet::Now now);
     void take(const AdviceEnded &event, fleet::Now now);
+    void take(const UpkeepEnded &event, fleet::Now now);
+    void take(const WaveReported &event, fleet::Now now);
     void take(const DatagramArrived &event, fleet::Now now);
     void take(const StopRequested &event, fleet::Now now);
     void tellHolder();
--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -75,7 +75,7 @@
 
 dispatch::Surroundings Duty::around() const
 {
-    return {m_journal.m_ledger, m_operators.m_catalog, m_operators.m_zonesOut};
+    return {m_journal.m_ledger, m_operators.m_catalog, m_operators.m_zonesOut, m_operators.m_waves};
 }
 
 /// True where no instance that the journal knows has far more processor time.
@@ -442,6 +442,20 @@
     }
 }
 
+void Duty::onUpkeepEnded(const UpkeepEnded &event, fleet::Now now)
+{
+    if (m_phase == DutyPhase::Holding && event.m_order.m_token == m_state.m_token) {
+        send(dispatch::onUpkeepEnded(m_state, around(), event.m_order, event.m_outcome, now), now);
+    }
+}
+
+void Duty::onWaveReported(const WaveReported &event, fleet::Now now)
+{
+    if (m_phase == DutyPhase::Holding && event.m_token == m_state.m_token) {
+        send(dispatch::onWaveReported(m_state, around(), event.m_report, event.m_isStored, now), now);
+    }
+}
+
 void Duty::onCatalogChanged(fleet::Now now)
 {
     if (m_phase == DutyPhase::Holding) {
@@ -539,6 +553,13 @@
     for (const workers::LookOrder &order : outbox.m_looks) {
         m_ports.look(order, now.m_boot);
     }
+    for (machines::UpkeepOrder &order : outbox.m_upkeeps) {
+        order.m_holder = m_settings.m_instance;
+        m_ports.upkeep(order);
+    }
+    for (const machines::WaveReport &report : outbox.m_reports) {
+        m_ports.reportWave(report, m_state.m_token);
+    }
     for (const workers::AdviceQuestion &question : outbox.m_questions) {
         m_ports.advise(question, now.m_boot);
     }
--- a/components/node/duty.hpp
+++ b/components/node/duty.hpp
@@ -48,6 +48,8 @@
     void onStopEnded(const StopEnded &event, fleet::Now now);
     void onLookEnded(const LookEnded &event, fleet::Now now);
     void onAdviceEnded(const AdviceEnded &event, fleet::Now now);
+    void onUpkeepEnded(const UpkeepEnded &event, fleet::Now now);
+    void onWaveReported(const WaveReported &event, fleet::Now now);
     void onCatalogChanged(fleet::Now now);
     void onBoundsChanged();
     /// The journal reaches at least as far as this.
--- a/components/node/events.hpp
+++ b/components/node/events.hpp
@@ -4,6 +4,9 @@
 #include "components/callers/call.hpp"
 #include "components/catalog/operators_read.hpp"
 #include "components/fleet/boot_time.hpp"
+#include "components/machines/upkeep_order.hpp"
+#include "components/machines/upkeep_outcome.hpp"
+#include "components/machines/wave_report.hpp"
 #include "components/node/append_tag.hpp"
 #include "components/store/append_result.hpp"
 #include "components/store/keyed_record.hpp"
@@ -92,6 +95,19 @@
     workers::AdviceAnswer m_answer;
 };
 
+struct UpkeepEnded
+{
+    machines::UpkeepOrder m_order;
+    machines::UpkeepOutcome m_outcome = machines::UpkeepOutcome::Unknown;
+};
+
+struct WaveReported
+{
+    machines::WaveReport m_report;
+    fleet::FencingToken m_token;
+    bool m_isStored = false;
+};
+
 /// A datagram of another instance arrived.
 struct DatagramArrived
 {
@@ -114,6 +130,8 @@
                            StopEnded,
                            LookEnded,
                            AdviceEnded,
+                           UpkeepEnded,
+                           WaveReported,
                            DatagramArrived,
                            StopRequested>;
 
--- a/components/node/operator_view.cpp
+++ b/components/node/operator_view.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-void take(OperatorView &view, const catalog::Catalog &change)
+void take(OperatorView &view, const catalog::Catalog &change, fleet::BootTime)
 {
     // Pages and late answers may bring an older version; within one life the catalog only goes forward.
     if (change.m_version > view.m_catalog.m_version) {
@@ -16,7 +16,7 @@
     }
 }
 
-void take(OperatorView &view, const catalog::ZoneChange &change)
+void take(OperatorView &view, const catalog::ZoneChange &change, fleet::BootTime)
 {
     if (change.m_isOut) {
         view.m_zonesOut.insert(change.m_zone);
@@ -25,13 +25,27 @@
     }
 }
 
-void take(OperatorView &view, const catalog::WaveChange &change)
+void take(OperatorView &view, const catalog::WaveChange &change, fleet::BootTime sentAt)
 {
-    if (change.m_wave) {
-        view.m_waves[change.m_key] = *change.m_wave;
-    } else {
+    if (!change.m_wave) {
         view.m_waves.erase(change.m_key);
+        return;
     }
+    const auto [entry, isNew] = view.m_waves.try_emplace(change.m_key, *change.m_wave);
+    const fleet::BootTime seenAt = isNew ? sentAt : entry->second.m_seenAt;
+    entry->second = *change.m_wave;
+    entry->second.m_seenAt = seenAt;
+}
+
+/// Forgets the waves that a whole read does not name; the others keep the time when they were first read of.
+void dropOtherWaves(OperatorView &view, const catalog::OperatorsRead &read)
+{
+    std::erase_if(view.m_waves, [&](const auto &entry) {
+        return std::none_of(read.m_changes.begin(), read.m_changes.end(), [&](const catalog::OperatorChange &change) {
+            const auto *wave = std::get_if<catalog::WaveChange>(&change);
+            return wave != nullptr && wave->m_key == entry.first;
+        });
+    });
 }
 
 }
@@ -50,12 +64,12 @@
     const std::set<fleet::ZoneId> zonesOut = view.m_zonesOut;
     if (read.m_isWhole) {
         view.m_zonesOut.clear();
-        view.m_waves.clear();
+        dropOtherWaves(view, read);
     }
     for (const catalog::OperatorChange &change : read.m_changes) {
         std::visit(
             [&](const auto &body) {
-                take(view, body);
+                take(view, body, sentAt);
             },
             change);
     }
--- a/components/node/ports.hpp
+++ b/components/node/ports.hpp
@@ -3,9 +3,12 @@
 
 #include "components/callers/reply.hpp"
 #include "components/fleet/boot_time.hpp"
+#include "components/fleet/fencing_token.hpp"
 #include "components/fleet/now.hpp"
 #include "components/fleet/time.hpp"
 #include "components/logging/line.hpp"
+#include "components/machines/upkeep_order.hpp"
+#include "components/machines/wave_report.hpp"
 #include "components/node/append_tag.hpp"
 #include "components/store/append_call.hpp"
 #include "components/store/read_call.hpp"
@@ -38,6 +41,9 @@
     virtual void start(const workers::StartOrder &order) = 0;
     virtual void stop(const workers::StopOrder &order) = 0;
     virtual void look(const workers::LookOrder &order, fleet::BootTime now) = 0;
+    virtual void upkeep(const machines::UpkeepOrder &order) = 0;
+    /// Tells the operators how far a wave is.
+    virtual void reportWave(const machines::WaveReport &report, fleet::FencingToken token) = 0;
     virtual void advise(const workers::AdviceQuestion &question, fleet::BootTime now) = 0;
     /// Sends a datagram to another instance; it may be lost.
     virtual void sendDatagram(const std::string &address, std::string bytes) = 0;
--- a/components/settings/node_settings.cpp
+++ b/components/settings/node_settings.cpp
@@ -25,6 +25,7 @@
     settings.m_peers = reader.requiredEndpoint("listen.peers");
     settings.m_store = reader.requiredEndpoint("platform.store");
     settings.m_advice = reader.endpoint("platform.advice", settings.m_advice);
+    settings.m_machines = reader.endpoint("platform.machines", settings.m_machines);
     settings.m_metrics = reader.endpoint("listen.metrics", settings.m_metrics);
     settings.m_processorShare
         = reader.number("machine.processor_share", settings.m_processorShare, 0, mostCores) * reader.number("machine.processor_speed", 1, 0, mostCores);
@@ -32,6 +33,7 @@
     settings.m_stopGrace = reader.duration("bounds.task_stop", settings.m_stopGrace, 0ms, 1min);
     settings.m_gangWait = reader.duration("bounds.gang_wait", settings.m_gangWait, 100ms, 10min);
     settings.m_reclaimLimit = reader.duration("bounds.reclaim", settings.m_reclaimLimit, 100ms, 10min);
+    settings.m_machineLease = reader.duration("bounds.machine_lease", settings.m_machineLease, 0ms, 1min);
     settings.m_keyRevocation = reader.duration("bounds.key_revocation", settings.m_keyRevocation, 1s, 1h);
     settings.m_catalogInForce = reader.duration("bounds.catalog_in_force", settings.m_catalogInForce, 200ms, 1min);
     settings.m_statusRetention = reader.duration("bounds.status_retention", settings.m_statusRetention, 1s, 24h);
--- a/components/settings/node_settings.hpp
+++ b/components/settings/node_settings.hpp
@@ -26,6 +26,8 @@
     Endpoint m_store;
     /// The advice service; port 0 where there is none.
     Endpoint m_advice;
+    /// The service that moves machines and takes them down; port 0 where there is none.
+    Endpoint m_machines;
     /// Metrics, HTTP; port 0 serves none.
     Endpoint m_metrics;
 
@@ -38,6 +40,8 @@
     fleet::Duration m_gangWait {3000};
     /// Guaranteed capacity is there within this time from when it is asked for.
     fleet::Duration m_reclaimLimit {2700};
+    /// Holders give orders for one machine no closer together than this.
+    fleet::Duration m_machineLease {3000};
     /// A key that the operators took away must not be accepted for longer than this.
     fleet::Duration m_keyRevocation {5000};
     /// A change of the catalog must be in force after this.
--- a/components/simulation/faults.hpp
+++ b/components/simulation/faults.hpp
@@ -28,6 +28,8 @@
     double m_lateOrders = 0;
     /// The advice service does not answer.
     bool m_isAdviceAway = false;
+    /// Share of orders for machines that are carried out and not answered.
+    double m_lostUpkeeps = 0;
     /// Share of datagrams that are lost.
     double m_lostDatagrams = 0;
 };
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -20,6 +20,7 @@
 constexpr fleet::Duration orderTimeout {600};
 constexpr fleet::Duration adviceTimeout {4000};
 constexpr fleet::Duration adviceTime {50};
+constexpr fleet::Duration upkeepTime {2000};
 constexpr fleet::Duration listDelay {300};
 const std::string queueHost = "queues.example";
 const std::string queuePath = "/jobs/";
@@ -165,6 +166,27 @@
         });
     }
 
+    void upkeep(const machines::UpkeepOrder &order) override
+    {
+        const bool isLost = m_world.chance() < m_world.m_faults.m_lostUpkeeps;
+        m_world.after(way, [world = &m_world, order, isLost, instance = m_instance, life = m_life] {
+            const machines::UpkeepOutcome outcome = world->beginUpkeep(order);
+            const node::UpkeepEnded ended {order, isLost ? machines::UpkeepOutcome::Unknown : outcome};
+            world->after(isLost ? orderTimeout : way, [world, instance, life, ended] {
+                world->deliver(instance, life, ended);
+            });
+        });
+    }
+
+    void reportWave(const machines::WaveReport &report, fleet::FencingToken token) override
+    {
+        const bool isServed = isHeard(m_world.m_faults, m_instance) && !isRefused(m_world.m_faults, m_instance);
+        if (isServed) {
+            m_world.noteReport(report);
+        }
+        answer(way * 2, node::WaveReported {report, token, isServed});
+    }
+
     void advise(const workers::AdviceQuestion &question, fleet::BootTime now) override
     {
         if (m_world.m_faults.m_isAdviceAway) {
@@ -547,6 +569,45 @@
     m_operatorLog.emplace_back(catalog::ZoneChange {zone, isOut});
 }
 
+void World::askForUpkeep(const catalog::UpkeepWave &wave)
+{
+    m_waves[wave.m_number] = wave;
+    m_operatorLog.emplace_back(catalog::WaveChange {"wave/" + std::to_string(wave.m_number), wave});
+}
+
+machines::UpkeepOutcome World::beginUpkeep(const machines::UpkeepOrder &order)
+{
+    fleet::FencingToken &fence = m_machines.m_fences[order.m_machine];
+    if (order.m_token < fence) {
+        return machines::UpkeepOutcome::Fenced;
+    }
+    fence = order.m_token;
+    if (!m_machines.m_begun[order.m_wave].insert(order.m_machine).second) {
+        return machines::UpkeepOutcome::Begun;
+    }
+    const auto found = std::find_if(m_fleet.m_workers.begin(), m_fleet.m_workers.end(), [&](const auto &entry) {
+        return entry.second.m_registration.m_machine == order.m_machine;
+    });
+    const fleet::WorkerId worker = found->first;
+    m_machines.m_down.insert(order.m_machine);
+    m_machines.m_mostDown = std::max(m_machines.m_mostDown, m_machines.m_down.size());
+    crashWorker(worker, false);
+    unlist(worker);
+    after(upkeepTime, [this, worker, machine = order.m_machine] {
+        m_machines.m_down.erase(machine);
+        m_fleet.m_workers.at(worker).m_isUp = true;
+        writeList(worker);
+    });
+    return machines::UpkeepOutcome::Begun;
+}
+
+void World::noteReport(const machines::WaveReport &report)
+{
+    const bool isTrue = !report.m_isCompleted || m_machines.m_begun[report.m_wave].size() == m_waves.at(report.m_wave).m_machines.size();
+    m_machines.m_falseReports += isTrue ? 0 : 1;
+    m_machines.m_reported[report.m_wave] = report.m_isCompleted;
+}
+
 void World::kill(int instance)
 {
     Instance &target = m_instances[static_cast<std::size_t>(instance)];
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -11,6 +11,7 @@
 #include "components/node/control.hpp"
 #include "components/simulation/faults.hpp"
 #include "components/simulation/fleet_model.hpp"
+#include "components/simulation/machine_model.hpp"
 #include "components/simulation/outcome.hpp"
 #include "components/simulation/store_model.hpp"
 #include "components/simulation/world_settings.hpp"
@@ -57,6 +58,7 @@
     // Operators.
     void publish(const catalog::Catalog &catalog);
     void takeOut(const fleet::ZoneId &zone, bool isOut);
+    void askForUpkeep(const catalog::UpkeepWave &wave);
 
     // Instances.
     void kill(int instance);
@@ -82,6 +84,7 @@
     Faults m_faults;
     StoreModel m_store;
     FleetModel m_fleet;
+    MachineModel m_machines;
     /// Key of the account whose calls are made.
     std::string m_callerKey = "key";
     /// Prints each line of the instances' logs, for finding out what a failed test did.
@@ -111,6 +114,8 @@
     fleet::Now timeAt() const;
     int call(int instance, callers::Call content);
     void writeList(const fleet::WorkerId &worker);
+    machines::UpkeepOutcome beginUpkeep(const machines::UpkeepOrder &order);
+    void noteReport(const machines::WaveReport &report);
     node::Settings settingsOf(int instance);
 
     WorldSettings m_settings;
@@ -122,6 +127,7 @@
     std::map<std::pair<int, std::uint64_t>, int> m_openCalls;
     std::uint64_t m_nextCall = 1;
     std::vector<catalog::OperatorChange> m_operatorLog;
+    std::map<std::uint64_t, catalog::UpkeepWave> m_waves;
     std::vector<workers::ListChange> m_listLog;
     std::uint64_t m_lives = 0;
 };
