--- a/CI/run_demo.sh
+++ b/CI/run_demo.sh
@@ -177,4 +177,6 @@
 fx report delivery | grep -q swaralaya || fail "the delivery report does not show the account"
 fx report exceptions | grep -q "festival week at the agencies" || fail "the report does not show the exception's reason"
 fx report slo | grep -q completion-time || fail "the service-level report does not show the objectives"
+echo "== 6. The whole path on the platform =="
+tests/process/platform_path.py --build build/release
 echo "== The demo is complete; every step gave the right answer. =="
--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -56,7 +56,8 @@
 void addOccurrence(
     const Context &context, const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence, std::vector<Candidate> &candidates)
 {
-    for (std::uint16_t i = 0; i < job.m_spec.m_steps.size(); ++i) {
+    const auto steps = static_cast<std::uint16_t>(job.m_spec.m_steps.size());
+    for (std::uint16_t i = 0; i < steps; ++i) {
         const jobs::StepSpec &spec = job.m_spec.m_steps[i];
         const jobs::StepId id {job.m_spec.m_id, occurrence, i};
         if (journal::isStepDone(job, occurrence, i) || !areDependenciesDone(job, occurrence, spec)) {
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -66,10 +66,12 @@
 std::vector<jobs::RunId> openRuns(const journal::StepRecord &record, const jobs::StepId &step)
 {
     std::vector<jobs::RunId> runs;
-    for (std::uint16_t i = 0; i < record.m_tasks.size(); ++i) {
-        for (const journal::OpenRun &open : record.m_tasks[i].m_open) {
-            runs.push_back({{step, i}, open.m_run});
+    std::uint16_t index = 0;
+    for (const journal::TaskRecord &task : record.m_tasks) {
+        for (const journal::OpenRun &open : task.m_open) {
+            runs.push_back({{step, index}, open.m_run});
         }
+        ++index;
     }
     return runs;
 }
@@ -99,7 +101,7 @@
 std::vector<jobs::RunId> needlessRuns(const Context &context, const journal::JobRecord &job, const journal::StepRecord &record, const jobs::StepId &step)
 {
     std::vector<jobs::RunId> needless;
-    const std::vector<jobs::RunId> open = openRuns(record, step);
+    std::vector<jobs::RunId> open = openRuns(record, step);
     if (stepOf(job, step).m_isGang && record.isDone()) {
         // The members of a gang that is done end by themselves.
         return needless;
@@ -273,11 +275,12 @@
     }
     std::vector<jobs::RunId> needless;
     for (const auto &[number, occurrence] : job->m_occurrences) {
-        for (std::uint16_t i = 0; i < occurrence.m_steps.size(); ++i) {
-            const jobs::StepId step {id, number, i};
-            const std::vector<jobs::RunId> runs = needlessRuns(context, *job, occurrence.m_steps[i], step);
+        jobs::StepId step {id, number, 0};
+        for (const journal::StepRecord &record : occurrence.m_steps) {
+            const std::vector<jobs::RunId> runs = needlessRuns(context, *job, record, step);
             needless.insert(needless.end(), runs.begin(), runs.end());
-            noteIncomplete(context, occurrence.m_steps[i], step);
+            noteIncomplete(context, record, step);
+            ++step.m_step;
         }
     }
     for (const jobs::RunId &run : needless) {
--- a/components/dispatch/step.cpp
+++ b/components/dispatch/step.cpp
@@ -171,10 +171,14 @@
             state.m_active.try_emplace(id, now.m_boot);
         }
         for (const auto &[number, occurrence] : job.m_occurrences) {
-            for (std::uint16_t i = 0; i < occurrence.m_steps.size(); ++i) {
-                for (std::uint16_t k = 0; k < occurrence.m_steps[i].m_tasks.size(); ++k) {
-                    adopt(context, job, {{id, number, i}, k}, occurrence.m_steps[i].m_tasks[k], foreignLeaseUntil);
+            jobs::TaskId task {{id, number, 0}, 0};
+            for (const journal::StepRecord &step : occurrence.m_steps) {
+                task.m_index = 0;
+                for (const journal::TaskRecord &record : step.m_tasks) {
+                    adopt(context, job, task, record, foreignLeaseUntil);
+                    ++task.m_index;
                 }
+                ++task.m_step.m_step;
             }
         }
         context.m_touched.insert(id);
--- a/components/dispatch/upkeep.cpp
+++ b/components/dispatch/upkeep.cpp
@@ -91,6 +91,7 @@
     }
     std::sort(waiting.begin(), waiting.end());
     std::vector<fleet::MachineId> sorted;
+    sorted.reserve(waiting.size());
     for (auto &[runs, machine] : waiting) {
         sorted.push_back(std::move(machine));
     }
@@ -152,9 +153,8 @@
         worker->m_isCordoned = isCordoned;
     }
     const bool isDue = !upkeep.m_isOrderOpen && context.m_now.m_boot >= upkeep.m_nextOrderAt;
-    if (upkeep.m_phase == UpkeepPhase::Emptying && empty(context, upkeep, worker, away) && isDue) {
-        order(context, wave, machine, upkeep);
-    } else if (upkeep.m_phase == UpkeepPhase::Ordered && isDue) {
+    const bool isEmptied = upkeep.m_phase == UpkeepPhase::Emptying && empty(context, upkeep, worker, away);
+    if ((isEmptied || upkeep.m_phase == UpkeepPhase::Ordered) && isDue) {
         order(context, wave, machine, upkeep);
     } else if (upkeep.m_phase == UpkeepPhase::Down) {
         const bool isBack = worker != nullptr && worker->m_registration.m_life.m_born > upkeep.m_bornBefore;
--- a/components/fleet/boot_time.hpp
+++ b/components/fleet/boot_time.hpp
@@ -14,7 +14,8 @@
     using period = Duration::period;
     using duration = Duration;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
+    // Named by the requirements of a clock.
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 };
 
 using BootTime = BootClock::time_point;
--- a/components/journal/ledger.cpp
+++ b/components/journal/ledger.cpp
@@ -105,7 +105,7 @@
     StepRecord &step = occurrence->second.m_steps[id.m_step.m_step];
     const bool isGang = job.m_spec.m_steps[id.m_step.m_step].m_isGang;
     // The members of a gang end together; the end of one stands for all.
-    for (std::uint16_t i = 0; i < step.m_tasks.size(); ++i) {
+    for (std::size_t i = 0; i < step.m_tasks.size(); ++i) {
         if ((isGang || i == id.m_index) && !step.m_tasks[i].m_isDone) {
             step.m_tasks[i].m_isDone = true;
             ++step.m_doneTasks;
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -310,6 +310,7 @@
     figures.m_holdsDuty = holdsDuty();
     figures.m_holderToken = m_journal.m_ledger.m_holder.m_token.m_value;
     figures.m_catalogVersion = m_operators.m_catalog.m_version;
+    figures.m_zonesOut = m_operators.m_zonesOut.size();
     figures.m_catalogAge = ageSince(m_operators.m_asOf);
     figures.m_journalAge = ageSince(m_journal.m_asOf);
     figures.m_journalEnd = m_journal.m_next;
--- a/components/node/event_meter.cpp
+++ b/components/node/event_meter.cpp
@@ -157,6 +157,7 @@
     set("foxtailcross_duty_held", "1 while the instance holds the scheduling duty.", figures.m_holdsDuty);
     set("foxtailcross_duty_token", "Fencing token of the holder that the instance knows.", figures.m_holderToken);
     set("foxtailcross_catalog_version", "Version of the operators' catalog in force.", figures.m_catalogVersion);
+    set("foxtailcross_zones_out", "Availability zones that the operators have taken out.", figures.m_zonesOut);
     set("foxtailcross_catalog_age_ms", "Age of the last confirmation of the catalog; -1 before the first.", figures.m_catalogAge);
     set("foxtailcross_journal_age_ms", "Age of what was read of the journal; -1 before the first read.", figures.m_journalAge);
     set("foxtailcross_journal_end", "Offset of the next record of the journal.", figures.m_journalEnd);
--- a/components/node/figures.hpp
+++ b/components/node/figures.hpp
@@ -15,6 +15,7 @@
     /// Token of the holder that the instance knows.
     std::uint64_t m_holderToken = 0;
     std::uint64_t m_catalogVersion = 0;
+    std::size_t m_zonesOut = 0;
     /// Milliseconds; -1 before the first read.
     std::int64_t m_catalogAge = -1;
     std::int64_t m_journalAge = -1;
--- a/components/node/front_desk.cpp
+++ b/components/node/front_desk.cpp
@@ -352,10 +352,10 @@
                              .add("journal", m_journal.m_next)
                              .add("journal_age_ms", m_journal.m_asOf ? now.m_boot - *m_journal.m_asOf : fleet::Duration(-1));
     if (reply.m_kind == callers::ReplyKind::State) {
-        std::move(line).add("state", jobs::nameOf(reply.m_state));
+        line = std::move(line).add("state", jobs::nameOf(reply.m_state));
     }
     if (!reply.m_reason.empty()) {
-        std::move(line).add("reason", reply.m_reason);
+        line = std::move(line).add("reason", reply.m_reason);
     }
     m_ports.log(line, now);
     m_meter.countAnswer(nameOf(open.m_kind), nameOf(reply.m_kind), now.m_boot - open.m_arrivedAt);
--- /dev/null
+++ b/components/platform_standin/front.hpp
@@ -0,0 +1,20 @@
+#ifndef COMPONENTS_PLATFORM_STANDIN_FRONT_HPP
+#define COMPONENTS_PLATFORM_STANDIN_FRONT_HPP
+
+#include "components/settings/endpoint.hpp"
+
+namespace platform_standin
+{
+
+/// An instance that callers are sent to, and where it tells whether it is ready.
+struct Front
+{
+    settings::Endpoint m_callers;
+    settings::Endpoint m_readiness;
+
+    bool operator==(const Front &) const = default;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/components/platform_standin/settings.hpp
@@ -0,0 +1,47 @@
+#ifndef COMPONENTS_PLATFORM_STANDIN_SETTINGS_HPP
+#define COMPONENTS_PLATFORM_STANDIN_SETTINGS_HPP
+
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/resources.hpp"
+#include "components/platform_standin/front.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace settings
+{
+class Reader;
+}
+
+namespace platform_standin
+{
+
+/// Everything that the stand-in of the platform learns from its settings file.
+struct Settings
+{
+    /// IP number that every port is bound to.
+    std::string m_address = "127.0.0.1";
+    /// Port 0 takes a free port from the kernel, here and below.
+    std::uint16_t m_storePort = 0;
+    /// Where callers connect.
+    std::uint16_t m_ingressPort = 0;
+    std::uint16_t m_controlPort = 0;
+    std::vector<fleet::ZoneId> m_zones;
+    int m_workersPerZone = 4;
+    int m_workersPerRack = 2;
+    fleet::Resources m_workerCapacity {32'000, 64'000, 8};
+    std::vector<Front> m_fronts;
+    /// File with the first catalog, as the operators write it.
+    std::string m_catalogFile;
+
+    bool operator==(const Settings &) const = default;
+};
+
+/// Reads and checks the settings.
+/// @throws settings::SettingsError listing every problem.
+Settings readSettings(settings::Reader &reader);
+
+}
+
+#endif
--- a/components/simulation/store_model.cpp
+++ b/components/simulation/store_model.cpp
@@ -99,6 +99,7 @@
         }
     }
     std::vector<store::KeyedRecord> records;
+    records.reserve(byKey.size());
     for (auto &[key, record] : byKey) {
         records.push_back(std::move(record));
     }
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -399,7 +399,7 @@
     catalog.m_accounts.push_back({fleet::AccountId("account"), {"key"}, 16});
     catalog.m_accounts.push_back({fleet::AccountId("other"), {"other-key"}, 16});
     publish(catalog);
-    m_instances.resize(static_cast<std::size_t>(settings.m_zones * settings.m_instancesPerZone));
+    m_instances.resize(static_cast<std::size_t>(settings.m_zones) * static_cast<std::size_t>(settings.m_instancesPerZone));
     for (int i = 0; i < instanceCount(); ++i) {
         restart(i);
     }
