--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -44,11 +44,12 @@
 
 void beginLife(WorkerState &worker, const workers::Registration &registration)
 {
-    const std::set<jobs::RunId> runs = worker.m_runs;
-    const fleet::Resources booked = worker.m_booked;
+    const WorkerState before = worker;
     worker = WorkerState();
-    worker.m_runs = runs;
-    worker.m_booked = booked;
+    worker.m_runs = before.m_runs;
+    worker.m_booked = before.m_booked;
+    worker.m_servingRuns = before.m_servingRuns;
+    worker.m_fillingRuns = before.m_fillingRuns;
     worker.m_registration = registration;
 }
 
--- a/components/dispatch/rooms.cpp
+++ b/components/dispatch/rooms.cpp
@@ -63,7 +63,9 @@
     const std::string &label = candidate.m_spec->m_requiredLabel;
     const workers::Registration &registration = worker.m_registration;
     const bool isInRack = candidate.m_joinedRack.empty() || candidate.m_joinedRack == registration.m_rack;
-    return isInRack && !candidate.m_refusedBy.contains(registration.m_life) && registration.m_service == candidate.m_queue->m_service
+    // Tasks that fill slow down those that serve beside them by amounts that nobody can foresee.
+    const bool isFree = !candidate.m_spec->m_usesIdleProcessor || worker.m_servingRuns == 0;
+    return isFree && isInRack && !candidate.m_refusedBy.contains(registration.m_life) && registration.m_service == candidate.m_queue->m_service
         && (label.empty() || label == registration.m_kind || label == registration.m_rack.value());
 }
 
--- a/components/dispatch/run_state.hpp
+++ b/components/dispatch/run_state.hpp
@@ -20,6 +20,10 @@
     fleet::Resources m_booked;
     int m_priority = 0;
     fleet::AccountId m_account;
+    /// A lasting task that must keep its response times under a target.
+    bool m_isServing = false;
+    /// A task that takes the processor time that others leave.
+    bool m_isFilling = false;
     RunPhase m_phase = RunPhase::Recording;
     fleet::BootTime m_launchedAt;
 
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -188,6 +188,17 @@
     }
 }
 
+void book(State &state, const jobs::RunId &run, RunState runState)
+{
+    WorkerState &worker = state.m_workers.at(runState.m_on.m_worker);
+    worker.m_booked = worker.m_booked + runState.m_booked;
+    worker.m_servingRuns += runState.m_isServing ? 1 : 0;
+    worker.m_fillingRuns += runState.m_isFilling ? 1 : 0;
+    worker.m_runs.insert(run);
+    state.m_unsettled.insert(run);
+    state.m_runs.emplace(run, std::move(runState));
+}
+
 void launch(Context &context, const jobs::RunId &run, const workers::Life &on, const std::string &ticket)
 {
     const journal::JobRecord &job = context.m_ledger.m_jobs.at(run.m_task.m_step.m_job);
@@ -200,11 +211,9 @@
     state.m_ticket = ticket;
     const journal::TaskRecord *task = journal::findTask(job, run.m_task);
     state.m_checkpoint = task == nullptr ? std::string() : task->m_checkpoint;
-    WorkerState &worker = *findWorker(context, on);
-    worker.m_booked = worker.m_booked + state.m_booked;
-    worker.m_runs.insert(run);
-    context.m_state.m_runs.emplace(run, std::move(state));
-    context.m_state.m_unsettled.insert(run);
+    state.m_isServing = stepOf(job, run.m_task.m_step).m_tailTarget.count() > 0;
+    state.m_isFilling = stepOf(job, run.m_task.m_step).m_usesIdleProcessor;
+    book(context.m_state, run, std::move(state));
     context.m_launched.push_back({run, on});
     journal::Changes changes;
     journal::apply(context.m_ledger, journal::RunsLaunched {{{run, on}}}, changes);
@@ -230,6 +239,8 @@
     if (worker != context.m_state.m_workers.end()) {
         worker->second.m_booked = worker->second.m_booked - found->second.m_booked;
         worker->second.m_runs.erase(run);
+        worker->second.m_servingRuns -= found->second.m_isServing ? 1 : 0;
+        worker->second.m_fillingRuns -= found->second.m_isFilling ? 1 : 0;
         noteHealth(context, worker->second, run.m_task, end);
     }
     context.m_state.m_runs.erase(found);
--- a/components/dispatch/runs.hpp
+++ b/components/dispatch/runs.hpp
@@ -15,8 +15,12 @@
 
 struct Context;
 struct RunState;
+struct State;
 struct WorkerState;
 
+/// Books the run on its worker.
+void book(State &state, const jobs::RunId &run, RunState runState);
+
 /// Books a new run and records its launch.
 void launch(Context &context, const jobs::RunId &run, const workers::Life &on, const std::string &ticket);
 
--- a/components/dispatch/step.cpp
+++ b/components/dispatch/step.cpp
@@ -2,6 +2,7 @@
 
 #include "components/dispatch/advice.hpp"
 #include "components/dispatch/context.hpp"
+#include "components/dispatch/filling.hpp"
 #include "components/dispatch/orders.hpp"
 #include "components/dispatch/plan.hpp"
 #include "components/dispatch/reports.hpp"
@@ -153,10 +154,9 @@
         run.m_startTries = 1;
         // The worker's lists come first: they tell whether a start is needed.
         run.m_nextStartAt = fleet::BootTime::max();
-        worker.m_booked = worker.m_booked + run.m_booked;
-        worker.m_runs.insert({task, open.m_run});
-        context.m_state.m_unsettled.insert({task, open.m_run});
-        context.m_state.m_runs.emplace(jobs::RunId {task, open.m_run}, std::move(run));
+        run.m_isServing = step.m_tailTarget.count() > 0;
+        run.m_isFilling = step.m_usesIdleProcessor;
+        book(context.m_state, {task, open.m_run}, std::move(run));
     }
 }
 
@@ -265,6 +265,7 @@
     endLapsedRuns(context);
     logOverdueRuns(context);
     carryOnWaves(context);
+    separateFilling(context);
     for (const jobs::StepId &gang : std::exchange(state.m_incompleteGangs, {})) {
         context.m_touched.insert(gang.m_job);
     }
--- a/components/dispatch/worker_state.hpp
+++ b/components/dispatch/worker_state.hpp
@@ -46,6 +46,9 @@
     /// Sum of what its open runs need.
     fleet::Resources m_booked;
     std::set<jobs::RunId> m_runs;
+    /// Of these, tasks that must keep their response times, and tasks that take the processor time left over.
+    int m_servingRuns = 0;
+    int m_fillingRuns = 0;
 
     /// The machine goes down soon; no new runs.
     bool m_isCordoned = false;
