--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -49,8 +49,9 @@
 /// An instance that answered within the first time but not within the second may not hear the holder.
 constexpr fleet::Duration knownAlive {10'000};
 constexpr fleet::Duration answerSilence {500};
-/// After losing the duty an instance waits this long before it claims again.
+/// After losing the duty, or a race for it, an instance waits this long before it claims again.
 constexpr fleet::Duration claimPause {3000};
+constexpr fleet::Duration lostClaimPause {300};
 constexpr fleet::Duration listInterval {500};
 /// While the holder is looked for, the journal is read this often.
 constexpr fleet::Duration suspectReadInterval {100};
@@ -124,7 +125,8 @@
 
 void Duty::noteFreedom(fleet::Now now)
 {
-    if (!isDutyFree()) {
+    // Without a catalog nobody may claim; all would claim at once when the first one comes.
+    if (!isDutyFree() || !m_operators.hasCatalog()) {
         m_freeSince.reset();
     } else if (!m_freeSince) {
         m_freeSince = now.m_boot;
@@ -134,7 +136,8 @@
 bool Duty::isHolderSilent(fleet::Now now) const
 {
     if (m_freeSince) {
-        return now.m_boot - *m_freeSince >= claimDelay();
+        // Read since, so that the claim of an instance whose turn came first has been seen.
+        return m_journal.m_asOf && *m_journal.m_asOf >= *m_freeSince + claimDelay();
     }
     if (!m_journal.m_asOf || !isHolderSuspect(now)) {
         return false;
@@ -165,6 +168,10 @@
     }
     const fleet::Duration since = now.m_boot - m_journal.m_lastReadSentAt;
     const bool isSuspect = (isHolderSuspect(now) && since >= suspectReadInterval) || (m_isHolderLeaving && since >= leavingReadInterval);
+    const bool isTurnUnseen = m_freeSince && now.m_boot >= *m_freeSince + claimDelay() && m_journal.m_lastReadSentAt < *m_freeSince + claimDelay();
+    if (m_phase == DutyPhase::Following && isTurnUnseen) {
+        return true;
+    }
     const bool looksForHolder = m_phase == DutyPhase::Following && m_isStarted && isSuspect;
     const bool isAtEnd = m_phase == DutyPhase::Holding || (m_phase == DutyPhase::Following && looksForHolder);
     const bool hasMore = isAtEnd && m_knownEnd > m_journal.m_next;
@@ -269,7 +276,8 @@
 void Duty::stepDown(const std::string &why, fleet::Now now)
 {
     m_ports.log(logging::Line("duty", "end").add("token", m_writer.m_epoch).add("why", why), now);
-    if (m_phase == DutyPhase::Holding) {
+    const bool hasHeld = m_phase == DutyPhase::Holding;
+    if (hasHeld) {
         // The ledger may hold records that were never stored.
         beginAnew(m_journal);
     }
@@ -278,7 +286,7 @@
     m_snapshotWriter = journal::Writer();
     m_state = dispatch::State();
     m_unconfirmed.clear();
-    m_notBefore = now.m_boot + claimPause;
+    m_notBefore = now.m_boot + (hasHeld ? claimPause : lostClaimPause);
     m_holderHeardAt = now.m_boot;
     m_startedAt = now.m_boot;
 }
--- a/components/simulation/holder_test.cpp
+++ b/components/simulation/holder_test.cpp
@@ -188,3 +188,18 @@
     }
     fixture.expectNoViolation();
 }
+
+Test(holder, instancesOfDifferentStrength_aStrongOneHoldsAlsoAfterItsLoss)
+{
+    WorldSettings settings;
+    settings.m_strongInstances = 2;
+    WorldFixture fixture(settings);
+    const int first = fixture.m_world.holder();
+    cr_assert_lt(first, 2);
+    fixture.m_world.kill(first);
+    cr_assert(fixture.hasHolder(1s));
+    cr_assert_eq(fixture.m_world.holder(), 1 - first);
+    // With no strong one left, any will do.
+    fixture.m_world.kill(1 - first);
+    cr_assert(fixture.hasHolder(3s));
+}
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -21,6 +21,9 @@
 constexpr fleet::Duration adviceTimeout {4000};
 constexpr fleet::Duration adviceTime {50};
 constexpr fleet::Duration upkeepTime {2000};
+/// Thousandths of a core.
+constexpr std::uint32_t strongProcessor = 500;
+constexpr std::uint32_t weakProcessor = 120;
 constexpr fleet::Duration listDelay {300};
 const std::string queueHost = "queues.example";
 const std::string queuePath = "/jobs/";
@@ -418,6 +421,7 @@
     settings.m_dispatch.m_leaseLimit = m_fleet.m_leaseLimit;
     settings.m_dispatch.m_gangWait = m_fleet.m_gangWait;
     settings.m_journalRetention = m_settings.m_journalRetention;
+    settings.m_processorPermille = m_settings.m_strongInstances > 0 && instance >= m_settings.m_strongInstances ? weakProcessor : strongProcessor;
     return settings;
 }
 
