The watch on the holder in a file of its own; lines for a lost store and unreadable records

Change: who may claim and when is in holder_watch; store lost and regained, and what cannot be read, have log lines. Behaviour of the duty is the same.

--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -132,8 +132,18 @@
         const bool isHolding = m_duty.phase() == DutyPhase::Holding;
         m_nextFollowAt = now.m_boot + (!isRead ? readRetry : isHolding ? holderReadInterval : followInterval);
     }
+    const store::ReadOutcome outcome = event.m_result.m_outcome;
+    noteStore(outcome == store::ReadOutcome::Read || outcome == store::ReadOutcome::Expired, event.m_result.m_reason, now);
+    const std::uint64_t unreadable = m_journal.m_unreadableRecords;
     journal::Changes changes;
     const bool hasMore = takeJournalRead(m_journal, event.m_result, event.m_sentAt, now.m_boot, changes);
+    if (m_journal.m_unreadableRecords > unreadable) {
+        m_ports.log(logging::Line("journal", "unreadable", logging::Level::Warning)
+                        .add("records", m_journal.m_unreadableRecords - unreadable)
+                        .add("from", event.m_result.m_from)
+                        .add("journal_end", m_journal.m_next),
+                    now);
+    }
     if (event.m_result.m_outcome == store::ReadOutcome::Read) {
         m_duty.onJournalRead(changes, now);
         m_desk.onJournalRead(now);
@@ -156,6 +166,9 @@
     const std::uint64_t version = m_operators.m_catalog.m_version;
     const bool isChanged = takeOperatorsRead(m_operators, event.m_read, event.m_sentAt);
     m_operators.m_nextReadAt = now.m_boot + (event.m_read.m_outcome == store::ReadOutcome::Read ? fleet::Duration(0) : readRetry);
+    for (const std::string &key : event.m_read.m_unreadable) {
+        m_ports.log(logging::Line("catalog", "unreadable", logging::Level::Warning).add("key", key).add("version", version), now);
+    }
     if (isChanged) {
         m_ports.log(logging::Line("catalog", "changed")
                         .add("version", m_operators.m_catalog.m_version)
@@ -211,6 +224,17 @@
     }
 }
 
+void Control::noteStore(bool isAnswered, const std::string &reason, fleet::Now now)
+{
+    if (isAnswered && m_storeLostSince) {
+        m_ports.log(logging::Line("store", "regained").add("lost_ms", now.m_boot - *m_storeLostSince), now);
+        m_storeLostSince.reset();
+    } else if (!isAnswered && !m_storeLostSince) {
+        m_storeLostSince = now.m_boot;
+        m_ports.log(logging::Line("store", "lost", logging::Level::Warning).add("reason", reason).add("journal", m_journal.m_next), now);
+    }
+}
+
 /// Tells the holder that there is more in the journal, so that it need not wait for its next read.
 void Control::tellHolder()
 {
--- a/components/node/control.hpp
+++ b/components/node/control.hpp
@@ -55,6 +55,7 @@
     void take(const WaveReported &event, fleet::Now now);
     void take(const DatagramArrived &event, fleet::Now now);
     void take(const StopRequested &event, fleet::Now now);
+    void noteStore(bool isAnswered, const std::string &reason, fleet::Now now);
     void tellHolder();
     void sendDue(fleet::Now now);
     void sendAppends(fleet::Now now);
@@ -75,6 +76,8 @@
     fleet::BootTime m_nextFollowAt;
     /// End of the journal that the holder was last told of.
     std::uint64_t m_toldEnd = 0;
+    /// Since when the store has left reads of the journal without answers.
+    std::optional<fleet::BootTime> m_storeLostSince;
     bool m_isReady = false;
     std::optional<fleet::BootTime> m_stopRequestedAt;
     fleet::BootTime m_forgotAt;
--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -6,7 +6,6 @@
 #include "components/node/ports.hpp"
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 namespace node
@@ -25,24 +24,6 @@
 constexpr fleet::Duration beatInterval {100};
 /// A holder that resigns says so this often until its last record is stored.
 constexpr fleet::Duration resignInterval {40};
-/// An instance that has not heard the holder for this long looks for it in the journal.
-constexpr fleet::Duration beatSilence {330};
-/// A holder of which the journal shows nothing for this long, and that is not heard, is replaced.
-constexpr fleet::Duration journalSilence {450};
-/// A holder that the store leaves without answers for this long is replaced by an instance that the store answers within
-/// the second time; after the third by any.
-constexpr fleet::Duration storeSilenceLimit {400};
-constexpr fleet::Duration quickAnswer {150};
-constexpr fleet::Duration longStoreSilence {1500};
-/// Instances claim at different times, so that one claim usually suffices.
-constexpr fleet::Duration claimSpread {100};
-/// An instance with less than this part of the processor time of the largest one leaves the duty to others for a while.
-constexpr std::uint32_t preferredPart = 2;
-constexpr fleet::Duration claimDeference {500};
-/// A new holder reads the list and every worker at once and answers late meanwhile. Each change of hands within this time
-/// but the first doubles how long the others wait before they replace it, up to the limit.
-constexpr fleet::Duration recentChange {10'000};
-constexpr int mostPatienceDoublings = 2;
 /// The holder writes to the journal at least this often while an instance does not answer, and otherwise.
 constexpr fleet::Duration aliveInterval {350};
 constexpr fleet::Duration quietAliveInterval {2000};
@@ -53,21 +34,11 @@
 constexpr fleet::Duration claimPause {3000};
 constexpr fleet::Duration lostClaimPause {300};
 constexpr fleet::Duration listInterval {500};
-/// While the holder is looked for, the journal is read this often.
-constexpr fleet::Duration suspectReadInterval {100};
-/// While a holder that resigns is about to say so in the journal.
-constexpr fleet::Duration leavingReadInterval {25};
-
 fleet::Duration snapshotInterval(const Settings &settings)
 {
     return settings.m_journalRetention / snapshotsPerRetention;
 }
 
-fleet::Duration spread(const fleet::InstanceId &instance)
-{
-    return fleet::Duration(static_cast<std::int64_t>(std::hash<std::string>()(instance.value()) % static_cast<std::size_t>(claimSpread.count())));
-}
-
 }
 
 Duty::Duty(const Settings &settings, Ports &ports, const OperatorView &operators, JournalView &journal)
@@ -83,97 +54,14 @@
     return {m_journal.m_ledger, m_operators.m_catalog, m_operators.m_zonesOut, m_operators.m_waves};
 }
 
-/// True where no instance that the journal knows has far more processor time.
-bool Duty::isPreferred() const
-{
-    std::uint32_t most = 0;
-    for (const auto &[id, instance] : m_journal.m_ledger.m_instances) {
-        most = std::max(most, instance.m_processorPermille);
-    }
-    return m_settings.m_processorPermille * preferredPart >= most;
-}
-
-fleet::Duration Duty::claimDelay() const
-{
-    return spread(m_settings.m_instance) + (isPreferred() ? fleet::Duration(0) : claimDeference);
-}
-
-void Duty::noteHolderChange(fleet::Now now)
-{
-    m_holderChanges.push_back(now.m_boot);
-    while (now.m_boot - m_holderChanges.front() >= recentChange) {
-        m_holderChanges.pop_front();
-    }
-}
-
-fleet::Duration Duty::patience(fleet::Duration limit, fleet::Now now) const
-{
-    const auto changes = std::count_if(m_holderChanges.begin(), m_holderChanges.end(), [&](fleet::BootTime at) {
-        return now.m_boot - at < recentChange;
-    });
-    return limit * (1 << std::clamp(static_cast<int>(changes) - 1, 0, mostPatienceDoublings));
-}
-
-/// True where the journal says that nobody holds the duty, or that the holder's process has ended.
-bool Duty::isDutyFree() const
-{
-    const journal::HolderRecord &holder = m_journal.m_ledger.m_holder;
-    const auto instance = m_journal.m_ledger.m_instances.find(holder.m_instance);
-    const bool isReborn = instance != m_journal.m_ledger.m_instances.end() && instance->second.m_incarnation != holder.m_incarnation;
-    return holder.m_token.m_value == 0 || holder.m_hasResigned || isReborn;
-}
-
-void Duty::noteFreedom(fleet::Now now)
-{
-    // Without a catalog nobody may claim; all would claim at once when the first one comes.
-    if (!isDutyFree() || !m_operators.hasCatalog()) {
-        m_freeSince.reset();
-    } else if (!m_freeSince) {
-        m_freeSince = now.m_boot;
-    }
-}
-
-bool Duty::isHolderSilent(fleet::Now now) const
-{
-    if (m_freeSince) {
-        // Read since, so that the claim of an instance whose turn came first has been seen.
-        return m_journal.m_asOf && *m_journal.m_asOf >= *m_freeSince + claimDelay();
-    }
-    if (!m_journal.m_asOf || !isHolderSuspect(now)) {
-        return false;
-    }
-    const fleet::Duration own = claimDelay();
-    if (m_isHolderWithoutStore) {
-        const fleet::Duration silence = *m_journal.m_asOf - m_holderWithoutStoreSince;
-        // Where the store was away from everybody, the holder is back as soon as this instance is.
-        const bool isMineSteady = now.m_boot - m_journal.m_answersSince > storeSilenceLimit;
-        const bool isMineQuick = m_journal.m_readTook < quickAnswer && isMineSteady;
-        return silence > patience(isMineQuick ? storeSilenceLimit : longStoreSilence, now) + own;
-    }
-    // The journal must have been read since, to tell silence from not having looked.
-    const fleet::BootTime seen = std::max({m_journal.m_holderSeenAt, m_holderHeardAt, m_startedAt});
-    return *m_journal.m_asOf - seen > patience(journalSilence, now) + own;
-}
-
-bool Duty::isHolderSuspect(fleet::Now now) const
-{
-    const bool isUnheard = now.m_boot - std::max(m_holderHeardAt, m_startedAt) > beatSilence;
-    return isUnheard || m_isHolderWithoutStore;
-}
-
 bool Duty::wantsRead(fleet::Now now) const
 {
     if (m_journal.m_readsOpen > 0) {
         return false;
     }
-    const fleet::Duration since = now.m_boot - m_journal.m_lastReadSentAt;
-    const bool isSuspect = (isHolderSuspect(now) && since >= suspectReadInterval) || (m_isHolderLeaving && since >= leavingReadInterval);
-    const bool isTurnUnseen = m_freeSince && now.m_boot >= *m_freeSince + claimDelay() && m_journal.m_lastReadSentAt < *m_freeSince + claimDelay();
-    if (m_phase == DutyPhase::Following && isTurnUnseen) {
-        return true;
-    }
-    const bool looksForHolder = m_phase == DutyPhase::Following && m_isStarted && isSuspect;
-    const bool isAtEnd = m_phase == DutyPhase::Holding || (m_phase == DutyPhase::Following && looksForHolder);
+    const bool isFollowing = m_phase == DutyPhase::Following;
+    const bool looksForHolder = isFollowing && m_isStarted && wantsLookAtJournal(m_watch, m_settings, m_journal, now);
+    const bool isAtEnd = m_phase == DutyPhase::Holding || looksForHolder;
     const bool hasMore = isAtEnd && m_knownEnd > m_journal.m_next;
     return looksForHolder || hasMore || m_phase == DutyPhase::Confirming;
 }
@@ -214,11 +102,7 @@
         stepDown("another instance says that it holds the duty", now);
     }
     if (message.m_token.m_value > 0 && message.m_token >= known) {
-        const fleet::Duration silence(message.m_storeSilenceMs);
-        m_isHolderWithoutStore = silence > storeSilenceLimit;
-        m_isHolderLeaving = message.m_isResigning;
-        m_holderWithoutStoreSince = now.m_boot - silence;
-        m_holderHeardAt = now.m_boot;
+        noteMessage(m_watch, message, now);
         m_journal.m_holderNewsFrom = message.m_journalEnd;
     }
     if (message.m_wantsAnswer) {
@@ -241,9 +125,9 @@
                     .add("token", m_writer.m_epoch)
                     .add("holder", m_journal.m_ledger.m_holder.m_instance.value())
                     .add("journal_end", m_journal.m_next)
-                    .add("unheard_ms", now.m_boot - m_holderHeardAt)
+                    .add("unheard_ms", now.m_boot - m_watch.m_heardAt)
                     .add("journal_silent_ms", now.m_boot - m_journal.m_holderSeenAt)
-                    .add("holder_without_store", m_isHolderWithoutStore),
+                    .add("holder_without_store", m_watch.m_isWithoutStore),
                 now);
     m_lastAppendAt = now.m_boot;
 }
@@ -287,8 +171,8 @@
     m_state = dispatch::State();
     m_unconfirmed.clear();
     m_notBefore = now.m_boot + (hasHeld ? claimPause : lostClaimPause);
-    m_holderHeardAt = now.m_boot;
-    m_startedAt = now.m_boot;
+    m_watch.m_heardAt = now.m_boot;
+    m_watch.m_since = now.m_boot;
 }
 
 void Duty::onJournalRead(const journal::Changes &changes, fleet::Now now)
@@ -302,17 +186,10 @@
     }
     if (!m_isStarted) {
         m_isStarted = true;
-        m_startedAt = now.m_boot;
+        m_watch.m_since = now.m_boot;
     }
     if (changes.m_holderChanged) {
-        if (m_journal.m_ledger.m_holder.m_token != m_lastToken) {
-            m_lastToken = m_journal.m_ledger.m_holder.m_token;
-            noteHolderChange(now);
-        }
-        m_isHolderLeaving = false;
-        // What was heard was said by or about another holder.
-        m_holderHeardAt = now.m_boot;
-        m_isHolderWithoutStore = false;
+        noteHolder(m_watch, m_journal.m_ledger.m_holder.m_token, now);
     }
     const journal::HolderRecord &holder = m_journal.m_ledger.m_holder;
     const bool isMine = holder.m_instance == m_settings.m_instance && holder.m_incarnation == m_settings.m_incarnation && !holder.m_hasResigned;
@@ -494,10 +371,9 @@
 
 void Duty::claimIfFree(fleet::Now now)
 {
-    noteFreedom(now);
+    noteFreedom(m_watch, m_journal, m_operators.hasCatalog(), now);
     const bool mayClaim = m_isStarted && !m_isStopping && now.m_boot >= m_notBefore && m_operators.hasCatalog();
-    const bool isUpToDate = m_journal.m_asOf && m_knownEnd <= m_journal.m_next;
-    if (mayClaim && isUpToDate && isHolderSilent(now)) {
+    if (mayClaim && m_knownEnd <= m_journal.m_next && isTurnToClaim(m_watch, m_settings, m_journal, now)) {
         claim(now);
     }
 }
--- a/components/node/duty.hpp
+++ b/components/node/duty.hpp
@@ -8,13 +8,13 @@
 #include "components/fleet/now.hpp"
 #include "components/journal/writer.hpp"
 #include "components/node/events.hpp"
+#include "components/node/holder_watch.hpp"
 #include "components/node/journal_view.hpp"
 #include "components/node/operator_view.hpp"
 #include "components/node/peer_message.hpp"
 #include "components/node/settings.hpp"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 
@@ -78,15 +78,7 @@
 
 private:
     dispatch::Surroundings around() const;
-    bool isPreferred() const;
-    fleet::Duration claimDelay() const;
-    bool isDutyFree() const;
-    void noteFreedom(fleet::Now now);
     void sayResigned(fleet::Now now);
-    void noteHolderChange(fleet::Now now);
-    fleet::Duration patience(fleet::Duration limit, fleet::Now now) const;
-    bool isHolderSilent(fleet::Now now) const;
-    bool isHolderSuspect(fleet::Now now) const;
     void sendBeats(fleet::Now now);
     fleet::Duration storeSilence(fleet::Now now) const;
     void claimIfFree(fleet::Now now);
@@ -112,7 +104,6 @@
     std::optional<std::uint64_t> m_listNext;
     bool m_listReadOpen = false;
     fleet::BootTime m_nextListReadAt;
-    fleet::BootTime m_startedAt;
     fleet::BootTime m_lastAppendAt;
     /// The duty was proved at this time: a call that was sent then showed no other holder.
     fleet::BootTime m_lastStoreContact;
@@ -120,17 +111,7 @@
     /// Holder: when the last messages to the other instances were sent.
     fleet::BootTime m_lastBeatAt;
     bool m_toldSilence = false;
-    /// When the duty changed hands of late.
-    std::deque<fleet::BootTime> m_holderChanges;
-    /// Others: when the holder was last heard, and that the store left it without answers then.
-    fleet::BootTime m_holderHeardAt;
-    bool m_isHolderWithoutStore = false;
-    /// The holder said that it resigns.
-    bool m_isHolderLeaving = false;
-    /// Since when nobody holds the duty, as far as the journal was read.
-    std::optional<fleet::BootTime> m_freeSince;
-    fleet::FencingToken m_lastToken;
-    fleet::BootTime m_holderWithoutStoreSince;
+    HolderWatch m_watch;
     /// End of the journal behind the last record that this instance stored as the holder.
     std::uint64_t m_ownEnd = 0;
     /// The journal is known to reach as far as this.
