--- a/components/platform_standin/store_wire.cpp
+++ b/components/platform_standin/store_wire.cpp
@@ -3,6 +3,7 @@
 #include "components/http/request.hpp"
 #include "components/http/response.hpp"
 #include "components/http/target.hpp"
+#include "platform/big_endian.hpp"
 #include "platform/store_codec.hpp"
 
 #include <boost/beast/core/detail/base64.hpp>
@@ -26,9 +27,6 @@
 constexpr int statusPreconditionFailed = 412;
 constexpr int statusUnavailable = 503;
 constexpr std::string_view keyedPrefix = "keyed.";
-constexpr std::size_t lengthBytes = 4;
-constexpr std::size_t offsetBytes = 8;
-constexpr unsigned bitsPerByte = 8;
 
 std::optional<std::uint64_t> numberAt(const http::Request &request, std::string_view name)
 {
@@ -40,31 +38,14 @@
     return value;
 }
 
-std::uint64_t takeBigEndian(std::string_view &bytes, std::size_t width)
-{
-    std::uint64_t value = 0;
-    for (std::size_t i = 0; i < width; ++i) {
-        value = (value << bitsPerByte) | static_cast<unsigned char>(bytes[i]);
-    }
-    bytes.remove_prefix(width);
-    return value;
-}
-
-void putBigEndian(std::string &bytes, std::uint64_t value, std::size_t width)
-{
-    for (std::size_t i = width; i-- > 0;) {
-        bytes.push_back(static_cast<char>((value >> (i * bitsPerByte)) & 0xffU));
-    }
-}
-
 /// Cuts the body into records; false where it is malformed.
 bool takeRecords(std::string_view bytes, store::AppendCall &call)
 {
     while (!bytes.empty()) {
-        if (bytes.size() < lengthBytes) {
+        if (bytes.size() < platform::lengthBytes) {
             return false;
         }
-        const std::uint64_t length = takeBigEndian(bytes, lengthBytes);
+        const std::uint64_t length = platform::takeBigEndian(bytes, platform::lengthBytes);
         if (bytes.size() < length) {
             return false;
         }
@@ -162,11 +143,11 @@
     }
     http::Response response;
     response.m_contentType = "application/octet-stream";
-    putBigEndian(response.m_body, result.m_end, offsetBytes);
-    putBigEndian(response.m_body, result.m_oldest, offsetBytes);
+    platform::putBigEndian(response.m_body, result.m_end, platform::offsetBytes);
+    platform::putBigEndian(response.m_body, result.m_oldest, platform::offsetBytes);
     for (std::size_t i = 0; i < result.m_records.size(); ++i) {
         const std::string record = call.m_topic.m_isKeyed ? platform::encodeKeyedRecord(keys[call.m_from + i], result.m_records[i]) : result.m_records[i];
-        putBigEndian(response.m_body, record.size(), lengthBytes);
+        platform::putBigEndian(response.m_body, record.size(), platform::lengthBytes);
         response.m_body += record;
     }
     return response;
