A run is described in one place, for a launch and for a takeover

Cause: found on reading the whole change again: the state of a new run and of one taken over were built apart, with the booking rule in a third place; two files had the same look-up of a step; two loops sent a message to all other instances. Change: describeRun, bookingFor and stepOf stand once; tellOthers sends. Behaviour is the same.

--- a/components/dispatch/allowances.cpp
+++ b/components/dispatch/allowances.cpp
@@ -1,6 +1,7 @@
 #include "components/dispatch/allowances.hpp"
 
 #include "components/dispatch/context.hpp"
+#include "components/dispatch/runs.hpp"
 
 namespace dispatch
 {
@@ -11,11 +12,6 @@
 /// Progress of a lasting task that is at work.
 constexpr int wholePercent = 100;
 
-const jobs::StepSpec &stepOf(const Context &context, const jobs::StepId &step)
-{
-    return context.m_ledger.m_jobs.at(step.m_job).m_spec.m_steps[step.m_step];
-}
-
 /// Tasks of the step that are not at work, or are being stopped.
 std::int32_t countAway(const Context &context, const jobs::StepId &step)
 {
--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -4,6 +4,7 @@
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/guarantees.hpp"
 #include "components/dispatch/objectives.hpp"
+#include "components/dispatch/runs.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -67,15 +68,13 @@
         if (tasks.empty()) {
             continue;
         }
-        fleet::Resources perTask = spec.m_perTask;
-        perTask.m_milliCores = spec.m_usesIdleProcessor ? 0 : perTask.m_milliCores;
         Candidate candidate;
         candidate.m_step = id;
         candidate.m_spec = &spec;
         candidate.m_queue = &queue;
         candidate.m_account = job.m_spec.m_account;
         candidate.m_wantsOneRack = spec.m_isGang && spec.m_wantsOneRack;
-        candidate.m_perTask = perTask;
+        candidate.m_perTask = bookingFor(spec);
         candidate.m_objective = objectiveOf(job, queue, occurrence);
         candidate.m_tasks = std::move(tasks);
         if (queue.m_advice) {
--- a/components/dispatch/evictions.cpp
+++ b/components/dispatch/evictions.cpp
@@ -5,6 +5,7 @@
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/guarantees.hpp"
 #include "components/dispatch/rooms.hpp"
+#include "components/dispatch/runs.hpp"
 #include "components/dispatch/victim.hpp"
 
 #include <algorithm>
@@ -26,11 +27,6 @@
 constexpr fleet::Duration restoreTime {600};
 constexpr fleet::Duration startOverhead {50};
 
-const jobs::StepSpec &stepOf(const Context &context, const jobs::StepId &step)
-{
-    return context.m_ledger.m_jobs.at(step.m_job).m_spec.m_steps[step.m_step];
-}
-
 /// What was worked out already for the candidate.
 struct Known
 {
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -31,15 +31,6 @@
     return queue == nullptr ? 0 : queue->m_priority;
 }
 
-fleet::Resources bookingFor(const jobs::StepSpec &step)
-{
-    fleet::Resources booking = step.m_perTask;
-    if (step.m_usesIdleProcessor) {
-        booking.m_milliCores = 0;
-    }
-    return booking;
-}
-
 fleet::Duration ranFor(const RunState &run, fleet::BootTime now)
 {
     return run.m_phase == RunPhase::Running ? now - run.m_startedAt : fleet::Duration(0);
@@ -188,6 +179,34 @@
     }
 }
 
+const jobs::StepSpec &stepOf(const Context &context, const jobs::StepId &step)
+{
+    return stepOf(context.m_ledger.m_jobs.at(step.m_job), step);
+}
+
+fleet::Resources bookingFor(const jobs::StepSpec &step)
+{
+    fleet::Resources booking = step.m_perTask;
+    if (step.m_usesIdleProcessor) {
+        booking.m_milliCores = 0;
+    }
+    return booking;
+}
+
+RunState describeRun(const Context &context, const journal::JobRecord &job, std::uint16_t stepNumber, const workers::Life &on)
+{
+    const jobs::StepSpec &step = job.m_spec.m_steps[stepNumber];
+    RunState run;
+    run.m_on = on;
+    run.m_booked = bookingFor(step);
+    run.m_priority = priorityOf(context, job);
+    run.m_account = job.m_spec.m_account;
+    run.m_isServing = step.m_tailTarget.count() > 0;
+    run.m_isFilling = step.m_usesIdleProcessor;
+    run.m_launchedAt = context.m_now.m_boot;
+    return run;
+}
+
 void book(State &state, const jobs::RunId &run, RunState runState)
 {
     WorkerState &worker = state.m_workers.at(runState.m_on.m_worker);
@@ -202,17 +221,10 @@
 void launch(Context &context, const jobs::RunId &run, const workers::Life &on, const std::string &ticket)
 {
     const journal::JobRecord &job = context.m_ledger.m_jobs.at(run.m_task.m_step.m_job);
-    RunState state;
-    state.m_on = on;
-    state.m_booked = bookingFor(stepOf(job, run.m_task.m_step));
-    state.m_priority = priorityOf(context, job);
-    state.m_account = job.m_spec.m_account;
-    state.m_launchedAt = context.m_now.m_boot;
+    RunState state = describeRun(context, job, run.m_task.m_step.m_step, on);
     state.m_ticket = ticket;
     const journal::TaskRecord *task = journal::findTask(job, run.m_task);
     state.m_checkpoint = task == nullptr ? std::string() : task->m_checkpoint;
-    state.m_isServing = stepOf(job, run.m_task.m_step).m_tailTarget.count() > 0;
-    state.m_isFilling = stepOf(job, run.m_task.m_step).m_usesIdleProcessor;
     book(context.m_state, run, std::move(state));
     context.m_launched.push_back({run, on});
     journal::Changes changes;
--- a/components/dispatch/runs.hpp
+++ b/components/dispatch/runs.hpp
@@ -10,6 +10,22 @@
 #include <optional>
 #include <string>
 
+namespace fleet
+{
+struct Resources;
+}
+
+namespace jobs
+{
+struct StepId;
+struct StepSpec;
+}
+
+namespace journal
+{
+struct JobRecord;
+}
+
 namespace dispatch
 {
 
@@ -18,6 +34,15 @@
 struct State;
 struct WorkerState;
 
+/// The step as it was handed in.
+const jobs::StepSpec &stepOf(const Context &context, const jobs::StepId &step);
+
+/// What one task of the step takes of its worker's room.
+fleet::Resources bookingFor(const jobs::StepSpec &step);
+
+/// What the journal and the catalog say of a new run or one that is taken over.
+RunState describeRun(const Context &context, const journal::JobRecord &job, std::uint16_t stepNumber, const workers::Life &on);
+
 /// Books the run on its worker.
 void book(State &state, const jobs::RunId &run, RunState runState);
 
--- a/components/dispatch/step.cpp
+++ b/components/dispatch/step.cpp
@@ -136,26 +136,16 @@
 {
     for (const journal::OpenRun &open : record.m_open) {
         WorkerState &worker = context.m_state.m_workers[open.m_on.m_worker];
-        const jobs::StepSpec &step = job.m_spec.m_steps[task.m_step.m_step];
         worker.m_registration.m_life = open.m_on;
         worker.m_foreignLeaseUntil = foreignLeaseUntil;
-        RunState run;
-        run.m_on = open.m_on;
-        run.m_booked = step.m_perTask;
-        run.m_booked.m_milliCores = step.m_usesIdleProcessor ? 0 : run.m_booked.m_milliCores;
-        const catalog::Queue *queue = catalog::findQueue(context.m_catalog, job.m_spec.m_queue);
-        run.m_priority = queue == nullptr ? 0 : queue->m_priority;
-        run.m_account = job.m_spec.m_account;
+        RunState run = describeRun(context, job, task.m_step.m_step, open.m_on);
         run.m_phase = RunPhase::Starting;
-        run.m_launchedAt = context.m_now.m_boot;
         run.m_checkpoint = record.m_checkpoint;
         // The holder before may have sent an order that is still on its way.
         run.m_isUncertain = true;
         run.m_startTries = 1;
         // The worker's lists come first: they tell whether a start is needed.
         run.m_nextStartAt = fleet::BootTime::max();
-        run.m_isServing = step.m_tailTarget.count() > 0;
-        run.m_isFilling = step.m_usesIdleProcessor;
         book(context.m_state, {task, open.m_run}, std::move(run));
     }
 }
--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -71,6 +71,15 @@
     return now.m_boot - std::max(m_appendAnsweredAt, m_journal.m_answeredAt);
 }
 
+void Duty::tellOthers(const PeerMessage &message)
+{
+    for (const auto &[id, instance] : m_journal.m_ledger.m_instances) {
+        if (id != m_settings.m_instance) {
+            m_ports.sendDatagram(instance.m_peerAddress, sealPeerMessage(message, instance.m_peerKey));
+        }
+    }
+}
+
 void Duty::sendBeats(fleet::Now now)
 {
     const bool isNews = storeSilence(now) > storeSilenceLimit && !m_toldSilence;
@@ -81,11 +90,7 @@
     m_lastBeatAt = now.m_boot;
     PeerMessage message {m_settings.m_instance, m_settings.m_incarnation, m_state.m_token, std::max(m_journal.m_next, m_ownEnd), 0, false, true};
     message.m_storeSilenceMs = static_cast<std::uint32_t>(storeSilence(now).count());
-    for (const auto &[id, instance] : m_journal.m_ledger.m_instances) {
-        if (id != m_settings.m_instance) {
-            m_ports.sendDatagram(instance.m_peerAddress, sealPeerMessage(message, instance.m_peerKey));
-        }
-    }
+    tellOthers(message);
 }
 
 void Duty::noteJournalEnd(std::uint64_t end)
@@ -448,11 +453,7 @@
     }
     m_lastBeatAt = now.m_boot;
     const PeerMessage message {m_settings.m_instance, m_settings.m_incarnation, {m_writer.m_epoch}, m_ownEnd, 0, true, false};
-    for (const auto &[id, instance] : m_journal.m_ledger.m_instances) {
-        if (id != m_settings.m_instance) {
-            m_ports.sendDatagram(instance.m_peerAddress, sealPeerMessage(message, instance.m_peerKey));
-        }
-    }
+    tellOthers(message);
 }
 
 void Duty::send(dispatch::Outbox &&outbox, fleet::Now now)
--- a/components/node/duty.hpp
+++ b/components/node/duty.hpp
@@ -79,6 +79,7 @@
 private:
     dispatch::Surroundings around() const;
     void sayResigned(fleet::Now now);
+    void tellOthers(const PeerMessage &message);
     void sendBeats(fleet::Now now);
     fleet::Duration storeSilence(fleet::Now now) const;
     void claimIfFree(fleet::Now now);
