No runs for the workers of a zone that is cut off; the holder shows signs of life sooner

Cause: while a zone is partitioned, the holder learned of each worker there by a start without an answer (0.6 s), and the gang of that start had to wait for the lease to lapse (3 s) before it began elsewhere. Idle workers are never looked at, so a whole zone of them looked usable. Change: the holder notes zones of which no instance answers its beats for 350 ms; if no worker of the zone answered for 250 ms either, the zone gets no new runs, and one idle worker is asked every 200 ms. Tests: worker/zonePartitioned_itsIdleWorkersGetNoNewRuns and holder/zonePartitionedThatReachesTheStore_keepsTheDuty failed before; worker/instancesOfAZoneGone_itsWorkersAreUsedAllTheSame holds the other side.

--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -67,7 +67,7 @@
     const bool hasEndsToForget = worker.m_endsStored > worker.m_endsForgotten;
     // A worker that did not answer gets new runs again once it answers a look.
     const bool isSilent = worker.m_silences > 0 && worker.m_isListed;
-    if (hasEndsToForget || isSilent) {
+    if (hasEndsToForget || isSilent || worker.m_isProbeDue) {
         return true;
     }
     return std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
@@ -98,6 +98,7 @@
     if (order.m_leaseUntilMs) {
         worker.m_promisedUntilMs = std::max(worker.m_promisedUntilMs, *order.m_leaseUntilMs);
     }
+    worker.m_isProbeDue = false;
     worker.m_lookInFlight = true;
     worker.m_lookSentAt = context.m_now.m_boot;
     worker.m_nextLookAt = context.m_now.m_boot;
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -27,9 +27,11 @@
     worker.m_avoidUntil = std::max(worker.m_avoidUntil, until);
 }
 
-void noteAnswer(WorkerState &worker, std::optional<std::int64_t> clockMs, fleet::BootTime now)
+void noteAnswer(Context &context, WorkerState &worker, std::optional<std::int64_t> clockMs)
 {
+    const fleet::BootTime now = context.m_now.m_boot;
     worker.m_lastAnswerAt = now;
+    context.m_state.m_zoneAnsweredAt[worker.m_registration.m_zone] = now;
     worker.m_silences = 0;
     if (clockMs) {
         noteClock(worker, *clockMs, now);
@@ -270,7 +272,7 @@
         registration.m_life.m_born = *result.m_born;
         moveToNewLife(context, *worker, registration);
     }
-    noteAnswer(*worker, result.m_clockMs, now);
+    noteAnswer(context, *worker, result.m_clockMs);
     if (!worker->m_isFenced) {
         // What the holder before granted is at most one lease from now.
         worker->m_promisedUntilMs = std::max(worker->m_promisedUntilMs, result.m_clockMs + context.m_state.m_settings.m_leaseLimit.count());
@@ -306,7 +308,7 @@
         }
         return;
     }
-    noteAnswer(*worker, result.m_clockMs, now);
+    noteAnswer(context, *worker, result.m_clockMs);
     switch (result.m_outcome) {
     case workers::OrderOutcome::Done:
         if (run->m_phase == RunPhase::Starting) {
@@ -357,7 +359,7 @@
         noteSilence(*worker, context.m_now.m_boot);
         return;
     }
-    noteAnswer(*worker, result.m_clockMs, context.m_now.m_boot);
+    noteAnswer(context, *worker, result.m_clockMs);
     if (result.m_outcome == workers::OrderOutcome::Fenced) {
         context.m_out.m_isFenced = true;
     } else if (result.m_outcome == workers::OrderOutcome::OtherLife) {
--- a/components/dispatch/rooms.cpp
+++ b/components/dispatch/rooms.cpp
@@ -3,6 +3,7 @@
 #include "components/dispatch/candidate.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/guarantees.hpp"
+#include "components/dispatch/zone_cuts.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -34,7 +35,7 @@
 {
     const fleet::BootTime now = context.m_now.m_boot;
     return worker.m_isListed && !worker.m_isCordoned && !worker.m_registration.m_isDraining && now >= worker.m_avoidUntil && worker.m_silences < silencesToAvoid
-        && !context.m_zonesOut.contains(worker.m_registration.m_zone);
+        && !context.m_zonesOut.contains(worker.m_registration.m_zone) && !isCutOff(context, worker.m_registration.m_zone);
 }
 
 std::vector<Hold> findHolds(const Context &context, const fleet::WorkerId &worker)
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -26,6 +26,10 @@
     fleet::FencingToken m_token;
     std::map<fleet::WorkerId, WorkerState> m_workers;
     std::map<jobs::RunId, RunState> m_runs;
+    /// Availability zones of which no instance answers this one, and when the zones' workers last answered.
+    std::set<fleet::ZoneId> m_unheardZones;
+    std::map<fleet::ZoneId, fleet::BootTime> m_zoneAnsweredAt;
+    std::map<fleet::ZoneId, fleet::BootTime> m_zoneProbedAt;
     /// When the list of workers was first read by this holder.
     std::optional<fleet::BootTime> m_firstListAt;
     /// Runs that have not begun or are to be stopped: those that orders may be due for.
--- a/components/dispatch/step.cpp
+++ b/components/dispatch/step.cpp
@@ -8,6 +8,7 @@
 #include "components/dispatch/reports.hpp"
 #include "components/dispatch/runs.hpp"
 #include "components/dispatch/upkeep.hpp"
+#include "components/dispatch/zone_cuts.hpp"
 #include "components/journal/ledger.hpp"
 
 #include <algorithm>
@@ -249,9 +250,11 @@
     return finish(context);
 }
 
-Outbox onTick(State &state, const Surroundings &around, fleet::Now now)
+Outbox onTick(State &state, const Surroundings &around, const std::set<fleet::ZoneId> &unheardZones, fleet::Now now)
 {
     Context context = makeContext(state, around, now);
+    takeUnheardZones(context, unheardZones);
+    probeUnheardZones(context);
     endLapsedRuns(context);
     logOverdueRuns(context);
     carryOnWaves(context);
--- a/components/dispatch/step.hpp
+++ b/components/dispatch/step.hpp
@@ -11,6 +11,7 @@
 #include "components/workers/look_result.hpp"
 #include "components/workers/order_result.hpp"
 
+#include <set>
 #include <vector>
 
 namespace dispatch
@@ -52,7 +53,7 @@
 Outbox onWaveReported(State &state, const Surroundings &around, const machines::WaveReport &report, bool isStored, fleet::Now now);
 
 /// Time passed: leases, retries and due occurrences.
-Outbox onTick(State &state, const Surroundings &around, fleet::Now now);
+Outbox onTick(State &state, const Surroundings &around, const std::set<fleet::ZoneId> &unheardZones, fleet::Now now);
 
 /// Plans and gives the orders that are due. Called once for all events that were waiting, since a plan costs the same for
 /// one event as for many.
--- a/components/dispatch/worker_state.hpp
+++ b/components/dispatch/worker_state.hpp
@@ -33,6 +33,8 @@
     fleet::BootTime m_lookSentAt;
     fleet::BootTime m_nextLookAt;
     fleet::BootTime m_lastAnswerAt;
+    /// Asked without a reason of its own, to find out whether its zone is within reach.
+    bool m_isProbeDue = false;
     /// Orders and looks without an answer since the last answer.
     int m_silences = 0;
     /// The worker answered to this holder's token.
--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -29,7 +29,9 @@
 constexpr fleet::Duration quietAliveInterval {2000};
 /// An instance that answered within the first time but not within the second may not hear the holder.
 constexpr fleet::Duration knownAlive {10'000};
-constexpr fleet::Duration answerSilence {500};
+constexpr fleet::Duration answerSilence {200};
+/// Beats without an answer from any instance of a zone before the zone may be cut off: three and their way.
+constexpr fleet::Duration zoneSilence {350};
 /// After losing the duty, or a race for it, an instance waits this long before it claims again.
 constexpr fleet::Duration claimPause {3000};
 constexpr fleet::Duration lostClaimPause {300};
@@ -140,6 +142,7 @@
 void Duty::begin(fleet::Now now)
 {
     m_phase = DutyPhase::Holding;
+    m_heldSince = now.m_boot;
     m_lastStoreContact = now.m_boot;
     m_state = dispatch::State();
     m_state.m_settings = m_settings.m_dispatch;
@@ -399,7 +402,7 @@
     // A read that shows no newer claim proves the duty as well as an append does.
     m_lastStoreContact = std::max(m_lastStoreContact, m_journal.m_asOf.value_or(m_lastStoreContact));
     m_state.m_mayRenew = now.m_boot - m_lastStoreContact < m_settings.m_dispatch.m_holderAuthority;
-    send(dispatch::onTick(m_state, around(), now), now);
+    send(dispatch::onTick(m_state, around(), unheardZones(now), now), now);
     if (m_phase == DutyPhase::Holding) {
         sendBeats(now);
         writeSnapshotIfDue(now);
@@ -445,6 +448,22 @@
     m_isStopping = true;
 }
 
+/// Zones other than this one with instances of which none has answered lately.
+std::set<fleet::ZoneId> Duty::unheardZones(fleet::Now now) const
+{
+    std::set<fleet::ZoneId> unheard;
+    std::set<fleet::ZoneId> heard {m_settings.m_zone};
+    for (const auto &[id, instance] : m_journal.m_ledger.m_instances) {
+        const auto answered = m_answeredAt.find(id);
+        const fleet::BootTime since = answered == m_answeredAt.end() ? m_heldSince : std::max(m_heldSince, answered->second);
+        (now.m_boot - since < zoneSilence ? heard : unheard).insert(instance.m_zone);
+    }
+    std::erase_if(unheard, [&](const fleet::ZoneId &zone) {
+        return heard.contains(zone);
+    });
+    return unheard;
+}
+
 /// The others look for the resignation in the journal at once.
 void Duty::sayResigned(fleet::Now now)
 {
--- a/components/node/duty.hpp
+++ b/components/node/duty.hpp
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace node
 {
@@ -82,6 +83,7 @@
     void tellOthers(const PeerMessage &message);
     void sendBeats(fleet::Now now);
     fleet::Duration storeSilence(fleet::Now now) const;
+    std::set<fleet::ZoneId> unheardZones(fleet::Now now) const;
     void claimIfFree(fleet::Now now);
     void claim(fleet::Now now);
     void begin(fleet::Now now);
@@ -105,6 +107,7 @@
     std::optional<std::uint64_t> m_listNext;
     bool m_listReadOpen = false;
     fleet::BootTime m_nextListReadAt;
+    fleet::BootTime m_heldSince;
     fleet::BootTime m_lastAppendAt;
     /// The duty was proved at this time: a call that was sent then showed no other holder.
     fleet::BootTime m_lastStoreContact;
--- a/components/simulation/faults.hpp
+++ b/components/simulation/faults.hpp
@@ -24,6 +24,8 @@
     fleet::Duration m_storeDelay {4};
     /// Workers that no instance reaches.
     std::set<fleet::WorkerId> m_cutWorkers;
+    /// Zones partitioned from the others: no datagrams and no calls to workers pass their borders.
+    std::set<fleet::ZoneId> m_cutZones;
     /// Share of orders that are not answered and carried out seconds later.
     double m_lateOrders = 0;
     /// The advice service does not answer.
--- a/components/simulation/holder_test.cpp
+++ b/components/simulation/holder_test.cpp
@@ -203,3 +203,20 @@
     fixture.m_world.kill(1 - first);
     cr_assert(fixture.hasHolder(3s));
 }
+
+Test(holder, zonePartitionedThatReachesTheStore_keepsTheDuty)
+{
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        WorldSettings settings;
+        settings.m_seed = seed;
+        WorldFixture fixture(settings);
+        const int before = fixture.m_world.holder();
+        fixture.m_world.run(fleet::Duration(13 * seed));
+        const int zones = settings.m_zones;
+        const int cut = (before / settings.m_instancesPerZone + 1) % zones;
+        fixture.m_world.m_faults.m_cutZones.insert(fixture.m_world.zoneOf(cut * settings.m_instancesPerZone));
+        fixture.m_world.run(6s);
+        cr_assert_eq(fixture.m_world.holder(), before, "seed %u", seed);
+        cr_assert_eq(fixture.m_world.m_logged["duty/hold"], 1, "seed %u", seed);
+    }
+}
--- a/components/simulation/workers_test.cpp
+++ b/components/simulation/workers_test.cpp
@@ -182,3 +182,43 @@
     cr_assert(fixture.completes(job, 5s));
     fixture.expectNoViolation();
 }
+
+Test(worker, zonePartitioned_itsIdleWorkersGetNoNewRuns)
+{
+    WorldFixture fixture;
+    fixture.m_world.m_faults.m_cutZones.insert(fixture.otherZone());
+    fixture.m_world.run(1s);
+    // The other two zones have eight workers of eight accelerators.
+    std::vector<jobs::JobId> gangs(4);
+    for (jobs::JobId &gang : gangs) {
+        fixture.submitThrough(fixture.m_world.holder(), gangOf(2, 8), {500ms}, 0, gang);
+    }
+    fixture.m_world.run(1500ms);
+    for (const jobs::JobId &gang : gangs) {
+        cr_assert_eq(fixture.m_world.stateOf(fixture.m_world.holder(), gang), jobs::JobState::Completed);
+        cr_assert_eq(fixture.runsOf(gang), 2);
+    }
+    fixture.expectNoViolation();
+}
+
+Test(worker, instancesOfAZoneGone_itsWorkersAreUsedAllTheSame)
+{
+    WorldFixture fixture;
+    const int holder = fixture.m_world.holder();
+    const fleet::ZoneId gone = fixture.otherZone();
+    for (int instance = 0; instance < fixture.m_world.instanceCount(); ++instance) {
+        if (fixture.m_world.zoneOf(instance) == gone) {
+            fixture.m_world.kill(instance);
+        }
+    }
+    fixture.m_world.run(1s);
+    std::vector<jobs::JobId> gangs(6);
+    for (jobs::JobId &gang : gangs) {
+        fixture.submitThrough(holder, gangOf(2, 8), {500ms}, 0, gang);
+    }
+    fixture.m_world.run(1500ms);
+    for (const jobs::JobId &gang : gangs) {
+        cr_assert_eq(fixture.m_world.stateOf(holder, gang), jobs::JobState::Completed);
+    }
+    fixture.expectNoViolation();
+}
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -34,6 +34,11 @@
     return faults.m_store != StoreMode::Silent && !faults.m_cutFromStore.contains(instance);
 }
 
+bool isPartitioned(const Faults &faults, const fleet::ZoneId &a, const fleet::ZoneId &b)
+{
+    return a != b && (faults.m_cutZones.contains(a) || faults.m_cutZones.contains(b));
+}
+
 bool isRefused(const Faults &faults, int instance)
 {
     return faults.m_store == StoreMode::Busy || faults.m_refusedByStore.contains(instance);
@@ -160,7 +165,7 @@
 
     void look(const workers::LookOrder &order, fleet::BootTime now) override
     {
-        if (!isReachable(order.m_on.m_worker)) {
+        if (!isReachable(m_world, m_instance, order.m_on.m_worker)) {
             answer(orderTimeout + order.m_wait, node::LookEnded {order, now, {}});
             return;
         }
@@ -201,10 +206,10 @@
 
     void sendDatagram(const std::string &address, std::string bytes) override
     {
-        if (m_world.chance() < m_world.m_faults.m_lostDatagrams) {
+        const int target = std::stoi(address);
+        if (m_world.chance() < m_world.m_faults.m_lostDatagrams || isPartitioned(m_world.m_faults, m_world.zoneOf(m_instance), m_world.zoneOf(target))) {
             return;
         }
-        const int target = std::stoi(address);
         m_world.after(way, [world = &m_world, target, bytes = std::move(bytes)] {
             world->deliver(target, world->m_instances[static_cast<std::size_t>(target)].m_life, node::DatagramArrived {bytes});
         });
@@ -260,7 +265,7 @@
             });
             return;
         }
-        if (world.m_faults.m_cutWorkers.contains(order.m_on.m_worker)) {
+        if (!isReachable(world, instance, order.m_on.m_worker)) {
             world.after(orderTimeout, [&world, instance, life, order, sentAt] {
                 world.deliver(instance, life, node::LookEnded {order, sentAt, {}});
             });
@@ -272,10 +277,11 @@
         });
     }
 
-    bool isReachable(const fleet::WorkerId &worker) const
+    static bool isReachable(const World &world, int instance, const fleet::WorkerId &worker)
     {
-        const auto found = m_world.m_fleet.m_workers.find(worker);
-        return found != m_world.m_fleet.m_workers.end() && found->second.m_isUp && !m_world.m_faults.m_cutWorkers.contains(worker);
+        const auto found = world.m_fleet.m_workers.find(worker);
+        return found != world.m_fleet.m_workers.end() && found->second.m_isUp && !world.m_faults.m_cutWorkers.contains(worker)
+            && !isPartitioned(world.m_faults, world.zoneOf(instance), found->second.m_registration.m_zone);
     }
 
     void answer(fleet::Duration delay, const node::Event &event)
@@ -325,7 +331,7 @@
     template<class Order, class CarryOut>
     void toWorker(const Order &order, CarryOut carryOut)
     {
-        if (!isReachable(order.m_on.m_worker)) {
+        if (!isReachable(m_world, m_instance, order.m_on.m_worker)) {
             answer(orderTimeout, ended(order, {}));
             return;
         }
@@ -410,12 +416,17 @@
 
 World::~World() = default;
 
+fleet::ZoneId World::zoneOf(int instance) const
+{
+    return fleet::ZoneId("z" + std::to_string(instance / m_settings.m_instancesPerZone));
+}
+
 node::Settings World::settingsOf(int instance)
 {
     node::Settings settings;
     settings.m_instance = fleet::InstanceId("i" + std::to_string(instance));
     settings.m_incarnation.m_value = (static_cast<std::uint64_t>(m_random()) << 32U) | m_random();
-    settings.m_zone = fleet::ZoneId("z" + std::to_string(instance / m_settings.m_instancesPerZone));
+    settings.m_zone = zoneOf(instance);
     settings.m_peerAddress = std::to_string(instance);
     settings.m_peerKey = "key-of-" + std::to_string(settings.m_incarnation.m_value);
     settings.m_dispatch.m_leaseLimit = m_fleet.m_leaseLimit;
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -69,6 +69,7 @@
     /// The instance that holds the scheduling duty; -1 where none does.
     int holder() const;
     int instanceCount() const;
+    fleet::ZoneId zoneOf(int instance) const;
     bool isReady(int instance) const;
 
     // Workers.
--- a/components/simulation/world_fixture_test.cpp
+++ b/components/simulation/world_fixture_test.cpp
@@ -57,6 +57,12 @@
     return id;
 }
 
+fleet::ZoneId WorldFixture::otherZone() const
+{
+    const fleet::ZoneId last = m_world.zoneOf(m_world.instanceCount() - 1);
+    return m_world.zoneOf(m_world.holder()) == last ? m_world.zoneOf(0) : last;
+}
+
 bool WorldFixture::completes(jobs::JobId job, fleet::Duration limit)
 {
     const fleet::BootTime end = m_world.now() + limit;
--- a/components/simulation/world_fixture_test.hpp
+++ b/components/simulation/world_fixture_test.hpp
@@ -26,6 +26,8 @@
     /// A worker that runs a task of the job.
     fleet::WorkerId workerOf(jobs::JobId job) const;
     int otherThanHolder() const;
+    /// A zone that the holder is not in.
+    fleet::ZoneId otherZone() const;
     bool hasHolder(fleet::Duration limit);
     void expectNoViolation() const;
 
