Retries go to workers that started others soundly of late; single runs on a worker after a failure

Ruled out: workers that fail by the job's own fault (hopeless jobs fail after some progress, these at once). Change: a failure within 150 ms of the start always counts against the worker; a step that failed goes to workers with a sound start within 0.5, 1 or 2 s where these have room, also when room is made for it, and not to those where it failed; after its pause a worker gets one run, of no gang, until one lives past its first moments, for 3 s at most. Tests: dispatch/placing_test.cpp, five, none of which could pass before.

--- a/components/dispatch/advice.cpp
+++ b/components/dispatch/advice.cpp
@@ -63,7 +63,7 @@
     for (const Room &room : rooms) {
         const workers::Life &life = room.m_worker->m_registration.m_life;
         if (isSuitable(candidate, *room.m_worker) && isWorthAsking(advice, life, context.m_now.m_boot)) {
-            asked.emplace_back(slotsOn(candidate, *room.m_worker, freeFor(candidate, room)), life.m_worker);
+            asked.emplace_back(slotsOn(candidate, room, freeFor(candidate, room)), life.m_worker);
         }
     }
     if (asked.empty()) {
--- a/components/dispatch/candidate.hpp
+++ b/components/dispatch/candidate.hpp
@@ -46,6 +46,9 @@
     /// Joining: the rack of the others where the step wants one rack, and the workers that refused the run.
     fleet::RackId m_joinedRack;
     std::set<workers::Life> m_refusedBy;
+    /// A run of the step has failed, and the workers where that was lately.
+    bool m_hasFailed = false;
+    std::set<fleet::WorkerId> m_failedOn;
     fleet::Resources m_perTask;
     /// Tickets of the workers that may run the step, where only an advice service knows them.
     std::optional<std::map<fleet::WorkerId, std::string>> m_tickets;
--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -15,6 +15,9 @@
 namespace
 {
 
+/// A step keeps away this long from a worker where it failed.
+constexpr fleet::Duration failureMemory {8000};
+
 /// Tasks of the step that are neither done nor running; for a gang all of them, or those that can join the others.
 std::vector<std::uint16_t> startableTasks(const jobs::StepSpec &spec, const journal::StepRecord *record)
 {
@@ -54,6 +57,20 @@
     }
 }
 
+void noteFailures(const Context &context, Candidate &candidate)
+{
+    const auto failures = context.m_state.m_failures.find(candidate.m_step);
+    if (failures == context.m_state.m_failures.end()) {
+        return;
+    }
+    candidate.m_hasFailed = true;
+    for (const auto &[worker, at] : failures->second) {
+        if (context.m_now.m_boot - at < failureMemory) {
+            candidate.m_failedOn.insert(worker);
+        }
+    }
+}
+
 void addOccurrence(
     const Context &context, const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence, std::vector<Candidate> &candidates)
 {
@@ -77,6 +94,7 @@
         candidate.m_perTask = bookingFor(spec);
         candidate.m_objective = objectiveOf(job, queue, occurrence);
         candidate.m_tasks = std::move(tasks);
+        noteFailures(context, candidate);
         if (queue.m_advice) {
             candidate.m_tickets = usableTickets(context, id);
         }
--- a/components/dispatch/evictions.cpp
+++ b/components/dispatch/evictions.cpp
@@ -26,6 +26,8 @@
 /// A run that goes on from a checkpoint loses about this much; a run that starts anew loses its start besides.
 constexpr fleet::Duration restoreTime {600};
 constexpr fleet::Duration startOverhead {50};
+/// A step that failed gets room on workers with a sound start within this time, where that can be made.
+constexpr fleet::Duration soundAge {2000};
 
 /// What was worked out already for the candidate.
 struct Known
@@ -108,7 +110,7 @@
         const bool isUrgentB = b.m_state->m_priority == 0;
         return std::tie(isUrgentA, a.m_loss) < std::tie(isUrgentB, b.m_loss);
     });
-    eviction.m_slots = slotsOn(candidate, *room.m_worker, free);
+    eviction.m_slots = slotsOn(candidate, room, free);
     std::set<jobs::StepId> gangs;
     for (const Victim &victim : victims) {
         if (eviction.m_slots >= wanted) {
@@ -119,7 +121,7 @@
         free = free + victim.m_state->m_booked;
         eviction.m_victims.push_back(victim.m_run);
         eviction.m_loss += isCounted ? 0 : victim.m_loss;
-        eviction.m_slots = slotsOn(candidate, *room.m_worker, free);
+        eviction.m_slots = slotsOn(candidate, room, free);
     }
     return eviction;
 }
@@ -197,9 +199,19 @@
     if (candidate.m_mayReclaim) {
         known.m_use = measureUse(context);
     }
-    return choose(context, candidate, rooms, [&](Room &room, std::uint32_t wanted) {
+    const auto planOn = [&](Room &room, std::uint32_t wanted) {
         return planEviction(context, candidate, room, wanted, known);
-    });
+    };
+    if (candidate.m_hasFailed) {
+        const std::vector<Eviction> chosen = choose(context, candidate, rooms, [&](Room &room, std::uint32_t wanted) {
+            const bool isSound = context.m_now.m_boot - room.m_worker->m_soundStartAt <= soundAge;
+            return isSound ? planOn(room, wanted) : Eviction {&room, {}, 0, 0};
+        });
+        if (!chosen.empty()) {
+            return chosen;
+        }
+    }
+    return choose(context, candidate, rooms, planOn);
 }
 
 }
--- a/components/dispatch/expectations.cpp
+++ b/components/dispatch/expectations.cpp
@@ -31,11 +31,11 @@
     }
     fleet::Resources free = freeFor(candidate, room);
     const auto wanted = static_cast<std::uint32_t>(candidate.m_tasks.size());
-    std::uint32_t slots = std::min(wanted, slotsOn(candidate, *room.m_worker, free));
+    std::uint32_t slots = std::min(wanted, slotsOn(candidate, room, free));
     openings.insert(openings.end(), slots, {fleet::Duration(0), &room});
     for (const auto &[wait, booked] : ends) {
         free = free + booked;
-        const std::uint32_t now = std::min(wanted, slotsOn(candidate, *room.m_worker, free));
+        const std::uint32_t now = std::min(wanted, slotsOn(candidate, room, free));
         if (now > slots) {
             openings.insert(openings.end(), now - slots, {wait, &room});
             slots = now;
--- a/components/dispatch/placing.cpp
+++ b/components/dispatch/placing.cpp
@@ -6,6 +6,8 @@
 #include "components/jobs/step_spec.hpp"
 
 #include <algorithm>
+#include <array>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <tuple>
@@ -16,6 +18,9 @@
 namespace
 {
 
+/// How recent a sound start is asked for after a failure, in turn. Workers turn bad for seconds.
+constexpr std::array<fleet::Duration, 3> soundAges {fleet::Duration(500), fleet::Duration(1000), fleet::Duration(2000)};
+
 /// Orders workers so that those that the tasks leave with the least stay in front: whole workers are kept for large tasks.
 std::tuple<std::int64_t, std::int64_t, std::int64_t> tightness(const Candidate &candidate, const WorkerState &worker, const fleet::Resources &free)
 {
@@ -39,7 +44,7 @@
             continue;
         }
         const fleet::Resources free = freeFor(candidate, room);
-        const std::uint32_t slots = slotsOn(candidate, *room.m_worker, free);
+        const std::uint32_t slots = slotsOn(candidate, room, free);
         if (slots > 0) {
             options.push_back({&room, slots, tightness(candidate, *room.m_worker, free)});
         }
@@ -85,15 +90,53 @@
     return best == nullptr ? Choice() : fill(*best, tasks);
 }
 
-}
-
-Choice choosePlaces(const Candidate &candidate, Rooms &rooms)
+Choice fillAny(const Candidate &candidate, const std::vector<Option> &options)
 {
     const auto tasks = static_cast<std::uint32_t>(candidate.m_tasks.size());
-    const std::vector<Option> options = findOptions(candidate, rooms);
     const bool isGang = candidate.m_spec->m_isGang;
     const Choice choice = candidate.m_wantsOneRack ? fillOneRack(options, tasks) : fill(options, tasks);
     return isGang && choice.m_tasks < tasks ? Choice() : choice;
 }
 
+template<class Keep>
+std::vector<Option> filter(const std::vector<Option> &options, Keep keep)
+{
+    std::vector<Option> kept;
+    std::copy_if(options.begin(), options.end(), std::back_inserter(kept), [&](const Option &option) {
+        return keep(*option.m_room->m_worker);
+    });
+    return kept;
+}
+
+/// Tries the workers with the most recent sound starts first, then all but those where the step failed.
+Choice fillAfterFailure(const Candidate &candidate, const std::vector<Option> &options, fleet::BootTime now)
+{
+    const std::vector<Option> others = filter(options, [&](const WorkerState &worker) {
+        return !candidate.m_failedOn.contains(worker.m_registration.m_life.m_worker);
+    });
+    for (const fleet::Duration age : soundAges) {
+        const Choice choice = fillAny(candidate, filter(others, [&](const WorkerState &worker) {
+                                          return now - worker.m_soundStartAt <= age;
+                                      }));
+        if (choice.m_tasks == candidate.m_tasks.size()) {
+            return choice;
+        }
+    }
+    return fillAny(candidate, others);
+}
+
+}
+
+Choice choosePlaces(const Candidate &candidate, Rooms &rooms, fleet::BootTime now)
+{
+    const std::vector<Option> options = findOptions(candidate, rooms);
+    if (candidate.m_hasFailed) {
+        const Choice choice = fillAfterFailure(candidate, options, now);
+        if (choice.m_tasks > 0) {
+            return choice;
+        }
+    }
+    return fillAny(candidate, options);
+}
+
 }
--- a/components/dispatch/placing.hpp
+++ b/components/dispatch/placing.hpp
@@ -2,6 +2,7 @@
 #define COMPONENTS_DISPATCH_PLACING_HPP
 
 #include "components/dispatch/choice.hpp"
+#include "components/fleet/boot_time.hpp"
 
 namespace dispatch
 {
@@ -9,8 +10,9 @@
 struct Candidate;
 
 /// Finds workers with free room for the tasks of the candidate: for all of them where they work only together, else for as
-/// many as there is room for. Empty where there is none.
-Choice choosePlaces(const Candidate &candidate, Rooms &rooms);
+/// many as there is room for. Empty where there is none. A step that has failed goes to workers that started others soundly of late, where
+/// these have room.
+Choice choosePlaces(const Candidate &candidate, Rooms &rooms, fleet::BootTime now);
 
 }
 
--- /dev/null
+++ b/components/dispatch/placing_test.cpp
@@ -0,0 +1,118 @@
+#include "components/dispatch/placing.hpp"
+
+#include "components/catalog/queue.hpp"
+#include "components/dispatch/candidate.hpp"
+#include "components/dispatch/worker_state.hpp"
+#include "components/jobs/step_spec.hpp"
+
+#include <array>
+#include <chrono>
+#include <string>
+
+#include <criterion/criterion.h>
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr fleet::BootTime now {100s};
+
+/// Six idle workers of one rack.
+struct RackFixture
+{
+    RackFixture()
+    {
+        for (std::size_t i = 0; i < m_workers.size(); ++i) {
+            workers::Registration &registration = m_workers[i].m_registration;
+            registration.m_life.m_worker = fleet::WorkerId("w" + std::to_string(i));
+            registration.m_rack = fleet::RackId("r");
+            registration.m_capacity = {32'000, 64'000, 8};
+        }
+        m_spec.m_perTask = {1000, 1000, 8};
+        m_spec.m_isGang = true;
+        m_candidate.m_spec = &m_spec;
+        m_candidate.m_queue = &m_queue;
+        m_candidate.m_perTask = m_spec.m_perTask;
+        m_candidate.m_wantsOneRack = true;
+    }
+
+    dispatch::Choice choose(std::size_t tasks)
+    {
+        m_spec.m_tasks = static_cast<std::uint16_t>(tasks);
+        m_candidate.m_tasks.resize(tasks);
+        m_rooms.clear();
+        for (dispatch::WorkerState &worker : m_workers) {
+            m_rooms.push_back({&worker, worker.m_registration.m_capacity, {}});
+            m_rooms.back().m_isOnTrial = worker.m_failuresInRow > 0;
+        }
+        return dispatch::choosePlaces(m_candidate, m_rooms, now);
+    }
+
+    bool isChosen(const dispatch::Choice &choice, std::size_t worker) const
+    {
+        return std::any_of(choice.m_places.begin(), choice.m_places.end(), [&](const auto &place) {
+            return place.first->m_worker == &m_workers[worker];
+        });
+    }
+
+    std::array<dispatch::WorkerState, 6> m_workers;
+    jobs::StepSpec m_spec;
+    catalog::Queue m_queue;
+    dispatch::Candidate m_candidate;
+    dispatch::Rooms m_rooms;
+};
+
+}
+
+Test(placing, stepThatFailed_workersWithARecentSoundStart_areTaken)
+{
+    RackFixture fixture;
+    fixture.m_candidate.m_hasFailed = true;
+    fixture.m_workers[2].m_soundStartAt = now - 100ms;
+    fixture.m_workers[4].m_soundStartAt = now - 300ms;
+    fixture.m_workers[0].m_soundStartAt = now - 5s;
+    const dispatch::Choice choice = fixture.choose(2);
+    cr_assert_eq(choice.m_tasks, 2);
+    cr_assert(fixture.isChosen(choice, 2));
+    cr_assert(fixture.isChosen(choice, 4));
+}
+
+Test(placing, stepThatFailed_tooFewWorkersWithASoundStart_anyAreTaken)
+{
+    RackFixture fixture;
+    fixture.m_candidate.m_hasFailed = true;
+    fixture.m_workers[2].m_soundStartAt = now - 100ms;
+    cr_assert_eq(fixture.choose(6).m_tasks, 6);
+}
+
+Test(placing, stepThatFailedOnAWorker_otherWorkersWithRoom_areTaken)
+{
+    RackFixture fixture;
+    fixture.m_candidate.m_hasFailed = true;
+    fixture.m_candidate.m_failedOn = {fleet::WorkerId("w0"), fleet::WorkerId("w1")};
+    const dispatch::Choice choice = fixture.choose(4);
+    cr_assert_eq(choice.m_tasks, 4);
+    cr_assert_not(fixture.isChosen(choice, 0));
+    cr_assert_not(fixture.isChosen(choice, 1));
+}
+
+Test(placing, stepThatFailedOnAWorker_noOtherRoom_theWorkerIsTaken)
+{
+    RackFixture fixture;
+    fixture.m_candidate.m_hasFailed = true;
+    fixture.m_candidate.m_failedOn = {fleet::WorkerId("w0")};
+    cr_assert_eq(fixture.choose(6).m_tasks, 6);
+}
+
+Test(placing, workerOnTrial_getsOneTaskAndNoGang)
+{
+    RackFixture fixture;
+    fixture.m_workers[3].m_failuresInRow = 1;
+    cr_assert_eq(fixture.choose(6).m_tasks, 0);
+    fixture.m_spec.m_isGang = false;
+    fixture.m_candidate.m_wantsOneRack = false;
+    fixture.m_candidate.m_perTask = {1000, 1000, 1};
+    const dispatch::Choice choice = fixture.choose(48);
+    cr_assert_eq(choice.m_tasks, 41);
+}
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -64,6 +64,7 @@
             const workers::Life &life = room->m_worker->m_registration.m_life;
             launch(context, {{candidate.m_step, candidate.m_tasks[next++]}, run}, life, ticketFor(candidate, life.m_worker));
             room->m_free = room->m_free - candidate.m_perTask;
+            room->m_hasTrialRun = true;
         }
     }
     if (context.m_state.m_reservations.erase(candidate.m_step) > 0) {
@@ -199,7 +200,7 @@
 /// Starts what there is room for, and makes room where the candidate goes before others.
 void tryToPlace(Context &context, Candidate &candidate, Rooms &rooms)
 {
-    const Choice choice = choosePlaces(candidate, rooms);
+    const Choice choice = choosePlaces(candidate, rooms, context.m_now.m_boot);
     if (choice.m_tasks > 0) {
         start(context, candidate, choice, rooms);
         candidate.m_tasks.erase(candidate.m_tasks.begin(), candidate.m_tasks.begin() + choice.m_tasks);
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -157,6 +157,9 @@
         run->m_percentAt = context.m_now.m_boot;
     }
     run->m_isUncertain = false;
+    if (WorkerState *worker = findWorker(context, on)) {
+        noteSoundStart(*worker, *run, context.m_now.m_boot);
+    }
     if (run->m_percentAt == run->m_startedAt && task.m_percent > 0 && !run->m_checkpoint.empty()) {
         run->m_firstPercent = task.m_percent;
     }
--- a/components/dispatch/room.hpp
+++ b/components/dispatch/room.hpp
@@ -18,6 +18,9 @@
     fleet::Resources m_free;
     /// What is kept of it for steps.
     std::vector<Hold> m_holds;
+    /// The worker failed what it started last. It gets one run at a time until one lives past its first moments.
+    bool m_isOnTrial = false;
+    bool m_hasTrialRun = false;
 };
 
 using Rooms = std::vector<Room>;
--- a/components/dispatch/rooms.cpp
+++ b/components/dispatch/rooms.cpp
@@ -16,6 +16,8 @@
 
 /// A worker that has not answered for this many orders in a row gets no new runs.
 constexpr int silencesToAvoid = 1;
+/// How long after its pause a worker that failed gets single runs only.
+constexpr fleet::Duration trialTime {3000};
 
 std::uint32_t countFitting(const fleet::Resources &free, const fleet::Resources &perTask)
 {
@@ -50,6 +52,19 @@
     return holds;
 }
 
+/// Judges a worker that failed lately by a single run. Only for a while, since there may be nothing but gangs to run.
+bool isOnTrial(const Context &context, const WorkerState &worker)
+{
+    return worker.m_failuresInRow > 0 && worker.m_soundStartAt < worker.m_failedAt && context.m_now.m_boot < worker.m_avoidUntil + trialTime;
+}
+
+bool hasTrialRun(const Context &context, const WorkerState &worker)
+{
+    return std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
+        return context.m_state.m_runs.at(run).m_launchedAt >= worker.m_failedAt;
+    });
+}
+
 std::uint32_t countOpenRuns(const Candidate &candidate, const WorkerState &worker)
 {
     return static_cast<std::uint32_t>(std::count_if(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
@@ -81,15 +96,23 @@
     Rooms rooms;
     for (auto &[id, worker] : context.m_state.m_workers) {
         if (isUsable(context, worker)) {
-            rooms.push_back({&worker, worker.m_registration.m_capacity - worker.m_booked, findHolds(context, id)});
+            Room room {&worker, worker.m_registration.m_capacity - worker.m_booked, findHolds(context, id)};
+            room.m_isOnTrial = isOnTrial(context, worker);
+            room.m_hasTrialRun = room.m_isOnTrial && hasTrialRun(context, worker);
+            rooms.push_back(std::move(room));
         }
     }
     return rooms;
 }
 
-std::uint32_t slotsOn(const Candidate &candidate, const WorkerState &worker, const fleet::Resources &free)
+std::uint32_t slotsOn(const Candidate &candidate, const Room &room, const fleet::Resources &free)
 {
+    const WorkerState &worker = *room.m_worker;
     std::uint32_t slots = countFitting(free, candidate.m_perTask);
+    if (room.m_isOnTrial && !candidate.m_mayReclaim) {
+        const bool isTrialTask = !candidate.m_spec->m_isGang && !candidate.m_hasFailed && !room.m_hasTrialRun;
+        slots = std::min<std::uint32_t>(slots, isTrialTask ? 1 : 0);
+    }
     if (candidate.m_spec->m_mostPerRunner > 0) {
         const std::uint32_t open = countOpenRuns(candidate, worker);
         slots = std::min<std::uint32_t>(slots, candidate.m_spec->m_mostPerRunner > open ? candidate.m_spec->m_mostPerRunner - open : 0);
--- a/components/dispatch/rooms.hpp
+++ b/components/dispatch/rooms.hpp
@@ -26,8 +26,8 @@
 /// Workers of which something is kept for a step.
 std::size_t countHeld(const Rooms &rooms);
 
-/// Tasks of the candidate that a worker with `free` can take.
-std::uint32_t slotsOn(const Candidate &candidate, const WorkerState &worker, const fleet::Resources &free);
+/// Tasks of the candidate that the worker can take with `free`.
+std::uint32_t slotsOn(const Candidate &candidate, const Room &room, const fleet::Resources &free);
 
 }
 
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -18,6 +18,8 @@
 /// How long a worker gets no new runs after a failure.
 constexpr fleet::Duration firstAvoidance {3000};
 constexpr int mostAvoidanceDoublings = 3;
+/// A worker that fails all it starts does so within this time.
+constexpr fleet::Duration firstMoments {150};
 constexpr std::int64_t millisPerCore = 1000;
 
 const jobs::StepSpec &stepOf(const journal::JobRecord &job, const jobs::StepId &step)
@@ -36,18 +38,20 @@
     return run.m_phase == RunPhase::Running ? now - run.m_startedAt : fleet::Duration(0);
 }
 
-/// A failure is held against the worker unless the task failed before, which makes the task the likely cause. Each further
-/// failure in a row doubles the time that the worker gets no new runs.
-void noteHealth(Context &context, WorkerState &worker, const jobs::TaskId &task, jobs::RunEnd end)
+/// A failure is held against the worker unless the task failed before, which makes the task the likely cause; a failure at once
+/// always is. Each further failure in a row doubles the time that the worker gets no new runs.
+void noteHealth(Context &context, WorkerState &worker, const jobs::TaskId &task, const RunState &run, jobs::RunEnd end)
 {
     if (end == jobs::RunEnd::Done) {
         worker.m_failuresInRow = 0;
         return;
     }
     const journal::TaskRecord *record = journal::findTask(context.m_ledger.m_jobs.at(task.m_step.m_job), task);
-    if (end != jobs::RunEnd::Failed || (record != nullptr && record->m_failures > 0)) {
+    const bool isAtOnce = ranFor(run, context.m_now.m_boot) < firstMoments;
+    if (end != jobs::RunEnd::Failed || (record != nullptr && record->m_failures > 0 && !isAtOnce)) {
         return;
     }
+    worker.m_failedAt = context.m_now.m_boot;
     const fleet::Duration avoidance = firstAvoidance * (1 << std::min(worker.m_failuresInRow, mostAvoidanceDoublings));
     ++worker.m_failuresInRow;
     worker.m_avoidUntil = std::max(worker.m_avoidUntil, context.m_now.m_boot + avoidance);
@@ -135,6 +139,13 @@
 
 }
 
+void noteSoundStart(WorkerState &worker, const RunState &run, fleet::BootTime now)
+{
+    if (run.m_phase == RunPhase::Running && now - run.m_startedAt >= firstMoments) {
+        worker.m_soundStartAt = std::max(worker.m_soundStartAt, run.m_startedAt);
+    }
+}
+
 WorkerState *findWorker(Context &context, const workers::Life &life)
 {
     const auto found = context.m_state.m_workers.find(life.m_worker);
@@ -245,6 +256,9 @@
                                       .add("percent", found->second.m_percent)
                                       .add("ran_ms", ranFor(found->second, context.m_now.m_boot)));
     const workers::Life on = found->second.m_on;
+    if (end == jobs::RunEnd::Failed) {
+        context.m_state.m_failures[run.m_task.m_step][on.m_worker] = context.m_now.m_boot;
+    }
     const std::string &newest = checkpoint.empty() ? found->second.m_checkpoint : checkpoint;
     const journal::EndedRun ended {run, on, end, newest};
     const auto worker = context.m_state.m_workers.find(on.m_worker);
@@ -253,7 +267,10 @@
         worker->second.m_runs.erase(run);
         worker->second.m_servingRuns -= found->second.m_isServing ? 1 : 0;
         worker->second.m_fillingRuns -= found->second.m_isFilling ? 1 : 0;
-        noteHealth(context, worker->second, run.m_task, end);
+        noteHealth(context, worker->second, run.m_task, found->second, end);
+        if (end == jobs::RunEnd::Done) {
+            noteSoundStart(worker->second, found->second, context.m_now.m_boot);
+        }
     }
     context.m_state.m_runs.erase(found);
     context.m_state.m_unsettled.erase(run);
@@ -313,6 +330,9 @@
         std::erase_if(context.m_state.m_advice, [&](const auto &entry) {
             return entry.first.m_job == id;
         });
+        std::erase_if(context.m_state.m_failures, [&](const auto &entry) {
+            return entry.first.m_job == id;
+        });
         logJobEnd(context, *job);
     }
 }
--- a/components/dispatch/runs.hpp
+++ b/components/dispatch/runs.hpp
@@ -67,6 +67,9 @@
 /// Takes in a reading of the worker's clock.
 void noteClock(WorkerState &worker, std::int64_t clockMs, fleet::BootTime now);
 
+/// Notes that the run lived past its first moments, which speaks for the worker.
+void noteSoundStart(WorkerState &worker, const RunState &run, fleet::BootTime now);
+
 WorkerState *findWorker(Context &context, const workers::Life &life);
 RunState *findRun(Context &context, const jobs::RunId &run);
 
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -37,6 +37,8 @@
     /// Jobs that are not over, with when this holder first saw them. The time of day of their acceptance is another instance's.
     std::map<jobs::JobId, fleet::BootTime> m_active;
     std::map<jobs::StepId, Reservation> m_reservations;
+    /// Workers where steps failed, and when; of jobs that are not over.
+    std::map<jobs::StepId, std::map<fleet::WorkerId, fleet::BootTime>> m_failures;
     /// Of steps whose workers only the advice service knows.
     std::map<jobs::StepId, StepAdvice> m_advice;
     /// The advice service answers one question of an instance at a time.
--- a/components/dispatch/worker_state.hpp
+++ b/components/dispatch/worker_state.hpp
@@ -54,6 +54,9 @@
 
     /// The machine goes down soon; no new runs.
     bool m_isCordoned = false;
+    /// Latest start of a run that lived past its first moments; a worker that fails all it starts has none since it turned bad.
+    fleet::BootTime m_soundStartAt;
+    fleet::BootTime m_failedAt;
     /// Failed runs in a row.
     int m_failuresInRow = 0;
     /// No new run is given to the worker before then.
