A planned stop no longer waits for a reader of the log

Cause: while a process ends, the log library waits for the thread that writes to standard output. With a full pipe behind it that nobody reads, an instance answered all calls but never ended: seen after 6 s of grace by the new test, before any change. Ruled out: the queue (it drops and does not block) and the calls of callers (none was open). Change: the last lines have 300 ms to be taken; after that the process leaves without them.

--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -24,6 +24,8 @@
 constexpr double permille = 1000;
 /// A settings file that changed without a signal is noticed this soon.
 constexpr fleet::Duration settingsInterval {2000};
+/// Time that the reader of the log has to take the last lines; below the margin that a stop keeps of its grace.
+constexpr fleet::Duration logDrainLimit {300};
 
 volatile std::sig_atomic_t stopSignals = 0;
 
@@ -96,13 +98,8 @@
     }
 }
 
-int serve(const std::string &file, settings::NodeSettings settings)
+void serve(const std::string &file, settings::NodeSettings settings, logging::LineLog &log)
 {
-    std::signal(SIGTERM, noteStopSignal);
-    std::signal(SIGINT, noteStopSignal);
-    std::signal(SIGHUP, noteReloadSignal);
-    std::signal(SIGPIPE, SIG_IGN);
-    logging::LineLog log(settings.m_logLevel, {});
     log.write(logging::Line("node", "start")
                   .add("instance", settings.m_instance.value())
                   .add("zone", settings.m_zone.value())
@@ -152,7 +149,21 @@
         }
         tickIfDue();
     }
-    return 0;
+}
+
+int run(const std::string &file, const settings::NodeSettings &settings)
+{
+    std::signal(SIGTERM, noteStopSignal);
+    std::signal(SIGINT, noteStopSignal);
+    std::signal(SIGHUP, noteReloadSignal);
+    std::signal(SIGPIPE, SIG_IGN);
+    logging::LineLog log(settings.m_logLevel, {});
+    serve(file, settings, log);
+    if (!log.close(logDrainLimit)) {
+        // The library's thread is stuck in a write, and leaving in the usual way would wait for it.
+        std::_Exit(EXIT_SUCCESS);
+    }
+    return EXIT_SUCCESS;
 }
 
 int fail(int code, const char *message)
@@ -172,7 +183,7 @@
             return fail(exitUsage, "name the settings file");
         }
         settings::Reader reader = settings::Reader::fromFile(file);
-        return serve(file, settings::readNodeSettings(reader));
+        return run(file, settings::readNodeSettings(reader));
     } catch (const settings::SettingsError &error) {
         return fail(exitSettings, error.what());
     } catch (const std::exception &error) {
--- a/components/logging/line_log.cpp
+++ b/components/logging/line_log.cpp
@@ -11,6 +11,9 @@
 
 #include <array>
 #include <ctime>
+#include <future>
+#include <thread>
+#include <utility>
 
 namespace logging
 {
@@ -64,6 +67,7 @@
     std::string m_batch;
     fleet::BootTime m_batchSince;
     fleet::BootTime m_suppressedAt;
+    bool m_isClosed = false;
 
     void handOn()
     {
@@ -91,9 +95,23 @@
 }
 
 LineLog::~LineLog()
+{
+    if (!m_core->m_isClosed) {
+        m_core->handOn();
+        log4cxx::LogManager::shutdown();
+    }
+}
+
+bool LineLog::close(fleet::Duration limit)
 {
     m_core->handOn();
-    log4cxx::LogManager::shutdown();
+    m_core->m_isClosed = true;
+    std::packaged_task<void()> shutdown([] {
+        log4cxx::LogManager::shutdown();
+    });
+    const std::future<void> done = shutdown.get_future();
+    std::thread(std::move(shutdown)).detach();
+    return done.wait_for(limit) == std::future_status::ready;
 }
 
 void LineLog::write(const Line &line, fleet::Now now)
--- a/components/logging/line_log.hpp
+++ b/components/logging/line_log.hpp
@@ -19,7 +19,7 @@
 {
 public:
     LineLog(Level level, const LineBudget &budget);
-    /// Writes what is gathered and queued.
+    /// Writes what is gathered and queued, however long that takes.
     ~LineLog();
 
     LineLog(const LineLog &) = delete;
@@ -30,6 +30,10 @@
     /// Hands on what was gathered some time ago, and says how many lines of each kind were left out. Call it regularly.
     void tick(fleet::Now now);
 
+    /// Writes what is gathered and queued; nothing may be written after that.
+    /// @return false where the reader of standard output did not take it within the limit.
+    bool close(fleet::Duration limit);
+
 private:
     struct Core;
     std::unique_ptr<Core> m_core;
--- a/components/platform_standin/platform_stand_in.cpp
+++ b/components/platform_standin/platform_stand_in.cpp
@@ -432,6 +432,11 @@
             m_cut.insert(fleet::WorkerId(std::string(worker.as_string())));
         }
     }
+    if (const json::array *reborn = platform::arrayAt(faults, "reborn")) {
+        for (const json::value &worker : *reborn) {
+            simulation::crash(m_fleet, fleet::WorkerId(std::string(worker.as_string())), true, node::presentTime().m_boot);
+        }
+    }
     if (const json::array *crashed = platform::arrayAt(faults, "crash")) {
         for (const json::value &worker : *crashed) {
             const fleet::WorkerId id {std::string(worker.as_string())};
