Lines of answers with a state or a reason are written again; refused calls name their job

Such a line was assigned to itself (line = std::move(line).add(...)), which empties its text. A call that is refused before its queue is known had no job in its line. Ruled out: the budget of lines (nothing was suppressed) and the level. Change: Line::append for values that only some lines have; the job is read from the path first. Tests: callers/callRefused_theLineNamesTheJobAndTheReason and callers/stateShown_theLineNamesIt, both failed before.

--- a/components/logging/line.cpp
+++ b/components/logging/line.cpp
@@ -40,19 +40,19 @@
 
 Line &&Line::add(const char *name, std::string_view value) &&
 {
-    addText(name, value);
+    append(name, value);
     return std::move(*this);
 }
 
 Line &&Line::add(const char *name, const char *value) &&
 {
-    addText(name, value);
+    append(name, value);
     return std::move(*this);
 }
 
 Line &&Line::add(const char *name, bool value) &&
 {
-    addText(name, value ? "true" : "false");
+    append(name, value ? "true" : "false");
     return std::move(*this);
 }
 
@@ -62,7 +62,7 @@
     return std::move(*this);
 }
 
-void Line::addText(const char *name, std::string_view value)
+void Line::append(const char *name, std::string_view value)
 {
     m_text += ' ';
     m_text += name;
--- a/components/logging/line.hpp
+++ b/components/logging/line.hpp
@@ -22,6 +22,9 @@
     /// `part` and `event` are literals in lower case with dashes.
     Line(const char *part, const char *event, Level level = Level::Info);
 
+    /// For values that only some lines have.
+    void append(const char *name, std::string_view value);
+
     Line &&add(const char *name, std::string_view value) &&;
     Line &&add(const char *name, const char *value) &&;
 
@@ -44,7 +47,6 @@
     bool operator==(const Line &other) const;
 
 private:
-    void addText(const char *name, std::string_view value);
     void addNumber(const char *name, std::int64_t value);
 
     const char *m_part;
--- a/components/node/front_desk.cpp
+++ b/components/node/front_desk.cpp
@@ -43,6 +43,12 @@
     return {callers::ReplyKind::Refused, {}, 0, retryAfter, reason};
 }
 
+/// The job that the path ends with, for the log of calls that are refused before their queue is known.
+jobs::JobId jobIn(const std::string &path)
+{
+    return jobs::parseJobId(path.substr(path.rfind('/') + 1)).value_or(jobs::JobId());
+}
+
 callers::Reply plain(callers::ReplyKind kind)
 {
     return {kind, {}, 0, {}, {}};
@@ -122,6 +128,7 @@
     open.m_arrivedAt = now.m_boot;
     open.m_giveUpAt = now.m_boot + std::max(fleet::Duration(0), content.m_patience.value_or(usualPatience) - answerMargin);
     open.m_requestId = content.m_requestId;
+    open.m_job = jobIn(content.m_path);
     if (!m_operators.hasCatalog()) {
         reply(call, open, refused("no catalog has been read yet; come back shortly"), now);
         return;
@@ -149,6 +156,7 @@
     open.m_queue = queue->m_id;
     const std::string rest = content.m_path.substr(queue->m_pathPrefix.size());
     if (rest.empty() && content.m_kind == callers::CallKind::Show) {
+        open.m_job = jobs::JobId();
         showQueue(call, open, now);
         return;
     }
@@ -352,10 +360,10 @@
                              .add("journal", m_journal.m_next)
                              .add("journal_age_ms", m_journal.m_asOf ? now.m_boot - *m_journal.m_asOf : fleet::Duration(-1));
     if (reply.m_kind == callers::ReplyKind::State) {
-        line = std::move(line).add("state", jobs::nameOf(reply.m_state));
+        line.append("state", jobs::nameOf(reply.m_state));
     }
     if (!reply.m_reason.empty()) {
-        line = std::move(line).add("reason", reply.m_reason);
+        line.append("reason", reply.m_reason);
     }
     m_ports.log(line, now);
     m_meter.countAnswer(nameOf(open.m_kind), nameOf(reply.m_kind), now.m_boot - open.m_arrivedAt);
--- a/components/simulation/callers_test.cpp
+++ b/components/simulation/callers_test.cpp
@@ -129,3 +129,28 @@
     const auto &reply = fixture.m_world.outcome(call).m_reply;
     cr_assert(!reply || reply->m_state != jobs::JobState::Completed);
 }
+
+Test(callers, callRefused_theLineNamesTheJobAndTheReason)
+{
+    WorldFixture fixture;
+    fixture.m_world.m_faults.m_store = StoreMode::Silent;
+    fixture.m_world.run(10s);
+    jobs::JobId job;
+    const int call = fixture.submitThrough(0, tasksOf(1), {100ms}, 1, job);
+    fixture.m_world.run(10ms);
+    cr_assert(fixture.m_world.outcome(call).m_reply.has_value());
+    const std::string line = fixture.m_world.m_lastLine["callers/answer"];
+    cr_assert_neq(line.find("outcome=refused"), std::string::npos, "%s", line.c_str());
+    cr_assert_neq(line.find("job=" + toString(job)), std::string::npos, "%s", line.c_str());
+    cr_assert_neq(line.find(" reason="), std::string::npos, "%s", line.c_str());
+}
+
+Test(callers, stateShown_theLineNamesIt)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(tasksOf(1), {100ms});
+    cr_assert(fixture.completes(job, 2s));
+    const std::string line = fixture.m_world.m_lastLine["callers/answer"];
+    cr_assert_neq(line.find("outcome=state"), std::string::npos, "%s", line.c_str());
+    cr_assert_neq(line.find("state=completed"), std::string::npos, "%s", line.c_str());
+}
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -245,7 +245,9 @@
         if (m_world.m_trace) {
             std::cout << m_world.m_now.time_since_epoch().count() << " i" << m_instance << ' ' << line.text() << '\n';
         }
-        ++m_world.m_logged[std::string(line.part()) + '/' + line.event()];
+        const std::string event = std::string(line.part()) + '/' + line.event();
+        ++m_world.m_logged[event];
+        m_world.m_lastLine[event] = line.text();
     }
 
 private:
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -94,6 +94,8 @@
     int m_looksAnswered = 0;
     /// Ends of the scheduling duty and other lines that tests look for, by event.
     std::map<std::string, int> m_logged;
+    /// The newest line of each event.
+    std::map<std::string, std::string> m_lastLine;
 
 private:
     friend class InstancePorts;
