An instance without the store answers at once

A completed job was asked for at an instance that the store had left without answers; it held the call for 2.9 s, answered with what it had known all along, refused the next call, and only the third one, elsewhere, saw the end 4.4 s after it. Submissions waited there until the caller's time was over and ended unknown, though most of them had not left the instance. Ruled out: the holder (the job was done and stored 1.4 s after it was handed in) and the balancer (it needs two misses of readiness, which falls after 3 s). It asks every 250 ms whether the store is back, with at most three reads open. Tests: four of callers/* that failed before, and callers/instanceStartedWhileReadsAreSlow_hasFewReadsOpen, which fails without the limit.

--- a/components/journal/writer.cpp
+++ b/components/journal/writer.cpp
@@ -119,6 +119,20 @@
     return toCall(writer, topic);
 }
 
+std::vector<std::uint64_t> takeBack(Writer &writer)
+{
+    std::vector<std::uint64_t> tickets;
+    for (const QueuedRecord &record : writer.m_queued) {
+        if (record.m_ticket > 0) {
+            tickets.push_back(record.m_ticket);
+        }
+    }
+    std::erase_if(writer.m_queued, [](const QueuedRecord &record) {
+        return record.m_ticket > 0;
+    });
+    return tickets;
+}
+
 std::optional<fleet::BootTime> nextDue(const Writer &writer)
 {
     if (writer.m_sent) {
--- a/components/journal/writer.hpp
+++ b/components/journal/writer.hpp
@@ -40,6 +40,10 @@
 /// The call to make now, if any: a new batch, or the present one again.
 std::optional<store::AppendCall> takeDueCall(Writer &writer, const store::Topic &topic, fleet::BootTime now);
 
+/// Takes back the records with a ticket that no call has carried yet.
+/// @return the tickets of what will not be stored.
+std::vector<std::uint64_t> takeBack(Writer &writer);
+
 /// When takeDueCall() may next have a call; nothing while the writer is idle.
 std::optional<fleet::BootTime> nextDue(const Writer &writer);
 
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -281,8 +281,7 @@
 
 void Control::readJournal(fleet::Now now)
 {
-    ++m_journal.m_readsOpen;
-    m_journal.m_lastReadSentAt = now.m_boot;
+    noteReadSent(m_journal, now.m_boot);
     m_ports.readJournal({journalTopic, m_journal.m_next, fleet::Duration(0)}, now.m_boot);
 }
 
--- a/components/node/front_desk.cpp
+++ b/components/node/front_desk.cpp
@@ -26,11 +26,19 @@
 constexpr fleet::Duration countFreshness {1000};
 /// A submission is refused at once where the store has not been reached for this long.
 constexpr fleet::Duration storeSilence {2500};
+/// An append without an answer for this long is a reason to ask whether the store answers at all.
+constexpr fleet::Duration appendDoubt {150};
+/// While the store does not answer, it is asked this often whether it is back.
+constexpr fleet::Duration probeInterval {250};
+/// Each read asks for all that is new, so few may be open on a slow link.
+constexpr int mostReads = 3;
 /// When a refused caller should come back.
 constexpr fleet::Duration retryAfter {1000};
 /// Kept between the age at which a view is trusted and the bound for keys that were taken away.
 constexpr fleet::Duration revocationMargin {500};
 
+constexpr const char *outOfReach = "the store is out of reach; try another instance";
+
 std::string producerName(const Settings &settings)
 {
     std::ostringstream name;
@@ -190,8 +198,8 @@
         reply(call, open, {callers::ReplyKind::Malformed, {}, 0, {}, content.m_problem}, now);
         return;
     }
-    if (ageOf(m_operators, now.m_boot) > storeSilence) {
-        reply(call, open, refused("the store is out of reach; try another instance"), now);
+    if (ageOf(m_operators, now.m_boot) > storeSilence || isWithoutStore(m_journal, now.m_boot)) {
+        reply(call, open, refused(outOfReach), now);
         return;
     }
     journal::JobAccepted record;
@@ -226,9 +234,11 @@
     open.m_readAfter = now.m_boot - (job == nullptr ? fleet::Duration(0) : stateFreshness);
     if ((job != nullptr && job->isOver()) || (m_journal.m_asOf && *m_journal.m_asOf >= open.m_readAfter)) {
         tryAnswer(call, open, now);
-        return;
+    } else if (isWithoutStore(m_journal, now.m_boot)) {
+        giveUp(call, open, now);
+    } else {
+        waitForRead(call, open);
     }
-    waitForRead(call, open);
 }
 
 void FrontDesk::showQueue(std::uint64_t call, OpenCall open, fleet::Now now)
@@ -246,8 +256,18 @@
     m_open.emplace(call, open);
 }
 
-bool FrontDesk::wantsRead(fleet::BootTime) const
+bool FrontDesk::wantsRead(fleet::BootTime now) const
 {
+    if (m_journal.m_readsOpen >= mostReads) {
+        return false;
+    }
+    if (m_journal.m_asOf && m_writer.m_sent && now - m_writer.m_sent->m_firstSentAt > appendDoubt
+        && m_journal.m_lastReadSentAt <= m_writer.m_sent->m_firstSentAt) {
+        return true;
+    }
+    if (isWithoutStore(m_journal, now)) {
+        return now - m_journal.m_lastReadSentAt >= probeInterval;
+    }
     return std::any_of(m_open.begin(), m_open.end(), [&](const auto &entry) {
         return !entry.second.m_waitsForStore && m_journal.m_lastReadSentAt < entry.second.m_readAfter;
     });
@@ -328,24 +348,44 @@
 
 void FrontDesk::onTick(fleet::Now now)
 {
+    const bool isCut = isWithoutStore(m_journal, now.m_boot);
+    if (isCut) {
+        refuseQueued(now);
+    }
     std::vector<std::pair<std::uint64_t, OpenCall>> late;
     for (const auto &[call, open] : m_open) {
-        if (now.m_boot >= open.m_giveUpAt) {
+        if (now.m_boot >= open.m_giveUpAt || (isCut && !open.m_waitsForStore)) {
             late.emplace_back(call, open);
         }
     }
     for (const auto &[call, open] : late) {
-        const journal::JobRecord *job = open.m_kind == callers::CallKind::Show ? journal::findJob(m_journal.m_ledger, open.m_job) : nullptr;
-        if (job != nullptr) {
-            reply(call, open, stateReply(*job), now);
-        } else if (open.m_waitsForStore) {
-            reply(call, open, {callers::ReplyKind::Unknown, {}, 0, {}, "the store has not answered; ask for the job again"}, now);
-        } else {
-            reply(call, open, refused("the journal could not be read; try another instance"), now);
+        giveUp(call, open, now);
+    }
+}
+
+/// Records that no call to the store has carried yet cannot be stored any more once they are taken back.
+void FrontDesk::refuseQueued(fleet::Now now)
+{
+    for (const std::uint64_t ticket : journal::takeBack(m_writer)) {
+        const auto found = m_open.find(ticket);
+        if (found != m_open.end()) {
+            reply(ticket, OpenCall(found->second), refused(outOfReach), now);
         }
     }
 }
 
+void FrontDesk::giveUp(std::uint64_t call, const OpenCall &open, fleet::Now now)
+{
+    const journal::JobRecord *job = open.m_kind == callers::CallKind::Show ? journal::findJob(m_journal.m_ledger, open.m_job) : nullptr;
+    if (job != nullptr) {
+        reply(call, open, stateReply(*job), now);
+    } else if (open.m_waitsForStore) {
+        reply(call, open, {callers::ReplyKind::Unknown, {}, 0, {}, "the store has not answered; ask for the job again"}, now);
+    } else {
+        reply(call, open, refused("the journal could not be read; try another instance"), now);
+    }
+}
+
 void FrontDesk::reply(std::uint64_t call, const OpenCall &open, const callers::Reply &reply, fleet::Now now)
 {
     logging::Line line = logging::Line("callers", "answer")
--- a/components/node/front_desk.hpp
+++ b/components/node/front_desk.hpp
@@ -69,6 +69,9 @@
     void showJob(std::uint64_t call, OpenCall open, fleet::Now now);
     void showQueue(std::uint64_t call, OpenCall open, fleet::Now now);
     void waitForRead(std::uint64_t call, const OpenCall &open);
+    void refuseQueued(fleet::Now now);
+    /// Answers with what is known.
+    void giveUp(std::uint64_t call, const OpenCall &open, fleet::Now now);
     bool tryAnswer(std::uint64_t call, const OpenCall &open, fleet::Now now);
     callers::Reply stateReply(const journal::JobRecord &job) const;
     callers::Reply waitingReply(const fleet::QueueId &queue) const;
--- a/components/node/holder_watch.cpp
+++ b/components/node/holder_watch.cpp
@@ -130,10 +130,10 @@
     }
     if (watch.m_isWithoutStore) {
         const fleet::Duration silence = *journal.m_asOf - watch.m_withoutStoreSince;
-        // Where the store was away from everybody, the holder is back as soon as this instance is.
+        // Where the store was away from everybody, the holder is back as soon as this instance is, and says so with its next beats.
         const bool isMineSteady = now.m_boot - journal.m_answersSince > storeSilenceLimit;
-        const bool isMineQuick = journal.m_readTook < quickAnswer && isMineSteady;
-        return silence > patience(watch, isMineQuick ? storeSilenceLimit : longStoreSilence, now) + own;
+        const bool isMineQuick = journal.m_readTook < quickAnswer;
+        return isMineSteady && silence > patience(watch, isMineQuick ? storeSilenceLimit : longStoreSilence, now) + own;
     }
     // The journal must have been read since, to tell silence from not having looked.
     const fleet::BootTime seen = std::max({journal.m_holderSeenAt, watch.m_heardAt, watch.m_since});
--- a/components/node/journal_view.cpp
+++ b/components/node/journal_view.cpp
@@ -14,6 +14,8 @@
 
 /// Pause after a read of the snapshots that failed.
 constexpr fleet::Duration snapshotRetry {150};
+/// An answer of the store takes 4 ms, and up to eighty times that while it is slow.
+constexpr fleet::Duration longestAnswer {500};
 
 bool isFromHolder(const journal::Record &record)
 {
@@ -56,6 +58,19 @@
     return true;
 }
 
+void noteReadSent(JournalView &view, fleet::BootTime now)
+{
+    ++view.m_readsOpen;
+    view.m_lastReadSentAt = now;
+    view.m_unansweredSince = view.m_unansweredSince.value_or(now);
+}
+
+bool isWithoutStore(const JournalView &view, fleet::BootTime now)
+{
+    // The first reads of a long journal take as long as the link and the processor need.
+    return view.m_asOf && view.m_unansweredSince && now - *view.m_unansweredSince > longestAnswer;
+}
+
 void beginAnew(JournalView &view)
 {
     JournalView fresh;
@@ -63,11 +78,15 @@
     fresh.m_answeredAt = view.m_answeredAt;
     fresh.m_answersSince = view.m_answersSince;
     fresh.m_readTook = view.m_readTook;
+    fresh.m_unansweredSince = view.m_unansweredSince;
     view = fresh;
 }
 
 bool takeJournalRead(JournalView &view, const store::ReadResult &result, fleet::BootTime sentAt, fleet::BootTime now, journal::Changes &changes)
 {
+    if (result.m_outcome == store::ReadOutcome::Read || result.m_outcome == store::ReadOutcome::Expired) {
+        view.m_unansweredSince.reset();
+    }
     if (result.m_outcome == store::ReadOutcome::Expired) {
         noteExpired(view, result);
         return false;
--- a/components/node/journal_view.hpp
+++ b/components/node/journal_view.hpp
@@ -30,6 +30,8 @@
     /// The records asked for had expired although no newer snapshot was found.
     bool m_isTorn = false;
     fleet::BootTime m_lastReadSentAt;
+    /// When the first read was sent since the store last carried one out; nothing while none is open.
+    std::optional<fleet::BootTime> m_unansweredSince;
     /// When the store last answered a read, and since when it has answered each.
     fleet::BootTime m_answeredAt;
     fleet::BootTime m_answersSince;
@@ -42,6 +44,12 @@
     std::uint64_t m_unreadableRecords = 0;
 };
 
+/// Notes that a read is sent.
+void noteReadSent(JournalView &view, fleet::BootTime now);
+
+/// True where the store has carried out no read for longer than it takes in a bad hour, though it was asked.
+bool isWithoutStore(const JournalView &view, fleet::BootTime now);
+
 /// Forgets what was read, and keeps what is known of the store.
 void beginAnew(JournalView &view);
 
--- a/components/simulation/callers_test.cpp
+++ b/components/simulation/callers_test.cpp
@@ -154,3 +154,99 @@
     cr_assert_neq(line.find("outcome=state"), std::string::npos, "%s", line.c_str());
     cr_assert_neq(line.find("state=completed"), std::string::npos, "%s", line.c_str());
 }
+
+/// An instance that the store has left without answers for a second, with a job that it knows.
+struct CutInstanceFixture : WorldFixture
+{
+    CutInstanceFixture()
+        : m_cut(otherThanHolder())
+        , m_known(submit(tasksOf(1), {10s}))
+    {
+        m_world.run(2500ms);
+        m_world.m_faults.m_cutFromStore.insert(m_cut);
+        // Whoever asks first finds out.
+        m_world.show(m_cut, m_known);
+        m_world.run(1s);
+    }
+
+    callers::ReplyKind replyWithin(int call, fleet::Duration limit)
+    {
+        const bool isAnswered = m_world.runUntil(
+            [&] {
+                return m_world.outcome(call).m_reply.has_value();
+            },
+            limit);
+        cr_assert(isAnswered);
+        return m_world.outcome(call).m_reply->m_kind;
+    }
+
+    int m_cut;
+    jobs::JobId m_known;
+};
+
+Test(callers, instanceWithoutTheStore_showsWhatItKnowsAtOnce)
+{
+    CutInstanceFixture fixture;
+    cr_assert_eq(fixture.replyWithin(fixture.m_world.show(fixture.m_cut, fixture.m_known), 20ms), callers::ReplyKind::State);
+    cr_assert_eq(fixture.replyWithin(fixture.m_world.show(fixture.m_cut, {0x77}), 20ms), callers::ReplyKind::Refused);
+}
+
+Test(callers, instanceWithoutTheStore_refusesJobsAtOnceAndTheyNeverRun)
+{
+    CutInstanceFixture fixture;
+    jobs::JobId job;
+    const int call = fixture.submitThrough(fixture.m_cut, tasksOf(1), {100ms}, 1, job);
+    cr_assert_eq(fixture.replyWithin(call, 20ms), callers::ReplyKind::Refused);
+    fixture.m_world.m_faults.m_cutFromStore.clear();
+    fixture.m_world.run(8s);
+    cr_assert_eq(fixture.runsOf(job), 0);
+}
+
+Test(callers, jobsQueuedBehindAnAppendWithoutAnswer_areRefusedAndNeverRun)
+{
+    WorldFixture fixture;
+    const int cut = fixture.otherThanHolder();
+    fixture.m_world.m_faults.m_cutFromStore.insert(cut);
+    jobs::JobId sent;
+    jobs::JobId queued;
+    const int sentCall = fixture.submitThrough(cut, tasksOf(1), {100ms}, 1, sent);
+    fixture.m_world.run(10ms);
+    const int queuedCall = fixture.submitThrough(cut, tasksOf(1), {100ms}, 1, queued);
+    fixture.m_world.run(1s);
+    cr_assert_not(fixture.m_world.outcome(sentCall).m_reply.has_value());
+    cr_assert(fixture.m_world.outcome(queuedCall).m_reply.has_value());
+    cr_assert_eq(fixture.m_world.outcome(queuedCall).m_reply->m_kind, callers::ReplyKind::Refused);
+    fixture.m_world.m_faults.m_cutFromStore.clear();
+    cr_assert(fixture.completes(sent, 10s));
+    cr_assert_eq(fixture.runsOf(queued), 0);
+}
+
+Test(callers, storeBackForAnInstance_itServesAtOnce)
+{
+    CutInstanceFixture fixture;
+    fixture.m_world.m_faults.m_cutFromStore.clear();
+    fixture.m_world.run(2s);
+    jobs::JobId job;
+    cr_assert_eq(fixture.replyWithin(fixture.submitThrough(fixture.m_cut, tasksOf(1), {100ms}, 1, job), 100ms), callers::ReplyKind::Accepted);
+}
+
+/// A read of a long journal over a slow link takes seconds; asking again meanwhile only makes the next answer later.
+Test(callers, instanceStartedWhileReadsAreSlow_hasFewReadsOpen)
+{
+    WorldFixture fixture;
+    const int started = fixture.otherThanHolder();
+    fixture.m_world.kill(started);
+    fixture.m_world.m_faults.m_storeDelay = 900ms;
+    fixture.m_world.run(1s);
+    for (int instance = 0; instance < fixture.m_world.instanceCount(); ++instance) {
+        fixture.m_world.kill(instance);
+    }
+    fixture.m_world.restart(started);
+    const int before = fixture.m_world.m_journalReads;
+    for (int i = 0; i < 30; ++i) {
+        fixture.m_world.show(started, {0x77});
+        fixture.m_world.run(100ms);
+    }
+    // Three at a time, each of 0.9 s.
+    cr_assert_leq(fixture.m_world.m_journalReads - before, 12);
+}
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -87,6 +87,7 @@
 
     void readJournal(const store::ReadCall &call, fleet::BootTime now) override
     {
+        ++m_world.m_journalReads;
         fromStore<store::ReadResult>(
             [call](World &world) {
                 return simulation::read(world.m_store, call);
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -92,6 +92,8 @@
     bool m_trace = false;
     /// Looks that workers answered.
     int m_looksAnswered = 0;
+    /// Reads of the journal that instances sent.
+    int m_journalReads = 0;
     /// Ends of the scheduling duty and other lines that tests look for, by event.
     std::map<std::string, int> m_logged;
     /// The newest line of each event.
