Remove the reader of frames, which nothing but its tests used

Sealed messages between instances travel in datagrams and in HTTP bodies. The class, its error and its two tests go together; no other code named them.

--- a/components/dispatch/evictions.cpp
+++ b/components/dispatch/evictions.cpp
@@ -203,7 +203,7 @@
         return planEviction(context, candidate, room, wanted, known);
     };
     if (candidate.m_hasFailed) {
-        const std::vector<Eviction> chosen = choose(context, candidate, rooms, [&](Room &room, std::uint32_t wanted) {
+        std::vector<Eviction> chosen = choose(context, candidate, rooms, [&](Room &room, std::uint32_t wanted) {
             const bool isSound = context.m_now.m_boot - room.m_worker->m_soundStartAt <= soundAge;
             return isSound ? planOn(room, wanted) : Eviction {&room, {}, 0, 0};
         });
--- a/components/dispatch/placing.cpp
+++ b/components/dispatch/placing.cpp
@@ -115,9 +115,9 @@
         return !candidate.m_failedOn.contains(worker.m_registration.m_life.m_worker);
     });
     for (const fleet::Duration age : soundAges) {
-        const Choice choice = fillAny(candidate, filter(others, [&](const WorkerState &worker) {
-                                          return now - worker.m_soundStartAt <= age;
-                                      }));
+        Choice choice = fillAny(candidate, filter(others, [&](const WorkerState &worker) {
+                                    return now - worker.m_soundStartAt <= age;
+                                }));
         if (choice.m_tasks == candidate.m_tasks.size()) {
             return choice;
         }
@@ -131,7 +131,7 @@
 {
     const std::vector<Option> options = findOptions(candidate, rooms);
     if (candidate.m_hasFailed) {
-        const Choice choice = fillAfterFailure(candidate, options, now);
+        Choice choice = fillAfterFailure(candidate, options, now);
         if (choice.m_tasks > 0) {
             return choice;
         }
--- a/components/wire/wire_error.hpp
+++ b/components/wire/wire_error.hpp
@@ -13,13 +13,6 @@
     using std::runtime_error::runtime_error;
 };
 
-/// A frame that breaks the rules of the stream. Close the connection.
-class FrameError : public std::runtime_error
-{
-public:
-    using std::runtime_error::runtime_error;
-};
-
 }
 
 #endif
--- a/components/wire/wire_test.cpp
+++ b/components/wire/wire_test.cpp
@@ -1,6 +1,5 @@
 #include "components/wire/codec.hpp"
 #include "components/wire/envelope.hpp"
-#include "components/wire/frame_reader.hpp"
 #include "components/wire/mac.hpp"
 #include "components/wire/replay_guard.hpp"
 #include "components/wire/wire_error.hpp"
@@ -101,33 +100,3 @@
     cr_assert(accept(guard, makeEnvelope(1, 6)));
     cr_assert_not(accept(guard, makeEnvelope(8, 5)));
 }
-
-Test(frameReader, anyCutting_next_givesTheMessages)
-{
-    const bool holds = rc::check([] {
-        const auto messages = *rc::gen::container<std::vector<std::string>>(rc::gen::nonEmpty<std::string>());
-        std::string stream;
-        for (const std::string &message : messages) {
-            stream += makeFrame(message);
-        }
-        FrameReader reader;
-        std::vector<std::string> found;
-        while (!stream.empty()) {
-            const auto count = std::min(stream.size(), static_cast<std::size_t>(*rc::gen::inRange(1, 40)));
-            reader.push(stream.substr(0, count));
-            stream.erase(0, count);
-            while (auto message = reader.next()) {
-                found.push_back(*message);
-            }
-        }
-        RC_ASSERT(found == messages);
-    });
-    cr_assert(holds);
-}
-
-Test(frameReader, lengthAboveTheLimit_next_throws)
-{
-    FrameReader reader;
-    reader.push("\xff\xff\xff\xff");
-    cr_assert_throw(reader.next(), FrameError);
-}
