Sites of real processes have a loopback address each

Ports that an instance had while it was down can be taken by another site or by an outgoing connection, all on 127.0.0.1. Change: a site binds its instances to an address of its own in 127.0.0.0/8; the soak says what an instance wrote last before it ended, and reports a state that cannot be read rather than losing the thread.

--- a/tests/process/blocked_log.py
+++ b/tests/process/blocked_log.py
@@ -8,7 +8,7 @@
 import sys
 import tempfile
 
-from platform_site import KEY, Site, call, task, wait_for
+from platform_site import HOST, KEY, Site, call, task, wait_for
 
 # The stop's grace, from the settings of the deployment.
 GRACE_S = 6
@@ -20,7 +20,7 @@
     holder = wait_for("the scheduling duty to be held", site.holder)
     reader = site.instances[holder].stdout
     headers = {"Host": "jobs.example", "Authorization": f"Token {KEY}", "X-Deadline-Ms": "3000"}
-    address = f"127.0.0.1:{site.ports[holder][0]}"
+    address = f"{HOST}:{site.ports[holder][0]}"
     for _ in range(CALLS):
         assert call(address, "GET", "/urgent/", headers=headers)[0] == 200
     site.submit("urgent", "00000000000000b1", task(4, 8, 300, gang=True))
--- a/tests/process/platform_site.py
+++ b/tests/process/platform_site.py
@@ -1,6 +1,7 @@
 """A site of real processes: the stand-in of the platform and instances of foxtailcross-node, over TCP on loopback."""
 import http.client
 import json
+import os
 import pathlib
 import socket
 import subprocess
@@ -14,11 +15,20 @@
 OTHER_KEY = "zyxwvutsrqponmlkjihg"
 
 
+def own_address():
+    """A loopback address that no other site has, so that nobody takes an instance's ports while it is down."""
+    number = os.getpid()
+    return f"127.{1 + number // 65536 % 254}.{number // 256 % 256}.{1 + number % 254}"
+
+
+HOST = own_address()
+
+
 def free_ports(count):
     """Ports that were free a moment ago."""
     sockets = [socket.socket() for _ in range(count)]
     for each in sockets:
-        each.bind(("127.0.0.1", 0))
+        each.bind((HOST, 0))
     ports = [each.getsockname()[1] for each in sockets]
     for each in sockets:
         each.close()
@@ -71,7 +81,7 @@
             self.start_instance(name)
 
     def start_standin(self):
-        fronts = "".join(f'[[front]]\ncallers = "127.0.0.1:{p[0]}"\nreadiness = "127.0.0.1:{p[1]}"\n' for p in self.ports.values())
+        fronts = "".join(f'[[front]]\ncallers = "{HOST}:{p[0]}"\nreadiness = "{HOST}:{p[1]}"\n' for p in self.ports.values())
         settings = self.folder / "standin.toml"
         catalog = ROOT / "files" / "platform-catalog.json"
         settings.write_text(f"zones = {json.dumps(ZONES)}\ncatalog = {json.dumps(str(catalog))}\n[workers]\nper_zone = {WORKERS_PER_ZONE}\n{fronts}")
@@ -82,8 +92,8 @@
         callers, readiness, peers, metrics = self.ports[name]
         settings = self.folder / f"{name}.toml"
         settings.write_text(
-            f'instance = "{name}"\nzone = "{name.split("-")[0]}"\nregion = "kerala"\n[listen]\ncallers = "127.0.0.1:{callers}"\n'
-            f'readiness = "127.0.0.1:{readiness}"\npeers = "127.0.0.1:{peers}"\nmetrics = "127.0.0.1:{metrics}"\n'
+            f'instance = "{name}"\nzone = "{name.split("-")[0]}"\nregion = "kerala"\n[listen]\ncallers = "{HOST}:{callers}"\n'
+            f'readiness = "{HOST}:{readiness}"\npeers = "{HOST}:{peers}"\nmetrics = "{HOST}:{metrics}"\n'
             f'[platform]\nstore = "{self.stores[name]}"\n'
         )
         program = self.build / "apps" / "foxtailcross-node" / "foxtailcross-node"
@@ -96,7 +106,7 @@
             process.wait()
 
     def metric(self, zone, name):
-        status, text = call(f"127.0.0.1:{self.ports[zone][3]}", "GET", "/metrics")
+        status, text = call(f"{HOST}:{self.ports[zone][3]}", "GET", "/metrics")
         lines = [line for line in text.splitlines() if line.startswith(name + " ")] if status == 200 else []
         return int(lines[0].split()[1]) if lines else None
 
@@ -116,7 +126,7 @@
 
     def state(self, queue, job):
         status, text = self.ask("GET", f"/{queue}/{job}")
-        return json.loads(text)["state"] if status == 200 else status
+        return json.loads(text).get("state", f"unreadable: {text}") if status == 200 else status
 
     def await_state(self, queue, job, state):
         wait_for(f"state {state} of {job}", lambda: self.state(queue, job) == state)
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -16,7 +16,7 @@
 import threading
 import time
 
-from platform_site import KEY, OTHER_KEY, ROOT, Site, call, task, wait_for
+from platform_site import HOST, KEY, OTHER_KEY, ROOT, Site, call, task, wait_for
 from store_proxy import StoreProxy
 
 # Bounds of the deployment, in seconds: keys that were taken away, zones that were taken out, recovery, and the grace of a stop.
@@ -96,6 +96,8 @@
             self.wrong.append(f"{name} was accepted and is not known")
         elif state == "completed":
             job["completed"] = True
+        elif isinstance(state, str) and state.startswith("unreadable"):
+            self.wrong.append(f"the state of {name} was answered with {state}")
         elif isinstance(state, str) and was_completed:
             self.wrong.append(f"{name} was completed and is {state}")
         return state
@@ -191,8 +193,10 @@
             self.give_back(names)
 
     def expect_running(self, name):
-        if self.site.instances[name].poll() is not None:
-            self.wrong.append(f"{name} ended by itself with {self.site.instances[name].returncode}")
+        instance = self.site.instances[name]
+        if instance.poll() is not None:
+            last = instance.stdout.read().splitlines()[-1:] if instance.stdout else ""
+            self.wrong.append(f"{name} ended by itself with {instance.returncode} {last}")
             self.site.start_instance(name)
 
     def kills(self, rng):
@@ -242,7 +246,7 @@
 
     def use_until_gone(self, name):
         """Calls on one connection until it ends; a call that was read must be answered whole."""
-        connection = http.client.HTTPConnection("127.0.0.1", self.site.ports[name][0], timeout=GRACE_S)
+        connection = http.client.HTTPConnection(HOST, self.site.ports[name][0], timeout=GRACE_S)
         headers = {"Host": "jobs.example", "Authorization": f"Token {KEY}", "X-Deadline-Ms": "3000"}
         try:
             connection.connect()
