Without the store an instance shows final states only

Change: without the store only a state that cannot change is shown; other calls for a state are refused at once, to be asked elsewhere after 100 ms. Test: callers/instanceWithoutTheStore_showsOnlyFinalStatesAndAtOnce takes the place of _showsWhatItKnowsAtOnce, which asked for the stale state: it is stricter for a job that runs and the same for one that is not known.

--- a/components/node/front_desk.cpp
+++ b/components/node/front_desk.cpp
@@ -34,6 +34,8 @@
 constexpr int mostReads = 3;
 /// When a refused caller should come back.
 constexpr fleet::Duration retryAfter {1000};
+/// The same where another instance is likely to have the answer.
+constexpr fleet::Duration askElsewhereAfter {100};
 /// Kept between the age at which a view is trusted and the bound for keys that were taken away.
 constexpr fleet::Duration revocationMargin {500};
 
@@ -377,12 +379,15 @@
 void FrontDesk::giveUp(std::uint64_t call, const OpenCall &open, fleet::Now now)
 {
     const journal::JobRecord *job = open.m_kind == callers::CallKind::Show ? journal::findJob(m_journal.m_ledger, open.m_job) : nullptr;
-    if (job != nullptr) {
+    if (job != nullptr && job->isOver()) {
         reply(call, open, stateReply(*job), now);
     } else if (open.m_waitsForStore) {
         reply(call, open, {callers::ReplyKind::Unknown, {}, 0, {}, "the store has not answered; ask for the job again"}, now);
     } else {
-        reply(call, open, refused("the journal could not be read; try another instance"), now);
+        // What was known last may be older than what another instance has shown.
+        callers::Reply later = refused("the journal could not be read; try another instance");
+        later.m_retryAfter = askElsewhereAfter;
+        reply(call, open, later, now);
     }
 }
 
--- a/components/simulation/callers_test.cpp
+++ b/components/simulation/callers_test.cpp
@@ -155,11 +155,12 @@
     cr_assert_neq(line.find("state=completed"), std::string::npos, "%s", line.c_str());
 }
 
-/// An instance that the store has left without answers for a second, with a job that it knows.
+/// An instance that the store has left without answers for a second, with a job that it knows to have ended and one that runs.
 struct CutInstanceFixture : WorldFixture
 {
     CutInstanceFixture()
         : m_cut(otherThanHolder())
+        , m_ended(submit(tasksOf(1), {100ms}))
         , m_known(submit(tasksOf(1), {10s}))
     {
         m_world.run(2500ms);
@@ -181,13 +182,15 @@
     }
 
     int m_cut;
+    jobs::JobId m_ended;
     jobs::JobId m_known;
 };
 
-Test(callers, instanceWithoutTheStore_showsWhatItKnowsAtOnce)
+Test(callers, instanceWithoutTheStore_showsOnlyFinalStatesAndAtOnce)
 {
     CutInstanceFixture fixture;
-    cr_assert_eq(fixture.replyWithin(fixture.m_world.show(fixture.m_cut, fixture.m_known), 20ms), callers::ReplyKind::State);
+    cr_assert_eq(fixture.replyWithin(fixture.m_world.show(fixture.m_cut, fixture.m_ended), 20ms), callers::ReplyKind::State);
+    cr_assert_eq(fixture.replyWithin(fixture.m_world.show(fixture.m_cut, fixture.m_known), 20ms), callers::ReplyKind::Refused);
     cr_assert_eq(fixture.replyWithin(fixture.m_world.show(fixture.m_cut, {0x77}), 20ms), callers::ReplyKind::Refused);
 }
 
