--- a/components/node/duty.cpp
+++ b/components/node/duty.cpp
@@ -20,6 +20,8 @@
 constexpr const char *snapshotProducer = "snapshots";
 /// Snapshots within the time that the store keeps a record, so that one may fail.
 constexpr int snapshotsPerRetention = 4;
+/// A process that starts reads the newest snapshot and what was recorded since.
+constexpr fleet::Duration longestSnapshotInterval {15'000};
 /// The holder sends a message to every instance this often.
 constexpr fleet::Duration beatInterval {100};
 /// A holder that resigns says so this often until its last record is stored.
@@ -38,7 +40,7 @@
 constexpr fleet::Duration listInterval {500};
 fleet::Duration snapshotInterval(const Settings &settings)
 {
-    return settings.m_journalRetention / snapshotsPerRetention;
+    return std::min(settings.m_journalRetention / snapshotsPerRetention, longestSnapshotInterval);
 }
 
 }
--- a/components/simulation/holder_test.cpp
+++ b/components/simulation/holder_test.cpp
@@ -220,3 +220,16 @@
         cr_assert_eq(fixture.m_world.m_logged["duty/hold"], 1, "seed %u", seed);
     }
 }
+
+/// A process that starts reads the newest snapshot and all that was recorded since.
+Test(holder, storeKeepsRecordsForLong_snapshotsAreNoOlderThanAStartCanBear)
+{
+    WorldFixture fixture;
+    fixture.m_world.run(20s);
+    const int before = fixture.m_world.m_logged["journal/snapshot-stored"];
+    for (int i = 0; i < 30; ++i) {
+        fixture.submit(tasksOf(1), {100ms});
+        fixture.m_world.run(1s);
+    }
+    cr_assert_geq(fixture.m_world.m_logged["journal/snapshot-stored"] - before, 1);
+}
