A job submitted again joins the record of its first submission

Cause: an instance that the store does not answer refused a job although an earlier submission of the same job through the same instance was on its way to the store. The caller was told that the job never runs, and it ran once the append was carried out. Change: records of the callers' writer that are not known to be stored or refused are remembered by job. A second submission waits for the same record and gets the same answer, or "unknown" when its caller stops waiting. A record that was never sent still refuses both callers, truthfully.

--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -39,6 +39,9 @@
 /// Margin between the age up to which the catalog is used to check keys and the bound for accepting revoked keys.
 constexpr fleet::Duration revocationMargin {500};
 
+/// Ticket of the record of this instance's start; the numbers of calls are higher.
+constexpr std::uint64_t instanceTicket = 0;
+
 constexpr const char *storeUnreachableReason = "the store is out of reach; try another instance";
 
 std::string makeProducerName(const Settings &settings)
@@ -129,7 +132,7 @@
 {
     const journal::InstanceStarted record {
         m_settings.m_instance, m_settings.m_incarnation, m_settings.m_zone, m_settings.m_peerAddress, m_settings.m_peerKey, m_settings.m_milliCores};
-    journal::enqueue(m_writer, journal::encode(record), 0);
+    journal::enqueue(m_writer, journal::encode(record), instanceTicket);
 }
 
 void CallHandler::onCall(std::uint64_t call, const callers::Call &content, fleet::Now now)
@@ -197,6 +200,12 @@
         reply(call, openCall, replyOf(callers::ReplyKind::Accepted), now);
         return;
     }
+    if (const auto pending = m_pendingSubmissions.find(openCall.m_job); pending != m_pendingSubmissions.end()) {
+        openCall.m_waitsForAppend = true;
+        m_pendingRecords.at(pending->second).m_calls.push_back(call);
+        m_openCalls.emplace(call, openCall);
+        return;
+    }
     if (!content.m_submission) {
         reply(call, openCall, {callers::ReplyKind::Malformed, {}, 0, {}, content.m_bodyError}, now);
         return;
@@ -209,9 +218,35 @@
     record.m_spec = {openCall.m_job, queue.m_id, account, content.m_submission->m_payload, content.m_submission->m_steps, content.m_submission->m_schedule};
     record.m_maxAttempts = queue.m_maxAttempts;
     record.m_at = now.m_wall;
+    m_pendingSubmissions.emplace(openCall.m_job, call);
+    append(call, openCall, journal::encode(record));
+}
+
+void CallHandler::append(std::uint64_t call, OpenCall openCall, std::string record)
+{
     openCall.m_waitsForAppend = true;
-    m_openCalls.emplace(call, openCall);
-    journal::enqueue(m_writer, journal::encode(record), call);
+    m_pendingRecords[call] = {openCall.m_job, openCall.m_kind, {call}};
+    m_openCalls[call] = std::move(openCall);
+    journal::enqueue(m_writer, std::move(record), call);
+}
+
+void CallHandler::finishRecord(std::uint64_t ticket, const callers::Reply &submitReply, const callers::Reply &cancelReply, fleet::Now now)
+{
+    const auto found = m_pendingRecords.find(ticket);
+    if (found == m_pendingRecords.end()) {
+        return;
+    }
+    const PendingRecord record = std::move(found->second);
+    m_pendingRecords.erase(found);
+    const bool isCancel = record.m_kind == callers::CallKind::Cancel;
+    if (!isCancel) {
+        m_pendingSubmissions.erase(record.m_job);
+    }
+    for (const std::uint64_t call : record.m_calls) {
+        if (const auto open = m_openCalls.find(call); open != m_openCalls.end()) {
+            reply(call, OpenCall(open->second), isCancel ? cancelReply : submitReply, now);
+        }
+    }
 }
 
 void CallHandler::cancel(std::uint64_t call, OpenCall openCall, fleet::Now now)
@@ -226,9 +261,7 @@
         reply(call, openCall, replyOf(callers::ReplyKind::Cancelled), now);
         return;
     }
-    openCall.m_waitsForAppend = true;
-    m_openCalls[call] = openCall;
-    journal::enqueue(m_writer, journal::encode(journal::JobCancelled {openCall.m_job, now.m_wall}), call);
+    append(call, openCall, journal::encode(journal::JobCancelled {openCall.m_job, now.m_wall}));
 }
 
 void CallHandler::showJob(std::uint64_t call, OpenCall openCall, fleet::Now now)
@@ -334,18 +367,14 @@
     }
     m_storedEnd = std::max(m_storedEnd, outcome.m_end);
     for (const std::uint64_t ticket : outcome.m_stored) {
-        const auto found = m_openCalls.find(ticket);
-        if (found != m_openCalls.end()) {
-            const bool isCancel = found->second.m_kind == callers::CallKind::Cancel;
-            reply(ticket, OpenCall(found->second), replyOf(isCancel ? callers::ReplyKind::Cancelled : callers::ReplyKind::Accepted), now);
-        }
+        finishRecord(ticket, replyOf(callers::ReplyKind::Accepted), replyOf(callers::ReplyKind::Cancelled), now);
     }
+    const callers::Reply refused = refusal("the store refused the record: " + result.m_reason);
     for (const std::uint64_t ticket : outcome.m_refused) {
-        const auto found = m_openCalls.find(ticket);
-        if (found != m_openCalls.end()) {
-            reply(ticket, OpenCall(found->second), refusal("the store refused the job: " + result.m_reason), now);
-        } else if (ticket == 0) {
+        if (ticket == instanceTicket) {
             announceInstance(now);
+        } else {
+            finishRecord(ticket, refused, refused, now);
         }
     }
 }
@@ -371,11 +400,9 @@
 /// the refusal is certain.
 void CallHandler::refuseQueuedCalls(fleet::Now now)
 {
+    const callers::Reply refused = refusal(storeUnreachableReason);
     for (const std::uint64_t ticket : journal::withdrawUnsent(m_writer)) {
-        const auto found = m_openCalls.find(ticket);
-        if (found != m_openCalls.end()) {
-            reply(ticket, OpenCall(found->second), refusal(storeUnreachableReason), now);
-        }
+        finishRecord(ticket, refused, refused, now);
     }
 }
 
--- a/components/node/call_handler.hpp
+++ b/components/node/call_handler.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <vector>
 
 namespace node
 {
@@ -64,12 +65,25 @@
         std::string m_requestId;
     };
 
+    /// A record of m_writer that is not known to be stored or refused yet.
+    struct PendingRecord
+    {
+        jobs::JobId m_job;
+        callers::CallKind m_kind = callers::CallKind::Submit;
+        /// The calls that wait for the outcome; calls that were answered meanwhile may still be listed.
+        std::vector<std::uint64_t> m_calls;
+    };
+
     void
     submit(std::uint64_t call, OpenCall openCall, const callers::Call &content, const catalog::Queue &queue, const fleet::AccountId &account, fleet::Now now);
     void cancel(std::uint64_t call, OpenCall openCall, fleet::Now now);
     void showJob(std::uint64_t call, OpenCall openCall, fleet::Now now);
     void showQueue(std::uint64_t call, OpenCall openCall, fleet::Now now);
     void waitForJournalRead(std::uint64_t call, const OpenCall &openCall);
+    /// Appends the record and lets the call wait for the outcome.
+    void append(std::uint64_t call, OpenCall openCall, std::string record);
+    /// Answers the calls that wait for the record, and forgets it.
+    void finishRecord(std::uint64_t ticket, const callers::Reply &submitReply, const callers::Reply &cancelReply, fleet::Now now);
     void refuseQueuedCalls(fleet::Now now);
     /// Answers without waiting for the store: with the state of a job that has ended, or that the outcome is not known, or with
     /// a refusal.
@@ -89,6 +103,11 @@
     journal::Writer m_writer;
     std::uint64_t m_storedEnd = 0;
     std::map<std::uint64_t, OpenCall> m_openCalls;
+    /// By ticket, which is the number of the call that caused the record.
+    std::map<std::uint64_t, PendingRecord> m_pendingRecords;
+    /// Tickets of the pending submissions. A job that is submitted again meanwhile joins its record: whether the job runs is only
+    /// known when the outcome of that record is.
+    std::map<jobs::JobId, std::uint64_t> m_pendingSubmissions;
 };
 
 }
--- a/components/simulation/callers_test.cpp
+++ b/components/simulation/callers_test.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdlib>
 
 #include <criterion/criterion.h>
 
@@ -225,6 +224,29 @@
     cr_assert_eq(fixture.runCount(queued), 0);
 }
 
+/// The retry joins the record of the first call, which is withdrawn before it is sent. Both refusals are true.
+Test(callers, jobHandedInAgainWhileItsRecordIsQueued_isRefusedWithTheFirstAndNeverRuns)
+{
+    WorldFixture fixture;
+    const int cut = fixture.nonHolder();
+    fixture.m_world.m_faults.m_cutFromStore.insert(cut);
+    jobs::JobId sent;
+    fixture.submitThrough(cut, makeTasks(1), {100ms}, 1, sent);
+    fixture.m_world.run(10ms);
+    jobs::JobId queued;
+    const int first = fixture.submitThrough(cut, makeTasks(1), {100ms}, 1, queued);
+    --fixture.m_nextJob;
+    const int again = fixture.submitThrough(cut, makeTasks(1), {100ms}, 1, queued);
+    fixture.m_world.run(1s);
+    for (const int call : {first, again}) {
+        cr_assert(fixture.m_world.outcome(call).m_reply.has_value());
+        cr_assert_eq(fixture.m_world.outcome(call).m_reply->m_kind, callers::ReplyKind::Refused);
+    }
+    fixture.m_world.m_faults.m_cutFromStore.clear();
+    cr_assert(fixture.completes(sent, 10s));
+    cr_assert_eq(fixture.runCount(queued), 0);
+}
+
 Test(callers, storeReachableAgain_instanceAcceptsJobsAtOnce)
 {
     CutInstanceFixture fixture;
@@ -255,12 +277,8 @@
     cr_assert_leq(fixture.m_world.m_journalReads - before, 12);
 }
 
-/// KNOWN-RED.txt, entry 8.
 Test(callers, jobHandedInAgainWhileItsAppendIsInDoubt_isNotRefused)
 {
-    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
-        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
-    }
     WorldFixture fixture;
     const int cut = fixture.nonHolder();
     fixture.m_world.m_faults.m_cutFromStore.insert(cut);
