Times that follow from the bounds of the deployment

Cause: a read of what the operators set waits two fifths of the time in which a change must be in force, so that the copy is up to two waits old, while a submission was refused beyond 2.5 s and readiness withdrawn beyond 3 s. The bound for zones taken out of service was not considered at all. Ruled out: capping the wait (the same happens at other bounds). The wait and the start lease of a worker follow from its lease, the reservation after evictions from the time that a stop takes, lost work from the restore time, and the downtime of a machine from its upkeep: bounds.zone_evacuation, bounds.restore and bounds.upkeep are new. Bounds that contradict each other are refused with both keys.

--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -73,8 +73,11 @@
     control.m_dispatch.m_gangWait = settings.m_gangWait;
     control.m_dispatch.m_reclaimLimit = settings.m_reclaimLimit;
     control.m_dispatch.m_machineLease = settings.m_machineLease;
+    control.m_dispatch.m_restoreTime = settings.m_restoreTime;
+    control.m_dispatch.m_upkeepTime = settings.m_upkeepTime;
     control.m_keyRevocation = settings.m_keyRevocation;
     control.m_catalogInForce = settings.m_catalogInForce;
+    control.m_zoneEvacuation = settings.m_zoneEvacuation;
     control.m_statusRetention = settings.m_statusRetention;
     control.m_journalRetention = settings.m_journalRetention;
     control.m_stopLimit = settings.m_stopLimit;
--- a/components/dispatch/evictions.cpp
+++ b/components/dispatch/evictions.cpp
@@ -23,8 +23,7 @@
 /// Weight of an accelerator in lost work, in cores; from the users' price of wasted work.
 constexpr std::int64_t coresPerAccelerator = 8;
 constexpr std::int64_t millisPerCore = 1000;
-/// Approximate work that a run loses if it resumes from a checkpoint. Every run that starts again loses the start overhead as well.
-constexpr fleet::Duration restoreTime {600};
+/// Every run that starts again loses this time, and a run that resumes from a checkpoint the restore time as well.
 constexpr fleet::Duration startOverhead {50};
 /// A step that failed prefers workers with a healthy start within this time.
 constexpr fleet::Duration healthyStartAge {2000};
@@ -66,7 +65,7 @@
 {
     const fleet::Duration ran = run.m_phase == RunPhase::Running ? context.m_now.m_boot - run.m_startedAt : fleet::Duration(0);
     const bool isSaved = stepOf(context, id.m_task.m_step).m_writesCheckpoints;
-    const fleet::Duration lost = (isSaved ? std::min(ran, restoreTime) : ran) + startOverhead;
+    const fleet::Duration lost = (isSaved ? std::min(ran, context.m_state.m_settings.m_restoreTime) : ran) + startOverhead;
     return lost.count() * (run.m_allocated.m_milliCores / millisPerCore + run.m_allocated.m_accelerators * coresPerAccelerator + 1);
 }
 
--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -28,7 +28,7 @@
 
 void sendStart(Context &context, const jobs::RunId &id, RunState &run, WorkerState &worker)
 {
-    const auto lease = leaseEnd(context, worker, context.m_state.m_settings.m_startLease);
+    const auto lease = leaseEnd(context, worker, context.m_state.m_settings.startLease());
     if (!lease) {
         return;
     }
@@ -96,7 +96,7 @@
         order.m_leaseUntilMs = leaseEnd(context, worker, context.m_state.m_settings.m_leaseLimit);
         // An end that is listed but may not be forgotten yet would end the wait at once.
         const bool mayWait = !hasUnstoredEnds && worker.m_hasAcceptedToken && !hasRunOverSincePoll;
-        order.m_wait = mayWait ? context.m_state.m_settings.m_pollWait : fleet::Duration(0);
+        order.m_wait = mayWait ? context.m_state.m_settings.pollWait() : fleet::Duration(0);
     }
     if (order.m_leaseUntilMs) {
         worker.m_grantedLeaseEndMs = std::max(worker.m_grantedLeaseEndMs, *order.m_leaseUntilMs);
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -23,8 +23,9 @@
 namespace
 {
 
-/// How long capacity freed by evictions is reserved for a step. Covers stopping the runs, polling the worker and storing the ends.
-constexpr fleet::Duration evictionReservationTime {1500};
+/// How long capacity freed by evictions is reserved for a step, beyond the time that the runs take to stop. Covers the orders to
+/// stop, polling the worker and storing the ends.
+constexpr fleet::Duration evictionOverhead {1300};
 /// A gang that has waited this long gets workers reserved; other workers may be chosen after the reservation time.
 constexpr fleet::Duration gangWaitBeforeReservation {1500};
 constexpr fleet::Duration gangReservationTime {6000};
@@ -116,7 +117,7 @@
     for (const Eviction &eviction : chosen) {
         tasks[eviction.m_worker] = eviction.m_slots;
     }
-    reserve(context, candidate, tasks, evictionReservationTime);
+    reserve(context, candidate, tasks, context.m_state.m_settings.m_stopGrace + evictionOverhead);
     for (const Eviction &eviction : chosen) {
         for (const jobs::RunId &victim : eviction.m_victims) {
             requestStop(context, victim, "room-for-" + toString(candidate.m_step.m_job));
--- a/components/dispatch/settings.hpp
+++ b/components/dispatch/settings.hpp
@@ -3,10 +3,12 @@
 
 #include "components/fleet/time.hpp"
 
+#include <algorithm>
+
 namespace dispatch
 {
 
-/// Time limits of the scheduling duty. The first four are bounds of the deployment and come from its settings.
+/// Time limits of the scheduling duty: bounds of the deployment, from its settings, and times that follow from them.
 struct Settings
 {
     /// Maximum lease that a worker grants.
@@ -17,17 +19,32 @@
     fleet::Duration m_gangWait {3000};
     /// Guaranteed capacity is provided within this time after it is requested.
     fleet::Duration m_reclaimLimit {2700};
-    /// How long a worker waits for a run to end before it answers a poll. At most a third of the lease, so that one lost poll does
-    /// not end the runs.
-    fleet::Duration m_pollWait {1500};
-    /// Lease that a start order grants; short, so that an order without an answer is resolved early.
-    fleet::Duration m_startLease {3000};
+    /// A run that resumes from a checkpoint works again after this time.
+    fleet::Duration m_restoreTime {600};
+    /// How long the upkeep of a machine takes.
+    fleet::Duration m_upkeepTime {2000};
     /// A new holder sends no upkeep order within this time, since orders of the previous holder may still be under way.
     fleet::Duration m_machineLease {3000};
     /// How long a holder may renew leases after it last reached the store. The sum of this and the lease is the longest store outage
     /// that runs survive, and the time that a successor waits for workers that do not answer.
     fleet::Duration m_holderAuthority {4000};
 
+    /// How long a worker waits for a run to end before it answers a poll. A quarter of the lease leaves time for a lost poll and the
+    /// next one; workers wait no longer than maxPollWait.
+    fleet::Duration pollWait() const
+    {
+        constexpr fleet::Duration maxPollWait {1500};
+        constexpr int leaseDivisor = 4;
+        return std::min(maxPollWait, m_leaseLimit / leaseDivisor);
+    }
+
+    /// Lease that a start order grants; short, so that an order without an answer is resolved early.
+    fleet::Duration startLease() const
+    {
+        constexpr fleet::Duration maxStartLease {3000};
+        return std::min(maxStartLease, m_leaseLimit / 2);
+    }
+
     /// Maximum duration of a lease on this machine's clock: a worker's clock may run 2% slow, and the order takes time to arrive.
     fleet::Duration longestLease() const
     {
--- a/components/dispatch/upkeep.cpp
+++ b/components/dispatch/upkeep.cpp
@@ -18,15 +18,21 @@
 
 /// Delay after an upkeep order or a report that failed.
 constexpr fleet::Duration retryDelay {400};
-/// Approximate time from the start of an upkeep until the machine's next worker is listed: the upkeep itself and a heartbeat.
-constexpr fleet::Duration expectedDowntime {4000};
-/// A machine whose worker is not back after this time is no longer waited for.
-constexpr fleet::Duration maxDowntime {15'000};
+/// Time from the end of an upkeep until the machine's next worker is listed.
+constexpr fleet::Duration relistTime {2000};
+/// A machine whose worker is not back this long after it was expected is no longer waited for.
+constexpr fleet::Duration maxDelayAfterUpkeep {11'000};
 /// Maximum time that runs on a draining machine may take to end by themselves; less if the wave's time is short.
 constexpr fleet::Duration maxDrainTime {6000};
 /// Divisor of the wave's time: a quarter of it is reserved for orders without an answer.
 constexpr int reserveDivisor = 4;
 
+/// Returns the time from the start of an upkeep until the machine's next worker should be listed.
+fleet::Duration expectedDowntime(const Context &context)
+{
+    return context.m_state.m_settings.m_upkeepTime + relistTime;
+}
+
 WorkerState *workerOf(Context &context, const fleet::MachineId &machine)
 {
     const auto found = std::find_if(context.m_state.m_workers.begin(), context.m_state.m_workers.end(), [&](const auto &entry) {
@@ -75,7 +81,7 @@
     });
     const std::uint32_t rounds = (waiting + wave.m_maxConcurrent - 1) / std::max(wave.m_maxConcurrent, 1U);
     const fleet::Duration left = wave.m_duration - wave.m_duration / reserveDivisor - (context.m_now.m_boot - wave.m_firstSeenAt);
-    const fleet::Duration each = left / std::max(rounds, 1U) - expectedDowntime;
+    const fleet::Duration each = left / std::max(rounds, 1U) - expectedDowntime(context);
     return std::clamp(each, fleet::Duration(0), maxDrainTime);
 }
 
@@ -158,7 +164,7 @@
         sendUpkeepOrder(context, wave, machine, upkeep);
     } else if (upkeep.m_phase == UpkeepPhase::Down) {
         const bool isBack = worker != nullptr && worker->m_registration.m_incarnation.m_startedAtMs > upkeep.m_previousStartMs;
-        if (isBack || context.m_now.m_boot - upkeep.m_since >= maxDowntime) {
+        if (isBack || context.m_now.m_boot - upkeep.m_since >= expectedDowntime(context) + maxDelayAfterUpkeep) {
             upkeep.m_phase = UpkeepPhase::Over;
             context.m_state.m_planIsDue = true;
             if (worker != nullptr) {
--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -2,6 +2,7 @@
 
 #include "components/node/instance_metrics.hpp"
 #include "components/node/ports.hpp"
+#include "components/node/timing.hpp"
 #include "components/store/append_result.hpp"
 
 #include <algorithm>
@@ -24,8 +25,6 @@
 /// waiting jobs.
 constexpr fleet::Duration maxJobStateAge {100};
 constexpr fleet::Duration maxWaitingCountAge {1000};
-/// A submission is refused at once if the store has not confirmed the catalog for this long.
-constexpr fleet::Duration maxStoreSilence {2500};
 /// If an append is unanswered for this long, a read checks whether the store answers at all.
 constexpr fleet::Duration slowAppendThreshold {150};
 /// While the store is unreachable, a read is sent this often to find out whether it answers again.
@@ -36,8 +35,6 @@
 constexpr fleet::Duration retryAfter {1000};
 /// The same if another instance can probably answer.
 constexpr fleet::Duration otherInstanceRetryAfter {100};
-/// Margin between the age up to which the catalog is used to check keys and the bound for accepting revoked keys.
-constexpr fleet::Duration revocationMargin {500};
 
 /// Ticket of the record of this instance's start; the numbers of calls are higher.
 constexpr std::uint64_t instanceTicket = 0;
@@ -111,12 +108,14 @@
 }
 
 CallHandler::CallHandler(const Settings &settings,
+                         const Timing &timing,
                          Ports &ports,
                          const OperatorConfigView &operatorConfig,
                          JournalView &journal,
                          const std::map<jobs::JobId, std::uint64_t> &unconfirmedEnds,
                          InstanceMetrics &instanceMetrics)
     : m_settings(settings)
+    , m_timing(timing)
     , m_ports(ports)
     , m_metrics(instanceMetrics)
     , m_operatorConfig(operatorConfig)
@@ -148,14 +147,14 @@
         return;
     }
     const fleet::Duration age = viewAge(m_operatorConfig, now.m_boot);
-    if (age >= m_settings.m_keyRevocation - revocationMargin) {
+    if (age >= m_timing.m_maxAgeToAllow) {
         reply(call, openCall, refusal("the catalog was last confirmed too long ago; try another instance"), now);
         return;
     }
     const catalog::Queue *queue = catalog::findQueue(m_operatorConfig.m_catalog, content.m_host, content.m_path);
     const catalog::Account *account = catalog::findAccountByKey(m_operatorConfig.m_catalog, content.m_key);
     const bool isAllowed = queue != nullptr && (queue->m_isPublic || account != nullptr);
-    if (!isAllowed && age > m_settings.m_catalogInForce) {
+    if (!isAllowed && age > m_timing.m_maxAgeToDeny) {
         reply(call, openCall, refusal("the catalog may have changed since it was read; try another instance"), now);
         return;
     }
@@ -210,7 +209,7 @@
         reply(call, openCall, {callers::ReplyKind::Malformed, {}, 0, {}, content.m_bodyError}, now);
         return;
     }
-    if (viewAge(m_operatorConfig, now.m_boot) > maxStoreSilence || isStoreUnreachable(m_journal, now.m_boot)) {
+    if (viewAge(m_operatorConfig, now.m_boot) > m_timing.m_maxConfirmationAge || isStoreUnreachable(m_journal, now.m_boot)) {
         reply(call, openCall, refusal(storeUnreachableReason), now);
         return;
     }
--- a/components/node/call_handler.hpp
+++ b/components/node/call_handler.hpp
@@ -20,6 +20,7 @@
 
 class InstanceMetrics;
 class Ports;
+struct Timing;
 
 /// Handles the calls of callers: checks them against the catalog, appends submissions and cancellations to the journal, and
 /// answers queries from what was read of the journal.
@@ -27,6 +28,7 @@
 {
 public:
     CallHandler(const Settings &settings,
+                const Timing &timing,
                 Ports &ports,
                 const OperatorConfigView &operatorConfig,
                 JournalView &journal,
@@ -94,6 +96,7 @@
     void reply(std::uint64_t call, const OpenCall &openCall, const callers::Reply &reply, fleet::Now now);
 
     const Settings &m_settings;
+    const Timing &m_timing;
     Ports &m_ports;
     InstanceMetrics &m_metrics;
     const OperatorConfigView &m_operatorConfig;
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -22,9 +22,6 @@
 constexpr fleet::Duration readRetryDelay {150};
 constexpr fleet::Duration holderTick {40};
 constexpr fleet::Duration followerTick {100};
-/// An instance reports that it is not ready for new connections when its copy of the catalog was confirmed longer ago than
-/// this.
-constexpr fleet::Duration maxReadyViewAge {3000};
 /// After a stop request, new connections keep arriving until the platform has twice seen that the instance is not ready.
 constexpr fleet::Duration balancerDelay {2200};
 /// Ended jobs are dropped this often. They are kept for clockTolerance longer than their retention, since the clocks of
@@ -34,23 +31,15 @@
 /// The process exits this long before the platform would kill it.
 constexpr fleet::Duration stopMargin {700};
 
-/// Returns how long a read waits in the store for a change before the store confirms that there is none. The view can be as
-/// old as two such waits, and must be younger than the time in which a change has to be in force.
-fleet::Duration operatorConfigReadWait(const Settings &settings)
-{
-    constexpr int numerator = 2;
-    constexpr int denominator = 5;
-    return settings.m_catalogInForce * numerator / denominator;
-}
-
 }
 
 Control::Control(const Settings &settings, Ports &ports, metrics::Registry &registry)
     : m_settings(settings)
+    , m_timing(deriveTiming(settings))
     , m_ports(ports)
     , m_metrics(registry)
     , m_duty(m_settings, m_ports, m_operatorConfig, m_journal)
-    , m_callHandler(m_settings, m_ports, m_operatorConfig, m_journal, m_duty.unconfirmedEnds(), m_metrics)
+    , m_callHandler(m_settings, m_timing, m_ports, m_operatorConfig, m_journal, m_duty.unconfirmedEnds(), m_metrics)
 {
     m_callHandler.announceInstance(fleet::Now());
 }
@@ -95,9 +84,11 @@
     m_settings.m_dispatch = settings.m_dispatch;
     m_settings.m_keyRevocation = settings.m_keyRevocation;
     m_settings.m_catalogInForce = settings.m_catalogInForce;
+    m_settings.m_zoneEvacuation = settings.m_zoneEvacuation;
     m_settings.m_statusRetention = settings.m_statusRetention;
     m_settings.m_journalRetention = settings.m_journalRetention;
     m_settings.m_stopLimit = settings.m_stopLimit;
+    m_timing = deriveTiming(m_settings);
     m_duty.onBoundsChanged();
 }
 
@@ -292,8 +283,7 @@
 {
     if (!m_operatorConfig.m_readSentAt && now.m_boot >= m_operatorConfig.m_nextReadAt) {
         m_operatorConfig.m_readSentAt = now.m_boot;
-        m_ports.readOperators(
-            m_operatorConfig.m_nextOffset, m_operatorConfig.m_nextOffset ? operatorConfigReadWait(m_settings) : fleet::Duration(0), now.m_boot);
+        m_ports.readOperators(m_operatorConfig.m_nextOffset, m_operatorConfig.m_nextOffset ? m_timing.m_operatorReadWait : fleet::Duration(0), now.m_boot);
     }
     if (m_journal.m_needsSnapshot) {
         if (!m_journal.m_isSnapshotReadOpen && now.m_boot >= m_journal.m_nextSnapshotReadAt) {
@@ -315,7 +305,7 @@
 
 void Control::updateReadiness(fleet::Now now)
 {
-    const bool isReady = !m_stopRequestedAt && m_operatorConfig.hasCatalog() && viewAge(m_operatorConfig, now.m_boot) < maxReadyViewAge;
+    const bool isReady = !m_stopRequestedAt && m_operatorConfig.hasCatalog() && viewAge(m_operatorConfig, now.m_boot) < m_timing.m_maxConfirmationAge;
     if (isReady != m_isReady) {
         m_isReady = isReady;
         m_ports.log(logging::Line("node", "ready")
--- a/components/node/control.hpp
+++ b/components/node/control.hpp
@@ -9,6 +9,7 @@
 #include "components/node/operator_config_view.hpp"
 #include "components/node/scheduling_duty.hpp"
 #include "components/node/settings.hpp"
+#include "components/node/timing.hpp"
 
 namespace metrics
 {
@@ -67,6 +68,7 @@
     InstanceStats collectStats(fleet::Now now) const;
 
     Settings m_settings;
+    Timing m_timing;
     Ports &m_ports;
     OperatorConfigView m_operatorConfig;
     JournalView m_journal;
--- a/components/node/settings.hpp
+++ b/components/node/settings.hpp
@@ -29,6 +29,8 @@
     fleet::Duration m_keyRevocation {5000};
     /// A change of the catalog has to be in force after this time.
     fleet::Duration m_catalogInForce {2000};
+    /// No task may start in a zone this long after the operators took the zone out of service.
+    fleet::Duration m_zoneEvacuation {5000};
     /// The state of a job that has ended is kept for this long.
     fleet::Duration m_statusRetention {std::chrono::minutes(2)};
     /// How long the store keeps the records of the journal.
--- a/components/settings/node_settings.cpp
+++ b/components/settings/node_settings.cpp
@@ -1,5 +1,6 @@
 #include "components/settings/node_settings.hpp"
 
+#include "components/node/timing.hpp"
 #include "components/settings/reader.hpp"
 
 namespace settings
@@ -11,6 +12,21 @@
 /// More cores than any machine has.
 constexpr double maxCores = 1000;
 
+/// Reports bounds that contradict each other.
+void checkRelations(Reader &reader, const NodeSettings &settings)
+{
+    if (settings.m_stopGrace >= settings.m_leaseLimit) {
+        reader.report("bounds.task_stop",
+                      "must be shorter than bounds.lease, since the lease is the last means of ending a run",
+                      "shorten bounds.task_stop or lengthen bounds.lease");
+    }
+    if (settings.m_stopGrace >= settings.m_reclaimLimit) {
+        reader.report("bounds.reclaim",
+                      "must be longer than bounds.task_stop, since capacity is reclaimed by stopping runs",
+                      "lengthen bounds.reclaim or shorten bounds.task_stop");
+    }
+}
+
 }
 
 NodeSettings readNodeSettings(Reader &reader)
@@ -34,12 +50,16 @@
     settings.m_gangWait = reader.duration("bounds.gang_wait", settings.m_gangWait, 100ms, 10min);
     settings.m_reclaimLimit = reader.duration("bounds.reclaim", settings.m_reclaimLimit, 100ms, 10min);
     settings.m_machineLease = reader.duration("bounds.machine_lease", settings.m_machineLease, 0ms, 1min);
-    settings.m_keyRevocation = reader.duration("bounds.key_revocation", settings.m_keyRevocation, 1s, 1h);
-    settings.m_catalogInForce = reader.duration("bounds.catalog_in_force", settings.m_catalogInForce, 200ms, 1min);
+    settings.m_keyRevocation = reader.duration("bounds.key_revocation", settings.m_keyRevocation, node::minOperatorChangeBound + node::revocationMargin, 1h);
+    settings.m_catalogInForce = reader.duration("bounds.catalog_in_force", settings.m_catalogInForce, node::minOperatorChangeBound, 1min);
+    settings.m_zoneEvacuation = reader.duration("bounds.zone_evacuation", settings.m_zoneEvacuation, node::minOperatorChangeBound, 1min);
+    settings.m_restoreTime = reader.duration("bounds.restore", settings.m_restoreTime, 0ms, 10min);
+    settings.m_upkeepTime = reader.duration("bounds.upkeep", settings.m_upkeepTime, 0ms, 24h);
     settings.m_statusRetention = reader.duration("bounds.status_retention", settings.m_statusRetention, 1s, 24h);
     settings.m_journalRetention = reader.duration("bounds.journal_retention", settings.m_journalRetention, 1s, 720h);
     settings.m_stopLimit = reader.duration("bounds.stop_limit", settings.m_stopLimit, 1s, 1h);
     settings.m_logLevel = reader.level("log.level", settings.m_logLevel);
+    checkRelations(reader, settings);
     reader.finish();
     return settings;
 }
--- a/components/settings/node_settings.hpp
+++ b/components/settings/node_settings.hpp
@@ -46,6 +46,12 @@
     fleet::Duration m_keyRevocation {5000};
     /// A change of the catalog must take effect within this time.
     fleet::Duration m_catalogInForce {2000};
+    /// No task may start in a zone this long after the operators took the zone out of service.
+    fleet::Duration m_zoneEvacuation {5000};
+    /// A run that resumes from a checkpoint works again after this time.
+    fleet::Duration m_restoreTime {600};
+    /// How long the upkeep of a machine takes.
+    fleet::Duration m_upkeepTime {2000};
     /// The state of a job that has ended is kept for this long.
     fleet::Duration m_statusRetention {120'000};
     /// How long the store keeps records of the journal.
--- a/components/settings/node_settings_test.cpp
+++ b/components/settings/node_settings_test.cpp
@@ -56,6 +56,25 @@
     cr_assert(problem.m_remedy == "write a number without quotes");
 }
 
+Test(nodeSettings, stopAsLongAsTheLease_read_isRefusedWithBothKeys)
+{
+    const auto problem = onlyProblem("[bounds]\nlease = \"2 s\"\ntask_stop = \"2 s\"\n");
+    cr_assert(problem.m_key == "bounds.task_stop");
+    cr_assert_neq(problem.m_remedy.find("bounds.lease"), std::string::npos);
+}
+
+Test(nodeSettings, reclaimWithinTheTimeOfAStop_read_isRefusedWithBothKeys)
+{
+    const auto problem = onlyProblem("[bounds]\nreclaim = \"500 ms\"\ntask_stop = \"1 s\"\n");
+    cr_assert(problem.m_key == "bounds.reclaim");
+    cr_assert_neq(problem.m_remedy.find("bounds.task_stop"), std::string::npos);
+}
+
+Test(nodeSettings, revocationWithinTheMargin_read_isRefused)
+{
+    cr_assert(onlyProblem("[bounds]\nkey_revocation = \"700 ms\"\n").m_key == "bounds.key_revocation");
+}
+
 Test(fileWatch, fileWrittenAgain_isNoticedOnceAfterTheInterval)
 {
     const std::filesystem::path file = std::filesystem::temp_directory_path() / ("foxtailcross-watch-" + std::to_string(getpid()));
--- a/components/simulation/fleet_model.cpp
+++ b/components/simulation/fleet_model.cpp
@@ -30,7 +30,7 @@
 fleet::Duration progressOf(const ModelWorker &worker, const ModelRun &run, fleet::BootTime now)
 {
     const bool makesProgress = run.m_isWorking && !worker.m_isHung;
-    return run.m_resumedProgress + (makesProgress ? now - run.m_workingSince : fleet::Duration(0));
+    return run.m_resumedProgress + (makesProgress ? (now - run.m_workingSince) / worker.m_slowness : fleet::Duration(0));
 }
 
 std::string latestCheckpoint(const FleetModel &fleet, const ModelWorker &worker, const ModelRun &run, fleet::BootTime now)
--- a/components/simulation/fleet_model.hpp
+++ b/components/simulation/fleet_model.hpp
@@ -49,6 +49,8 @@
     bool m_isUp = true;
     /// Every run on this worker fails shortly after its start.
     bool m_failsEverything = false;
+    /// Tasks take this many times their duration.
+    int m_slowness = 1;
     /// Tasks make no progress.
     bool m_isHung = false;
     /// Reading of the worker's clock at time 0 in milliseconds, and its rate in thousandths of real time.
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -13,8 +13,6 @@
 
 using namespace std::chrono_literals;
 
-/// One-way latency between an instance and the store, a worker or another instance.
-constexpr fleet::Duration oneWayLatency {1};
 constexpr fleet::Duration storeTimeout {2500};
 constexpr fleet::Duration readTimeout {1000};
 constexpr fleet::Duration orderTimeout {600};
@@ -67,16 +65,16 @@
         if (isRefusedByStore(faults, m_instance)) {
             store::AppendResult refused;
             refused.m_outcome = store::AppendOutcome::Refused;
-            deliverAfter(oneWayLatency * 2, node::AppendEnded {tag, now, refused});
+            deliverAfter(m_world.oneWayLatency() * 2, node::AppendEnded {tag, now, refused});
             return;
         }
         const bool isLost = m_world.randomFraction() < faults.m_unansweredAppends;
-        const fleet::Duration delay
-            = isLost && faults.m_unansweredAppendsAreDelayed ? fleet::Duration(1000 + m_world.random()() % 5000) : oneWayLatency + faults.m_storeDelay;
+        const fleet::Duration delay = isLost && faults.m_unansweredAppendsAreDelayed ? fleet::Duration(1000 + m_world.random()() % 5000)
+                                                                                     : m_world.oneWayLatency() + faults.m_storeDelay;
         m_world.schedule(delay, [call, tag, now, isLost, world = &m_world, instance = m_instance, incarnation = m_incarnation] {
             const store::AppendResult result = simulation::append(world->m_store, call);
             if (!isLost) {
-                world->schedule(oneWayLatency, [world, instance, incarnation, tag, now, result] {
+                world->schedule(world->oneWayLatency(), [world, instance, incarnation, tag, now, result] {
                     world->deliver(instance, incarnation, node::AppendEnded {tag, now, result});
                 });
             }
@@ -171,7 +169,7 @@
             deliverAfter(orderTimeout + order.m_wait, node::PollEnded {order, now, {}});
             return;
         }
-        m_world.schedule(oneWayLatency, [world = &m_world, instance = m_instance, incarnation = m_incarnation, order, now] {
+        m_world.schedule(m_world.oneWayLatency(), [world = &m_world, instance = m_instance, incarnation = m_incarnation, order, now] {
             answerPoll(*world, instance, incarnation, order, now, order.m_wait);
         });
     }
@@ -179,10 +177,10 @@
     void orderUpkeep(const machines::UpkeepOrder &order) override
     {
         const bool isLost = m_world.randomFraction() < m_world.m_faults.m_unansweredUpkeeps;
-        m_world.schedule(oneWayLatency, [world = &m_world, order, isLost, instance = m_instance, incarnation = m_incarnation] {
+        m_world.schedule(m_world.oneWayLatency(), [world = &m_world, order, isLost, instance = m_instance, incarnation = m_incarnation] {
             const machines::UpkeepOutcome outcome = world->beginUpkeep(order);
             const node::UpkeepEnded ended {order, isLost ? machines::UpkeepOutcome::Unknown : outcome};
-            world->schedule(isLost ? orderTimeout : oneWayLatency, [world, instance, incarnation, ended] {
+            world->schedule(isLost ? orderTimeout : world->oneWayLatency(), [world, instance, incarnation, ended] {
                 world->deliver(instance, incarnation, ended);
             });
         });
@@ -194,7 +192,7 @@
         if (isServed) {
             m_world.recordReport(report);
         }
-        deliverAfter(oneWayLatency * 2, node::WaveReported {report, token, isServed});
+        deliverAfter(m_world.oneWayLatency() * 2, node::WaveReported {report, token, isServed});
     }
 
     void requestAdvice(const workers::AdviceQuestion &question, fleet::BootTime now) override
@@ -213,7 +211,7 @@
             || isPartitioned(m_world.m_faults, m_world.zoneOf(m_instance), m_world.zoneOf(target))) {
             return;
         }
-        m_world.schedule(oneWayLatency, [world = &m_world, target, bytes = std::move(bytes)] {
+        m_world.schedule(m_world.oneWayLatency(), [world = &m_world, target, bytes = std::move(bytes)] {
             world->deliver(target, world->m_instances[static_cast<std::size_t>(target)].m_incarnation, node::DatagramArrived {bytes});
         });
     }
@@ -277,7 +275,7 @@
             return;
         }
         ++world.m_answeredPolls;
-        world.schedule(oneWayLatency, [&world, instance, incarnation, order, sentAt, result] {
+        world.schedule(world.oneWayLatency(), [&world, instance, incarnation, order, sentAt, result] {
             world.deliver(instance, incarnation, node::PollEnded {order, sentAt, result});
         });
     }
@@ -304,15 +302,16 @@
             return;
         }
         if (isRefusedByStore(m_world.m_faults, m_instance)) {
-            deliverAfter(oneWayLatency * 2, toEvent(withOutcome<Result>(store::ReadOutcome::Refused)));
+            deliverAfter(m_world.oneWayLatency() * 2, toEvent(withOutcome<Result>(store::ReadOutcome::Refused)));
             return;
         }
-        m_world.schedule(oneWayLatency + m_world.m_faults.m_storeDelay, [world = &m_world, instance = m_instance, incarnation = m_incarnation, make, toEvent] {
-            const Result result = make(*world);
-            world->schedule(oneWayLatency, [world, instance, incarnation, toEvent, result] {
-                world->deliver(instance, incarnation, toEvent(result));
-            });
-        });
+        m_world.schedule(m_world.oneWayLatency() + m_world.m_faults.m_storeDelay,
+                         [world = &m_world, instance = m_instance, incarnation = m_incarnation, make, toEvent] {
+                             const Result result = make(*world);
+                             world->schedule(world->oneWayLatency(), [world, instance, incarnation, toEvent, result] {
+                                 world->deliver(instance, incarnation, toEvent(result));
+                             });
+                         });
     }
 
     template<class Result>
@@ -341,7 +340,7 @@
             return;
         }
         const bool isLate = m_world.randomFraction() < m_world.m_faults.m_delayedOrders;
-        const fleet::Duration delay = isLate ? fleet::Duration(2000 + m_world.random()() % 10'000) : oneWayLatency;
+        const fleet::Duration delay = isLate ? fleet::Duration(2000 + m_world.random()() % 10'000) : m_world.oneWayLatency();
         m_world.schedule(delay, [world = &m_world, instance = m_instance, incarnation = m_incarnation, order, execute, isLate] {
             const auto worker = world->m_fleet.m_workers.find(order.m_target.m_worker);
             if (worker == world->m_fleet.m_workers.end() || !worker->second.m_isUp) {
@@ -351,7 +350,7 @@
             const workers::OrderResult result = execute(world->m_fleet, order, world->m_now);
             advance(world->m_fleet, world->m_now);
             if (!isLate) {
-                world->schedule(oneWayLatency, [world, instance, incarnation, order, result] {
+                world->schedule(world->oneWayLatency(), [world, instance, incarnation, order, result] {
                     world->deliver(instance, incarnation, endedEvent(order, result));
                 });
             }
@@ -371,6 +370,9 @@
     , m_random(settings.m_seed)
     , m_now(std::chrono::seconds(1000))
 {
+    m_fleet.m_leaseLimit = settings.m_bounds.m_dispatch.m_leaseLimit;
+    m_fleet.m_gangWait = settings.m_bounds.m_dispatch.m_gangWait;
+    m_fleet.m_stopGrace = settings.m_bounds.m_dispatch.m_stopGrace;
     int number = 0;
     for (int zone = 0; zone < settings.m_zones; ++zone) {
         for (int i = 0; i < settings.m_workersPerZone; ++i) {
@@ -382,7 +384,9 @@
             worker.m_registration.m_zone = fleet::ZoneId("z" + std::to_string(zone));
             worker.m_registration.m_rack = fleet::RackId("r" + std::to_string(zone) + '-' + std::to_string(i / settings.m_workersPerRack));
             worker.m_registration.m_kind = "a";
-            worker.m_registration.m_capacity = settings.m_workerCapacity;
+            const bool isUnlike = number % 2 == 1;
+            worker.m_registration.m_capacity = settings.m_workerCapacity * (isUnlike ? settings.m_capacityFactor : 1);
+            worker.m_slowness = isUnlike ? settings.m_slownessFactor : 1;
             worker.m_clockBase = static_cast<std::int64_t>(m_random() % 1'000'000);
             worker.m_clockRate = 980 + static_cast<int>(m_random() % 21);
             m_fleet.m_workers[worker.m_registration.m_incarnation.m_worker] = worker;
@@ -428,19 +432,22 @@
 
 node::Settings World::settingsOf(int instance)
 {
-    node::Settings settings;
+    node::Settings settings = m_settings.m_bounds;
     settings.m_instance = fleet::InstanceId("i" + std::to_string(instance));
     settings.m_incarnation.m_value = (static_cast<std::uint64_t>(m_random()) << 32U) | m_random();
     settings.m_zone = zoneOf(instance);
     settings.m_peerAddress = std::to_string(instance);
     settings.m_peerKey = "key-of-" + std::to_string(settings.m_incarnation.m_value);
-    settings.m_dispatch.m_leaseLimit = m_fleet.m_leaseLimit;
-    settings.m_dispatch.m_gangWait = m_fleet.m_gangWait;
     settings.m_journalRetention = m_settings.m_journalRetention;
     settings.m_milliCores = m_settings.m_strongInstances > 0 && instance >= m_settings.m_strongInstances ? weakInstanceMilliCores : strongInstanceMilliCores;
     return settings;
 }
 
+fleet::Duration World::oneWayLatency() const
+{
+    return m_settings.m_oneWayLatency;
+}
+
 fleet::Now World::currentTime() const
 {
     return {m_now, fleet::TimePoint(m_now.time_since_epoch()) + fleet::Duration(wallClockStartMs)};
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -117,6 +117,7 @@
     void deliver(int instance, std::uint64_t incarnation, const node::Event &event);
     void tick(int instance, std::uint64_t incarnation);
     fleet::Now currentTime() const;
+    fleet::Duration oneWayLatency() const;
     int sendCall(int instance, callers::Call content);
     void appendToWorkerList(const fleet::WorkerId &worker);
     machines::UpkeepOutcome beginUpkeep(const machines::UpkeepOrder &order);
--- a/components/simulation/world_settings.hpp
+++ b/components/simulation/world_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "components/fleet/resources.hpp"
 #include "components/fleet/time.hpp"
+#include "components/node/settings.hpp"
 
 namespace simulation
 {
@@ -18,7 +19,14 @@
     int m_workersPerZone = 4;
     int m_workersPerRack = 2;
     fleet::Resources m_workerCapacity {32'000, 64'000, 8};
+    /// Every second worker has this many times the capacity, and takes this many times as long for a task.
+    int m_capacityFactor = 1;
+    int m_slownessFactor = 1;
+    /// One-way latency between an instance and the store, a worker or another instance.
+    fleet::Duration m_oneWayLatency {1};
     fleet::Duration m_journalRetention {std::chrono::minutes(5)};
+    /// Bounds of the deployment; identity and address of an instance are not taken from here.
+    node::Settings m_bounds;
 };
 
 }
