Runs on workers that shut down soon are stopped in time

Ruled out: taking a worker that is no longer listed for gone. Workers that are cut off from the store leave the list as well and run on. Change: the time of the shutdown follows from the registration and the worker's clock. Runs that are left shortly before it are stopped, which keeps checkpoints and frees the tasks at once; runs without checkpoints whose progress shows that they cannot end in time are stopped when that is known.

--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -2,6 +2,7 @@
 
 #include "components/dispatch/advice.hpp"
 #include "components/dispatch/context.hpp"
+#include "components/dispatch/departures.hpp"
 #include "components/dispatch/runs.hpp"
 
 #include <algorithm>
@@ -92,6 +93,7 @@
     } else if (registration.m_incarnation.m_startedAtMs < known.m_startedAtMs) {
         return;
     }
+    updateDeparture(context, worker, registration);
     worker.m_registration = registration;
     worker.m_isListed = true;
     worker.m_listedAt = context.m_now.m_boot;
--- a/components/dispatch/scheduler_events.cpp
+++ b/components/dispatch/scheduler_events.cpp
@@ -3,6 +3,7 @@
 #include "components/dispatch/advice.hpp"
 #include "components/dispatch/best_effort.hpp"
 #include "components/dispatch/context.hpp"
+#include "components/dispatch/departures.hpp"
 #include "components/dispatch/orders.hpp"
 #include "components/dispatch/plan.hpp"
 #include "components/dispatch/reports.hpp"
@@ -259,6 +260,7 @@
     endExpiredRuns(context);
     logOverdueRuns(context);
     advanceWaves(context);
+    stopRunsOnDepartingWorkers(context);
     stopBestEffortBesideServing(context);
     for (const jobs::StepId &gang : std::exchange(state.m_incompleteGangs, {})) {
         context.m_changedJobs.insert(gang.m_job);
--- a/components/dispatch/worker_state.hpp
+++ b/components/dispatch/worker_state.hpp
@@ -54,6 +54,8 @@
     int m_servingRuns = 0;
     int m_bestEffortRuns = 0;
 
+    /// Earliest time at which the worker shuts down; empty if it isn't draining.
+    std::optional<fleet::BootTime> m_shutdownAt;
     /// The machine goes down for upkeep soon, so the worker gets no new runs.
     bool m_isCordoned = false;
     /// Latest start of a run that outlasted the time of startup failures. A faulty worker has had none since it became faulty.
--- a/components/simulation/workers_test.cpp
+++ b/components/simulation/workers_test.cpp
@@ -134,6 +134,46 @@
     }
 }
 
+/// Spot capacity is taken away two seconds after it was announced. Runs that were still there ended with their workers: each was
+/// given up only when its lease had expired, and with it the rest of its gang.
+Test(worker, shutDownAnnounced_gangResumesElsewhereWithoutWaitingForTheLease)
+{
+    WorldFixture fixture;
+    jobs::StepSpec gang = makeGang(4, 2);
+    gang.m_writesCheckpoints = true;
+    const jobs::JobId job = fixture.submit(gang, {5s});
+    fixture.m_world.run(1s);
+    fixture.m_world.shutDownAfter(fixture.runningWorker(job), 2s);
+    cr_assert(fixture.completes(job, 6s));
+    cr_assert_eq(fixture.endedRunCount(job, "lapsed"), 0);
+    cr_assert_eq(fixture.endedRunCount(job, "lost"), 0);
+    fixture.expectNoViolation();
+}
+
+Test(worker, shutDownAnnounced_runThatEndsInTimeIsLeftAlone)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(makeTasks(1), {2s});
+    fixture.m_world.run(1s);
+    fixture.m_world.shutDownAfter(fixture.runningWorker(job), 3s);
+    cr_assert(fixture.completes(job, 4s));
+    cr_assert_eq(fixture.runCount(job), 1);
+}
+
+/// A run that keeps nothing of its work starts elsewhere as soon as its progress shows that the time left is too short.
+Test(worker, shutDownAnnounced_runThatCannotEndInTimeStartsElsewhereAtOnce)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(makeTasks(1), {8s});
+    fixture.m_world.run(2s);
+    const fleet::BootTime announced = fixture.m_world.now();
+    fixture.m_world.shutDownAfter(fixture.runningWorker(job), 5s);
+    fixture.m_world.run(3s);
+    cr_assert_eq(fixture.runCount(job), 2);
+    cr_assert_lt((fixture.m_world.m_fleet.m_history.back().m_startedAt - announced).count(), 2500);
+    fixture.expectNoViolation();
+}
+
 Test(worker, zoneOut_getsNoNewRuns)
 {
     WorldFixture fixture;
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -719,6 +719,16 @@
     appendToWorkerList(worker);
 }
 
+void World::shutDownAfter(const fleet::WorkerId &worker, fleet::Duration length)
+{
+    m_fleet.m_workers.at(worker).m_registration.m_timeToShutdown = length;
+    setDraining(worker, true);
+    schedule(length, [this, worker] {
+        crashWorker(worker, false);
+        unlist(worker);
+    });
+}
+
 void World::unlist(const fleet::WorkerId &worker)
 {
     m_workerListLog.push_back({worker, std::nullopt});
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -75,6 +75,8 @@
     // Workers.
     void crashWorker(const fleet::WorkerId &worker, bool restarts);
     void setDraining(const fleet::WorkerId &worker, bool isDraining);
+    /// The worker reports that it drains and shuts down after this time, and does so.
+    void shutDownAfter(const fleet::WorkerId &worker, fleet::Duration length);
     void unlist(const fleet::WorkerId &worker);
     std::vector<fleet::WorkerId> workers() const;
 
