A gang that has worked is complete, although a member is unreachable

Cause: after a change of hands the new holder did not reach the workers of a zone that was cut off, and stopped each gang of which a member was not known to run half of the gang wait later, although the other members reported progress. Running work was given up because a worker was silent for a while. Ruled out: a longer time (a cut lasts longer than any gang wait). Change: the members of a gang only work together, so progress of one shows that all are present. Such a gang is left to end, or to break, by itself. Test: killedWhileAMemberOfAGangIsUnreachable_successorLetsTheGangWork failed before.

--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -71,9 +71,22 @@
     return runs;
 }
 
-/// True if a member was launched long ago and still does not run, so that the other members wait for it in vain.
+/// True if the run is known to have worked: its progress grew, or it has some without having resumed from a checkpoint.
+bool hasWorked(const RunState &run)
+{
+    return run.m_phase == RunPhase::Running && run.m_percent > 0 && (run.m_percentAt > run.m_startedAt || run.m_checkpoint.empty());
+}
+
+/// True if a member was launched long ago and still does not run, so that the other members wait for it in vain. The members of a
+/// gang only work together: if one has worked, all are present, and one that is not known to run is only unreachable.
 bool isMemberMissing(const Context &context, const std::vector<jobs::RunId> &open)
 {
+    const bool hasAnyWorked = std::any_of(open.begin(), open.end(), [&](const jobs::RunId &run) {
+        return hasWorked(context.m_state.m_runs.at(run));
+    });
+    if (hasAnyWorked) {
+        return false;
+    }
     return std::any_of(open.begin(), open.end(), [&](const jobs::RunId &run) {
         const RunState &state = context.m_state.m_runs.at(run);
         return state.m_phase != RunPhase::Running && context.m_now.m_boot - state.m_launchedAt > context.m_state.m_settings.m_gangWait / 2;
--- a/components/simulation/holder_test.cpp
+++ b/components/simulation/holder_test.cpp
@@ -23,6 +23,22 @@
     fixture.expectNoViolation();
 }
 
+/// The successor cannot reach the worker of one member for a while. The others report progress, so the gang is complete and works;
+/// it was stopped because one member was not known to run.
+Test(holder, killedWhileAMemberOfAGangIsUnreachable_successorLetsTheGangWork)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(makeGang(4, 8), {6s});
+    fixture.m_world.run(1s);
+    fixture.m_world.m_faults.m_unreachableWorkers.insert(fixture.runningWorker(job));
+    fixture.m_world.kill(fixture.m_world.holder());
+    fixture.m_world.run(3s);
+    fixture.m_world.m_faults.m_unreachableWorkers.clear();
+    cr_assert(fixture.completes(job, 6s));
+    cr_assert_eq(fixture.runCount(job), 4);
+    fixture.expectNoViolation();
+}
+
 Test(holder, killedBetweenRecordAndOrder_successorStartsTheRun)
 {
     WorldFixture fixture;
