Refused callers go to another instance at once; an instance without the store is not ready

In a zone that was cut off callers used up their five tries there. Ruled out: coming back at once whatever the cause. In an outage of the store the tries of a caller would be over in a moment. Change: while the holder is heard and says that the store answers it, a refused caller is told to come back at once; otherwise after a second. Tests: instanceAloneWithoutTheStore_sendsCallersToOthersAtOnceAndIsNotReady failed before; storeAnswersNobody_refusedCallersComeBackLater.

--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -1,5 +1,6 @@
 #include "components/node/call_handler.hpp"
 
+#include "components/node/holder_monitor.hpp"
 #include "components/node/instance_metrics.hpp"
 #include "components/node/ports.hpp"
 #include "components/node/timing.hpp"
@@ -31,10 +32,11 @@
 constexpr fleet::Duration probeInterval {250};
 /// Each read returns everything new, so more open reads would overload a slow link.
 constexpr int maxOpenReads = 3;
-/// When a refused caller should try again.
-constexpr fleet::Duration retryAfter {1000};
-/// The same if another instance can probably answer.
-constexpr fleet::Duration otherInstanceRetryAfter {100};
+/// When a refused caller should try again if the store answers no instance as far as is known. Callers try a few times within their
+/// time limit, and an outage lasts seconds.
+constexpr fleet::Duration outageRetryAfter {1000};
+/// The same if the store answers other instances, since the caller's next try reaches another one.
+constexpr fleet::Duration otherInstanceRetryAfter {20};
 
 /// Ticket of the record of this instance's start; the numbers of calls are higher.
 constexpr std::uint64_t instanceTicket = 0;
@@ -48,11 +50,6 @@
     return name.str();
 }
 
-callers::Reply refusal(const std::string &reason)
-{
-    return {callers::ReplyKind::Refused, {}, 0, retryAfter, reason};
-}
-
 /// Returns the id at the end of the path, for the log of calls that are refused before their queue is known; an empty id if
 /// there is none.
 jobs::JobId jobIdFromPath(const std::string &path)
@@ -113,6 +110,7 @@
                          const OperatorConfigView &operatorConfig,
                          JournalView &journal,
                          const std::map<jobs::JobId, std::uint64_t> &unconfirmedEnds,
+                         const HolderMonitor &holderMonitor,
                          InstanceMetrics &instanceMetrics)
     : m_settings(settings)
     , m_timing(timing)
@@ -121,6 +119,7 @@
     , m_operatorConfig(operatorConfig)
     , m_journal(journal)
     , m_unconfirmedEnds(unconfirmedEnds)
+    , m_holderMonitor(holderMonitor)
 {
     m_writer.m_producer = makeProducerName(settings);
     m_writer.m_epoch = 1;
@@ -143,19 +142,19 @@
     openCall.m_requestId = content.m_requestId;
     openCall.m_job = jobIdFromPath(content.m_path);
     if (!m_operatorConfig.hasCatalog()) {
-        reply(call, openCall, refusal("no catalog has been read yet; come back shortly"), now);
+        reply(call, openCall, refusal("no catalog has been read yet; come back shortly", now), now);
         return;
     }
     const fleet::Duration age = viewAge(m_operatorConfig, now.m_boot);
     if (age >= m_timing.m_maxAgeToAllow) {
-        reply(call, openCall, refusal("the catalog was last confirmed too long ago; try another instance"), now);
+        reply(call, openCall, refusal("the catalog was last confirmed too long ago; try another instance", now), now);
         return;
     }
     const catalog::Queue *queue = catalog::findQueue(m_operatorConfig.m_catalog, content.m_host, content.m_path);
     const catalog::Account *account = catalog::findAccountByKey(m_operatorConfig.m_catalog, content.m_key);
     const bool isAllowed = queue != nullptr && (queue->m_isPublic || account != nullptr);
     if (!isAllowed && age > m_timing.m_maxAgeToDeny) {
-        reply(call, openCall, refusal("the catalog may have changed since it was read; try another instance"), now);
+        reply(call, openCall, refusal("the catalog may have changed since it was read; try another instance", now), now);
         return;
     }
     if (queue == nullptr) {
@@ -210,7 +209,7 @@
         return;
     }
     if (viewAge(m_operatorConfig, now.m_boot) > m_timing.m_maxConfirmationAge || isStoreUnreachable(m_journal, now.m_boot)) {
-        reply(call, openCall, refusal(storeUnreachableReason), now);
+        reply(call, openCall, refusal(storeUnreachableReason, now), now);
         return;
     }
     journal::JobAccepted record;
@@ -308,6 +307,11 @@
     });
 }
 
+callers::Reply CallHandler::refusal(const std::string &reason, fleet::Now now) const
+{
+    return {callers::ReplyKind::Refused, {}, 0, isHolderServed(m_holderMonitor, now) ? otherInstanceRetryAfter : outageRetryAfter, reason};
+}
+
 callers::Reply CallHandler::stateReply(const journal::JobRecord &job) const
 {
     callers::Reply reply = replyOf(callers::ReplyKind::State);
@@ -368,7 +372,7 @@
     for (const std::uint64_t ticket : outcome.m_stored) {
         finishRecord(ticket, replyOf(callers::ReplyKind::Accepted), replyOf(callers::ReplyKind::Cancelled), now);
     }
-    const callers::Reply refused = refusal("the store refused the record: " + result.m_reason);
+    const callers::Reply refused = refusal("the store refused the record: " + result.m_reason, now);
     for (const std::uint64_t ticket : outcome.m_refused) {
         if (ticket == instanceTicket) {
             announceInstance(now);
@@ -399,7 +403,7 @@
 /// the refusal is certain.
 void CallHandler::refuseQueuedCalls(fleet::Now now)
 {
-    const callers::Reply refused = refusal(storeUnreachableReason);
+    const callers::Reply refused = refusal(storeUnreachableReason, now);
     for (const std::uint64_t ticket : journal::withdrawUnsent(m_writer)) {
         finishRecord(ticket, refused, refused, now);
     }
@@ -414,9 +418,7 @@
         reply(call, openCall, {callers::ReplyKind::Unknown, {}, 0, {}, "the store has not answered; ask for the job again"}, now);
     } else {
         // The last known state may be older than what another instance has already shown.
-        callers::Reply refusedReply = refusal("the journal could not be read; try another instance");
-        refusedReply.m_retryAfter = otherInstanceRetryAfter;
-        reply(call, openCall, refusedReply, now);
+        reply(call, openCall, refusal("the journal could not be read; try another instance", now), now);
     }
 }
 
--- a/components/node/call_handler.hpp
+++ b/components/node/call_handler.hpp
@@ -20,6 +20,7 @@
 
 class InstanceMetrics;
 class Ports;
+struct HolderMonitor;
 struct Timing;
 
 /// Handles the calls of callers: checks them against the catalog, appends submissions and cancellations to the journal, and
@@ -33,6 +34,7 @@
                 const OperatorConfigView &operatorConfig,
                 JournalView &journal,
                 const std::map<jobs::JobId, std::uint64_t> &unconfirmedEnds,
+                const HolderMonitor &holderMonitor,
                 InstanceMetrics &instanceMetrics);
 
     void onCall(std::uint64_t call, const callers::Call &content, fleet::Now now);
@@ -91,6 +93,7 @@
     /// a refusal.
     void answerWithoutWaiting(std::uint64_t call, const OpenCall &openCall, fleet::Now now);
     bool tryAnswer(std::uint64_t call, const OpenCall &openCall, fleet::Now now);
+    callers::Reply refusal(const std::string &reason, fleet::Now now) const;
     callers::Reply stateReply(const journal::JobRecord &job) const;
     callers::Reply waitingReply(const fleet::QueueId &queue) const;
     void reply(std::uint64_t call, const OpenCall &openCall, const callers::Reply &reply, fleet::Now now);
@@ -103,6 +106,7 @@
     JournalView &m_journal;
     /// Jobs whose end is not stored yet are shown as running.
     const std::map<jobs::JobId, std::uint64_t> &m_unconfirmedEnds;
+    const HolderMonitor &m_holderMonitor;
     journal::Writer m_writer;
     std::uint64_t m_storedEnd = 0;
     std::map<std::uint64_t, OpenCall> m_openCalls;
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -17,7 +17,7 @@
 
 /// How often the holder and the other instances read the journal when they are not notified of new records.
 constexpr fleet::Duration holderReadInterval {250};
-constexpr fleet::Duration followerReadInterval {2000};
+constexpr fleet::Duration followerReadInterval {1000};
 /// Delay before a failed read is repeated.
 constexpr fleet::Duration readRetryDelay {150};
 constexpr fleet::Duration holderTick {40};
@@ -39,7 +39,7 @@
     , m_ports(ports)
     , m_metrics(registry)
     , m_duty(m_settings, m_ports, m_operatorConfig, m_journal)
-    , m_callHandler(m_settings, m_timing, m_ports, m_operatorConfig, m_journal, m_duty.unconfirmedEnds(), m_metrics)
+    , m_callHandler(m_settings, m_timing, m_ports, m_operatorConfig, m_journal, m_duty.unconfirmedEnds(), m_duty.holderMonitor(), m_metrics)
 {
     m_callHandler.announceInstance(fleet::Now());
 }
@@ -305,7 +305,8 @@
 
 void Control::updateReadiness(fleet::Now now)
 {
-    const bool isReady = !m_stopRequestedAt && m_operatorConfig.hasCatalog() && viewAge(m_operatorConfig, now.m_boot) < m_timing.m_maxConfirmationAge;
+    const bool isStoreAnswering = viewAge(m_operatorConfig, now.m_boot) < m_timing.m_maxConfirmationAge && !isStoreUnreachable(m_journal, now.m_boot);
+    const bool isReady = !m_stopRequestedAt && m_operatorConfig.hasCatalog() && isStoreAnswering;
     if (isReady != m_isReady) {
         m_isReady = isReady;
         m_ports.log(logging::Line("node", "ready")
--- a/components/node/holder_monitor.cpp
+++ b/components/node/holder_monitor.cpp
@@ -107,6 +107,11 @@
     monitor.m_isResigning = false;
 }
 
+bool isHolderServed(const HolderMonitor &monitor, fleet::Now now)
+{
+    return !isSuspect(monitor, now);
+}
+
 void updateDutyFree(HolderMonitor &monitor, const JournalView &journal, bool hasCatalog, fleet::Now now)
 {
     // No instance may claim without a catalog. If the duty counted as free meanwhile, all instances would claim at once when the
--- a/components/node/holder_monitor.hpp
+++ b/components/node/holder_monitor.hpp
@@ -46,6 +46,9 @@
 /// Records that the journal showed another holder, or that the holder resigned.
 void onHolderChanged(HolderMonitor &monitor, fleet::FencingToken token, fleet::Now now);
 
+/// True if the holder was heard recently and reports that the store answers it.
+bool isHolderServed(const HolderMonitor &monitor, fleet::Now now);
+
 /// Updates m_dutyFreeSince from the journal.
 void updateDutyFree(HolderMonitor &monitor, const JournalView &journal, bool hasCatalog, fleet::Now now);
 
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -553,6 +553,11 @@
     return !m_writer.m_sent && m_writer.m_queued.empty();
 }
 
+const HolderMonitor &SchedulingDuty::holderMonitor() const
+{
+    return m_holderMonitor;
+}
+
 const std::map<jobs::JobId, std::uint64_t> &SchedulingDuty::unconfirmedEnds() const
 {
     return m_unconfirmedEnds;
--- a/components/node/scheduling_duty.hpp
+++ b/components/node/scheduling_duty.hpp
@@ -79,6 +79,7 @@
     bool needsJournalRead(fleet::Now now) const;
     /// Jobs with a recorded end that is not stored yet, and the batch that has to be stored before callers may see the end.
     const std::map<jobs::JobId, std::uint64_t> &unconfirmedEnds() const;
+    const HolderMonitor &holderMonitor() const;
 
 private:
     dispatch::Environment environment() const;
--- a/components/simulation/callers_test.cpp
+++ b/components/simulation/callers_test.cpp
@@ -194,6 +194,33 @@
     cr_assert_eq(fixture.replyWithin(fixture.m_world.show(fixture.m_cutInstance, {0x77}), 20ms), callers::ReplyKind::Refused);
 }
 
+/// The caller's next try reaches another instance, which the store answers: waiting a second would only make an urgent job late.
+Test(callers, instanceAloneWithoutTheStore_sendsCallersToOthersAtOnceAndIsNotReady)
+{
+    CutInstanceFixture fixture;
+    jobs::JobId job;
+    const int call = fixture.submitThrough(fixture.m_cutInstance, makeTasks(1), {100ms}, 1, job);
+    cr_assert_eq(fixture.replyWithin(call, 20ms), callers::ReplyKind::Refused);
+    cr_assert_lt(fixture.m_world.outcome(call).m_reply->m_retryAfter.count(), 100);
+    cr_assert_not(fixture.m_world.isReady(fixture.m_cutInstance));
+    fixture.m_world.m_faults.m_cutFromStore.clear();
+    fixture.m_world.run(2s);
+    cr_assert(fixture.m_world.isReady(fixture.m_cutInstance));
+}
+
+/// No instance can serve: a caller that came back at once would use up its tries within a fraction of the outage.
+Test(callers, storeAnswersNobody_refusedCallersComeBackLater)
+{
+    WorldFixture fixture;
+    fixture.m_world.m_faults.m_store = StoreMode::Unresponsive;
+    fixture.m_world.run(3s);
+    jobs::JobId job;
+    const int call = fixture.submitThrough(fixture.nonHolder(), makeTasks(1), {100ms}, 1, job);
+    fixture.m_world.run(20ms);
+    cr_assert(fixture.m_world.outcome(call).m_reply.has_value());
+    cr_assert_geq(fixture.m_world.outcome(call).m_reply->m_retryAfter.count(), 1000);
+}
+
 Test(callers, instanceWithoutTheStore_refusesJobsAtOnceAndTheyNeverRun)
 {
     CutInstanceFixture fixture;
