After an outage the first read of what operators set does not wait for a change

Cause: an instance that the store answers again confirmed its copy of the catalog only when the next waiting read had come back: up to 1.8 s of refusals and of not being ready after each outage on the large site, more at longer bounds. Change: the read after a failed one does not wait. Test: storeReachableAgainAfterAnOutage_catalogIsConfirmedWithoutWaitingForAChange failed before.

--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -283,7 +283,8 @@
 {
     if (!m_operatorConfig.m_readSentAt && now.m_boot >= m_operatorConfig.m_nextReadAt) {
         m_operatorConfig.m_readSentAt = now.m_boot;
-        m_ports.readOperators(m_operatorConfig.m_nextOffset, m_operatorConfig.m_nextOffset ? m_timing.m_operatorReadWait : fleet::Duration(0), now.m_boot);
+        const bool shouldWait = m_operatorConfig.m_nextOffset && !m_operatorConfig.m_hasFailedRead;
+        m_ports.readOperators(m_operatorConfig.m_nextOffset, shouldWait ? m_timing.m_operatorReadWait : fleet::Duration(0), now.m_boot);
     }
     if (m_journal.m_needsSnapshot) {
         if (!m_journal.m_isSnapshotReadOpen && now.m_boot >= m_journal.m_nextSnapshotReadAt) {
--- a/components/node/operator_config_view.cpp
+++ b/components/node/operator_config_view.cpp
@@ -53,6 +53,7 @@
 bool applyOperatorsRead(OperatorConfigView &view, const catalog::OperatorConfigRead &read, fleet::BootTime sentAt)
 {
     view.m_readSentAt.reset();
+    view.m_hasFailedRead = read.m_outcome != store::ReadOutcome::Read;
     if (read.m_outcome == store::ReadOutcome::Expired) {
         view.m_nextOffset.reset();
         return false;
--- a/components/node/operator_config_view.hpp
+++ b/components/node/operator_config_view.hpp
@@ -29,6 +29,8 @@
     std::optional<fleet::BootTime> m_asOf;
     std::optional<fleet::BootTime> m_readSentAt;
     fleet::BootTime m_nextReadAt;
+    /// The latest read failed, so the next one should not wait for a change before it confirms the view.
+    bool m_hasFailedRead = false;
 
     bool hasCatalog() const
     {
--- a/components/simulation/callers_test.cpp
+++ b/components/simulation/callers_test.cpp
@@ -283,6 +283,26 @@
     cr_assert_eq(fixture.replyWithin(fixture.submitThrough(fixture.m_cutInstance, makeTasks(1), {100ms}, 1, job), 100ms), callers::ReplyKind::Accepted);
 }
 
+/// The first read after an outage waited in the store for a change, and confirmed the copy of the catalog only after that.
+Test(callers, storeReachableAgainAfterAnOutage_catalogIsConfirmedWithoutWaitingForAChange)
+{
+    WorldSettings settings;
+    settings.m_bounds.m_catalogInForce = 8s;
+    settings.m_bounds.m_keyRevocation = 10s;
+    settings.m_bounds.m_zoneEvacuation = 8s;
+    WorldFixture fixture(settings);
+    const int cut = fixture.nonHolder();
+    fixture.m_world.m_faults.m_cutFromStore.insert(cut);
+    fixture.m_world.run(12s);
+    fixture.m_world.m_faults.m_cutFromStore.clear();
+    fixture.m_world.run(1300ms);
+    cr_assert(fixture.m_world.isReady(cut));
+    jobs::JobId job;
+    const int call = fixture.submitThrough(cut, makeTasks(1), {100ms}, 1, job);
+    fixture.m_world.run(50ms);
+    cr_assert(fixture.m_world.wasAccepted(call));
+}
+
 /// A read of a long journal over a slow link takes seconds. Further reads meanwhile would only delay the answers.
 Test(callers, instanceStartedWhileReadsAreSlow_hasFewReadsOpen)
 {
