Steps that are not urgent may stop runs of lower priority that lose little

Only urgent steps could stop runs; small tasks of the lowest class, all of which ended in time, took each accelerator that came free, while gangs three times their worth waited for several at once. Ruled out: stopping runs whatever they lose (work thrown away is the largest price). Change: a step that has waited a second may stop runs of lower priority that lose less than 750 ms each: those with checkpoints, and those that have only just started. Tests: ofMiddlePriorityAmongTasksWithCheckpoints_takesTheirPlaceAfterAMoment failed before; ofMiddlePriorityAmongTasksWithoutCheckpoints_doesNotThrowTheirWorkAway.

--- a/components/dispatch/evictions.cpp
+++ b/components/dispatch/evictions.cpp
@@ -25,6 +25,8 @@
 constexpr std::int64_t millisPerCore = 1000;
 /// Every run that starts again loses this time, and a run that resumes from a checkpoint the restore time as well.
 constexpr fleet::Duration startOverhead {50};
+/// A step that is not urgent may stop runs of lower priority that lose less work than this.
+constexpr fleet::Duration maxLossForNormal {750};
 /// A step that failed prefers workers with a healthy start within this time.
 constexpr fleet::Duration healthyStartAge {2000};
 
@@ -47,15 +49,23 @@
     return areAllGranted;
 }
 
+/// Returns how much of the time that the run has worked would be lost if it were stopped.
+fleet::Duration lostTime(const Context &context, const jobs::RunId &id, const RunState &run)
+{
+    const fleet::Duration ran = run.m_phase == RunPhase::Running ? context.m_now.m_boot - run.m_startedAt : fleet::Duration(0);
+    const bool isSaved = stepOf(context, id.m_task.m_step).m_writesCheckpoints;
+    return (isSaved ? std::min(ran, context.m_state.m_settings.m_restoreTime) : ran) + startOverhead;
+}
+
 /// True if the run may be stopped for the candidate. Capacity that an account borrows beyond its guarantee is reclaimed for a
 /// guaranteed candidate only after it has waited, since urgent jobs are short and often end by themselves.
-bool isVictim(const Context &context, const Candidate &candidate, const RunState &run, const EvictionCache &cache)
+bool isVictim(const Context &context, const Candidate &candidate, const jobs::RunId &id, const RunState &run, const EvictionCache &cache)
 {
     if (run.m_isStopRequested) {
         return false;
     }
     if (run.m_priority > candidate.m_queue->m_priority) {
-        return true;
+        return candidate.m_queue->m_priority == 0 || lostTime(context, id, run) <= maxLossForNormal;
     }
     return candidate.m_mayReclaim && run.m_account != candidate.m_account && isBorrowed(context, cache.m_use, run);
 }
@@ -63,10 +73,7 @@
 /// Returns the work that stopping the run would lose, in core-milliseconds.
 std::int64_t lostWork(const Context &context, const jobs::RunId &id, const RunState &run)
 {
-    const fleet::Duration ran = run.m_phase == RunPhase::Running ? context.m_now.m_boot - run.m_startedAt : fleet::Duration(0);
-    const bool isSaved = stepOf(context, id.m_task.m_step).m_writesCheckpoints;
-    const fleet::Duration lost = (isSaved ? std::min(ran, context.m_state.m_settings.m_restoreTime) : ran) + startOverhead;
-    return lost.count() * (run.m_allocated.m_milliCores / millisPerCore + run.m_allocated.m_accelerators * coresPerAccelerator + 1);
+    return lostTime(context, id, run).count() * (run.m_allocated.m_milliCores / millisPerCore + run.m_allocated.m_accelerators * coresPerAccelerator + 1);
 }
 
 /// Returns the work that stopping the run would lose. Stopping one member of a gang loses the work of all members.
@@ -101,7 +108,7 @@
         const RunState &run = context.m_state.m_runs.at(id);
         if (run.m_isStopRequested) {
             free = free + run.m_allocated;
-        } else if (isVictim(context, candidate, run, cache) && useDisruptionBudget(context, id, unavailable)) {
+        } else if (isVictim(context, candidate, id, run, cache) && useDisruptionBudget(context, id, unavailable)) {
             victims.push_back({id, &run, lostWorkWithGang(context, id, run, cache)});
         }
     }
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -26,6 +26,8 @@
 /// How long capacity freed by evictions is reserved for a step, beyond the time that the runs take to stop. Covers the orders to
 /// stop, polling the worker and storing the ends.
 constexpr fleet::Duration evictionOverhead {1300};
+/// A step that is not urgent stops runs of lower priority after it has waited this long.
+constexpr fleet::Duration waitBeforeEviction {1000};
 /// A gang that has waited this long gets workers reserved; other workers may be chosen after the reservation time.
 constexpr fleet::Duration gangWaitBeforeReservation {1500};
 constexpr fleet::Duration gangReservationTime {6000};
@@ -201,7 +203,12 @@
     }
 }
 
-/// Launches the tasks that fit, and evicts runs for the rest if the candidate has priority 0.
+fleet::Duration waitedFor(const Context &context, const Candidate &candidate)
+{
+    return context.m_now.m_boot - context.m_state.m_activeJobs.at(candidate.m_step.m_job);
+}
+
+/// Launches the tasks that fit, and evicts runs for the rest if the candidate is urgent or has waited.
 void tryToPlace(Context &context, Candidate &candidate, AvailableWorkers &availableWorkers)
 {
     const Placement placement = choosePlacement(candidate, availableWorkers, context.m_now.m_boot);
@@ -210,16 +217,12 @@
         candidate.m_tasks.erase(candidate.m_tasks.begin(), candidate.m_tasks.begin() + placement.m_tasks);
     }
     const bool hasReservation = context.m_state.m_reservations.contains(candidate.m_step);
-    if (!candidate.m_tasks.empty() && !hasReservation && candidate.m_queue->m_priority == 0) {
+    const bool mayEvict = candidate.m_queue->m_priority == 0 || waitedFor(context, candidate) >= waitBeforeEviction;
+    if (!candidate.m_tasks.empty() && !hasReservation && mayEvict) {
         evictFor(context, candidate, availableWorkers);
     }
 }
 
-fleet::Duration waitedFor(const Context &context, const Candidate &candidate)
-{
-    return context.m_now.m_boot - context.m_state.m_activeJobs.at(candidate.m_step.m_job);
-}
-
 /// A guaranteed step must start within the reclaim limit. After a part of it the step reclaims borrowed capacity, and after a
 /// larger part it accepts tasks in several racks.
 void applyGuaranteeDeadline(const Context &context, Candidate &candidate)
--- a/components/simulation/gangs_test.cpp
+++ b/components/simulation/gangs_test.cpp
@@ -62,3 +62,46 @@
     }
     cr_assert(isDone);
 }
+
+/// Small tasks of the lowest priority hold every accelerator, and those that become free are taken by the next of them. A gang of the
+/// middle priority waited until its reservation was filled.
+struct FullSiteFixture : WorldFixture
+{
+    explicit FullSiteFixture(bool writesCheckpoints)
+        : WorldFixture(siteSettings())
+    {
+        jobs::StepSpec small = makeTasks(64);
+        small.m_perTask = {1000, 1000, 1};
+        small.m_writesCheckpoints = writesCheckpoints;
+        m_small = submit(small, {12s}, 2);
+        m_world.run(3s);
+        m_gang = submit(makeGang(2, 8), {500ms}, 1);
+    }
+
+    static WorldSettings siteSettings()
+    {
+        WorldSettings settings;
+        settings.m_zones = 1;
+        settings.m_workersPerZone = 8;
+        settings.m_workersPerRack = 8;
+        return settings;
+    }
+
+    jobs::JobId m_small;
+    jobs::JobId m_gang;
+};
+
+Test(gang, ofMiddlePriorityAmongTasksWithCheckpoints_takesTheirPlaceAfterAMoment)
+{
+    FullSiteFixture fixture(true);
+    cr_assert(fixture.completes(fixture.m_gang, 2500ms));
+    cr_assert_leq(fixture.endedRunCount(fixture.m_small, "stopped"), 16);
+    fixture.expectNoViolation();
+}
+
+Test(gang, ofMiddlePriorityAmongTasksWithoutCheckpoints_doesNotThrowTheirWorkAway)
+{
+    FullSiteFixture fixture(false);
+    fixture.m_world.run(3s);
+    cr_assert_eq(fixture.endedRunCount(fixture.m_small, "stopped"), 0);
+}
