Shorter reservations after evictions

Cause: an urgent step whose evicted capacity was taken by a step of higher rank, or hung on a worker that did not answer, kept its reservation for 1.5 s and did nothing meanwhile. Change: the reservation ends 500 ms after the time that a stop takes; the step then chooses again. Runs that are being stopped already count as free.

--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -24,8 +24,9 @@
 {
 
 /// How long capacity freed by evictions is reserved for a step, beyond the time that the runs take to stop. Covers the orders to
-/// stop, polling the worker and storing the ends.
-constexpr fleet::Duration evictionOverhead {1300};
+/// stop, polling the worker and storing the ends. A step that has not started by then chooses again: a step of higher rank may have
+/// taken the capacity, or a worker may not answer. Runs that are being stopped already cost nothing then.
+constexpr fleet::Duration evictionOverhead {500};
 /// A step that is not urgent stops runs of lower priority after it has waited this long.
 constexpr fleet::Duration waitBeforeEviction {1000};
 /// A gang that has waited this long gets workers reserved; other workers may be chosen after the reservation time.
