A holder that is not confirmed stops nothing, and a member that no answer was heard of is not missing

The old holder, whose authority had run out, gave up the members of gangs that it could not reach and stopped those in its own zone, although the successor renewed the leases of the others and the gangs worked: two holders acted at once, the first on a permission that had run out. The successor, in turn, stopped gangs of which it had reached no member yet. Ruled out: a shorter authority (it bounds the outage of the store that runs survive). Change: without confirmation the holder neither stops, nor gives up, nor plans; polls go on. A run that was taken over counts as missing only once its worker has answered without it. Tests: cutOffWithItsZone_gangAcrossTheCutIsKeptByBothHolders and killedWhileAWholeGangIsUnreachable_successorLetsTheGangWork failed before.

--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -55,9 +55,10 @@
         && !run.m_startInFlight && !run.m_isOverOnWorker && context.m_now.m_boot >= run.m_nextStartAt;
 }
 
+/// A holder that has not been confirmed for too long may have been replaced. It stops nothing, since its successor may keep the run.
 bool isStopDue(const Context &context, const RunState &run)
 {
-    return run.m_phase != RunPhase::Recording && run.m_isStopRequested && !run.m_stopInFlight && !run.m_stopAnswered
+    return context.m_state.m_mayRenewLeases && run.m_phase != RunPhase::Recording && run.m_isStopRequested && !run.m_stopInFlight && !run.m_stopAnswered
         && context.m_now.m_boot >= run.m_nextStopAt;
 }
 
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -77,6 +77,12 @@
     return run.m_phase == RunPhase::Running && run.m_percent > 0 && (run.m_percentAt > run.m_startedAt || run.m_checkpoint.empty());
 }
 
+/// True if the run was taken over from another holder and its worker has not answered since.
+bool isUnknownSinceTakeover(const RunState &run)
+{
+    return run.m_phase == RunPhase::Starting && run.m_nextStartAt == fleet::BootTime::max();
+}
+
 /// True if a member was launched long ago and still does not run, so that the other members wait for it in vain. The members of a
 /// gang only work together: if one has worked, all are present, and one that is not known to run is only unreachable.
 bool isMemberMissing(const Context &context, const std::vector<jobs::RunId> &open)
@@ -89,7 +95,8 @@
     }
     return std::any_of(open.begin(), open.end(), [&](const jobs::RunId &run) {
         const RunState &state = context.m_state.m_runs.at(run);
-        return state.m_phase != RunPhase::Running && context.m_now.m_boot - state.m_launchedAt > context.m_state.m_settings.m_gangWait / 2;
+        return state.m_phase != RunPhase::Running && !isUnknownSinceTakeover(state)
+            && context.m_now.m_boot - state.m_launchedAt > context.m_state.m_settings.m_gangWait / 2;
     });
 }
 
--- a/components/dispatch/scheduler_events.cpp
+++ b/components/dispatch/scheduler_events.cpp
@@ -257,8 +257,12 @@
     Context context = makeContext(state, environment, now);
     updateSuspectedZones(context, suspectedZones);
     probeSuspectedZones(context);
-    endExpiredRuns(context);
     logOverdueRuns(context);
+    if (!state.m_mayRenewLeases) {
+        // A successor may hold the duty by now and renew leases that this instance believes to have expired.
+        return finish(context);
+    }
+    endExpiredRuns(context);
     advanceWaves(context);
     stopRunsOnDepartingWorkers(context);
     stopBestEffortBesideServing(context);
@@ -286,7 +290,7 @@
 Outbox runSchedulingCycle(State &state, const Environment &environment, fleet::Now now)
 {
     Context context = makeContext(state, environment, now);
-    if (state.m_planIsDue && now.m_boot >= state.m_nextPlanAt) {
+    if (state.m_mayRenewLeases && state.m_planIsDue && now.m_boot >= state.m_nextPlanAt) {
         state.m_planIsDue = false;
         state.m_plannedAt = now.m_boot;
         const bool isAnyLeft = plan(context);
--- a/components/simulation/holder_test.cpp
+++ b/components/simulation/holder_test.cpp
@@ -9,6 +9,22 @@
 using namespace simulation;
 using namespace simulation::test;
 
+namespace
+{
+
+/// Partitions the zone from the others and from the store.
+void cutOff(World &world, const fleet::ZoneId &zone)
+{
+    world.m_faults.m_partitionedZones.insert(zone);
+    for (int i = 0; i < world.instanceCount(); ++i) {
+        if (world.zoneOf(i) == zone) {
+            world.m_faults.m_cutFromStore.insert(i);
+        }
+    }
+}
+
+}
+
 Test(holder, killed_isReplacedWithinASecondAndNothingRunsTwice)
 {
     WorldFixture fixture;
@@ -39,6 +55,45 @@
     fixture.expectNoViolation();
 }
 
+/// The zone of the holder is cut off, and a gang has members on both sides. The holder renewed leases in its zone until its authority
+/// ended, but then gave up the members outside, whose leases the successor renews, and stopped those in its zone.
+Test(holder, cutOffWithItsZone_gangAcrossTheCutIsKeptByBothHolders)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(makeGang(12, 8), {10s});
+    fixture.m_world.run(1s);
+    cutOff(fixture.m_world, fixture.m_world.zoneOf(fixture.m_world.holder()));
+    fixture.m_world.run(7s);
+    fixture.m_world.m_faults = Faults();
+    cr_assert(fixture.completes(job, 8s));
+    cr_assert_eq(fixture.runCount(job), 12);
+    fixture.expectNoViolation();
+}
+
+/// The successor reaches none of the workers that run a gang, which are all in a zone that is cut off. That they do not answer does not
+/// show that a member is missing.
+Test(holder, killedWhileAWholeGangIsUnreachable_successorLetsTheGangWork)
+{
+    WorldFixture fixture;
+    const fleet::ZoneId zone = fixture.zoneWithoutHolder();
+    for (const fleet::WorkerId &worker : fixture.m_world.workers()) {
+        if (fixture.m_world.m_fleet.m_workers.at(worker).m_registration.m_zone != zone) {
+            fixture.m_world.setDraining(worker, true);
+        }
+    }
+    fixture.m_world.run(1s);
+    const jobs::JobId job = fixture.submit(makeGang(4, 8), {5500ms});
+    fixture.m_world.run(1s);
+    cr_assert_eq(fixture.runCount(job), 4);
+    cutOff(fixture.m_world, zone);
+    fixture.m_world.kill(fixture.m_world.holder());
+    fixture.m_world.run(4s);
+    fixture.m_world.m_faults = Faults();
+    cr_assert(fixture.completes(job, 6s));
+    cr_assert_eq(fixture.runCount(job), 4);
+    fixture.expectNoViolation();
+}
+
 Test(holder, killedBetweenRecordAndOrder_successorStartsTheRun)
 {
     WorldFixture fixture;
