A malformed job or an unexpected error no longer stops the scheduling

Looked for because operators of similar systems reported it: one malformed message or unexpected error took a whole process down. Cause: a job with billions of occurrences that are due at once, or amounts whose sum overflows, was accepted and stored. The holder walked through each occurrence in every plan, and each successor after it. An exception in the control thread ended the process with the calls that it served. Change: callers::findExcess states the limits of a submission, and what exceeds them is answered as malformed with the limit.

--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -1,5 +1,6 @@
 #include "components/node/call_handler.hpp"
 
+#include "components/callers/submission_limits.hpp"
 #include "components/node/holder_monitor.hpp"
 #include "components/node/instance_metrics.hpp"
 #include "components/node/ports.hpp"
@@ -208,6 +209,10 @@
         reply(call, openCall, {callers::ReplyKind::Malformed, {}, 0, {}, content.m_bodyError}, now);
         return;
     }
+    if (const std::string excess = callers::findExcess(*content.m_submission); !excess.empty()) {
+        reply(call, openCall, {callers::ReplyKind::Malformed, {}, 0, {}, excess}, now);
+        return;
+    }
     if (viewAge(m_operatorConfig, now.m_boot) > m_timing.m_maxConfirmationAge || isStoreUnreachable(m_journal, now.m_boot)) {
         reply(call, openCall, refusal(storeUnreachableReason, now), now);
         return;
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -3,6 +3,7 @@
 #include "components/node/ports.hpp"
 
 #include <algorithm>
+#include <exception>
 
 namespace node
 {
@@ -47,23 +48,42 @@
 void Control::handle(const Event &event, fleet::Now now)
 {
     m_metrics.count(event, now);
-    std::visit(
-        [&](const auto &body) {
-            process(body, now);
-        },
-        event);
+    contain("event", now, [&] {
+        std::visit(
+            [&](const auto &body) {
+                process(body, now);
+            },
+            event);
+    });
 }
 
 void Control::onEventsHandled(fleet::Now now)
 {
-    m_duty.runSchedulingCycle(now);
+    contain("cycle", now, [&] {
+        m_duty.runSchedulingCycle(now);
+    });
     sendPending(now);
 }
 
+/// Callers of this instance are still served after an error that nobody expected. What the scheduling duty believes may be half
+/// changed by then, so it is given up and built anew from the journal.
+template<class Action>
+void Control::contain(const char *where, fleet::Now now, Action action)
+{
+    try {
+        action();
+    } catch (const std::exception &error) {
+        m_ports.log(logging::Line("node", "unexpected-error", logging::Level::Error).add("where", where).add("reason", error.what()), now);
+        m_duty.abandon(now);
+    }
+}
+
 void Control::tick(fleet::Now now)
 {
-    m_duty.onTick(now);
-    m_callHandler.onTick(now);
+    contain("tick", now, [&] {
+        m_duty.onTick(now);
+        m_callHandler.onTick(now);
+    });
     if (now.m_boot - m_lastForgetAt >= forgetInterval) {
         m_lastForgetAt = now.m_boot;
         journal::forgetEnded(m_journal.m_journalState, now.m_wall - m_settings.m_statusRetention - clockTolerance);
--- a/components/node/control.hpp
+++ b/components/node/control.hpp
@@ -57,6 +57,8 @@
     void process(const WaveReported &event, fleet::Now now);
     void process(const DatagramArrived &event, fleet::Now now);
     void process(const StopRequested &event, fleet::Now now);
+    template<class Action>
+    void contain(const char *where, fleet::Now now, Action action);
     void updateStoreStatus(bool isAnswered, const std::string &reason, fleet::Now now);
     void notifyHolder();
     void sendPending(fleet::Now now);
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -454,6 +454,13 @@
     m_isStopping = true;
 }
 
+void SchedulingDuty::abandon(fleet::Now now)
+{
+    if (m_phase != DutyPhase::Following) {
+        stepDown("unexpected error", now);
+    }
+}
+
 /// Returns the zones other than this one in which no instance has answered within zoneTimeout.
 std::set<fleet::ZoneId> SchedulingDuty::suspectedZones(fleet::Now now) const
 {
--- a/components/node/scheduling_duty.hpp
+++ b/components/node/scheduling_duty.hpp
@@ -67,6 +67,9 @@
     /// Gives up the duty and claims it no more, because the process stops.
     void resign(fleet::Now now);
 
+    /// Gives up the duty, if this instance holds or claims it, after an unexpected error.
+    void abandon(fleet::Now now);
+
     DutyPhase phase() const;
     /// Fills in the values that only the holder has.
     void addStats(InstanceStats &stats) const;
--- a/components/simulation/callers_test.cpp
+++ b/components/simulation/callers_test.cpp
@@ -100,6 +100,22 @@
     cr_assert_eq(fixture.runCount(job), 0);
 }
 
+/// One job with billions of occurrences that are due at once occupied the control thread of each holder in turn.
+Test(callers, jobWithBillionsOfOccurrences_isRefusedAsMalformedAndOthersAreServed)
+{
+    WorldFixture fixture;
+    jobs::JobSpec spec;
+    spec.m_id.m_value = fixture.m_nextJob++;
+    spec.m_queue = fleet::QueueId("q1");
+    spec.m_steps = {makeTasks(1)};
+    spec.m_schedule.m_occurrences = 4'000'000'000U;
+    const int call = fixture.m_world.submit(fixture.nonHolder(), spec, {100ms});
+    fixture.m_world.run(20ms);
+    cr_assert(fixture.m_world.outcome(call).m_reply.has_value());
+    cr_assert_eq(fixture.m_world.outcome(call).m_reply->m_kind, callers::ReplyKind::Malformed);
+    cr_assert(fixture.completes(fixture.submit(makeTasks(1), {100ms}), 2s));
+}
+
 Test(callers, instanceAskedToStop_isNotReadyAndStillAcceptsCalls)
 {
     WorldFixture fixture;
--- a/components/simulation/faults.hpp
+++ b/components/simulation/faults.hpp
@@ -28,6 +28,8 @@
     std::set<fleet::ZoneId> m_partitionedZones;
     /// Share (0 to 1) of orders to workers that are not answered and are carried out seconds later.
     double m_delayedOrders = 0;
+    /// The next orders to start a run that throw in the instance which sends them, as an error in its code would.
+    int m_throwingStarts = 0;
     /// The advice service does not answer.
     bool m_isAdviceUnavailable = false;
     /// Share (0 to 1) of upkeep orders that are carried out but not answered.
--- a/components/simulation/holder_test.cpp
+++ b/components/simulation/holder_test.cpp
@@ -126,6 +126,22 @@
     fixture.expectNoViolation();
 }
 
+/// An error that nobody expected ended the process, and with it the calls that it served.
+Test(holder, unexpectedErrorWhileScheduling_anotherInstanceTakesOverAndTheProcessGoesOn)
+{
+    WorldFixture fixture;
+    const int before = fixture.m_world.holder();
+    fixture.m_world.m_faults.m_throwingStarts = 1;
+    jobs::JobId job;
+    const int call = fixture.submitThrough(before, makeTasks(4), {500ms}, 1, job);
+    cr_assert(fixture.completes(job, 8s));
+    cr_assert(fixture.m_world.wasAccepted(call));
+    cr_assert(fixture.m_world.isRunning(before));
+    cr_assert_eq(fixture.m_world.m_logCounts["node/unexpected-error"], 1);
+    cr_assert_eq(fixture.endedRunCount(job, "done"), 4);
+    fixture.expectNoViolation();
+}
+
 Test(holder, refusedByTheStore_isReplacedWithinASecond)
 {
     WorldFixture fixture;
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <stdexcept>
 
 namespace simulation
 {
@@ -151,6 +152,10 @@
 
     void start(const workers::StartOrder &order) override
     {
+        if (m_world.m_faults.m_throwingStarts > 0) {
+            --m_world.m_faults.m_throwingStarts;
+            throw std::out_of_range("no such run");
+        }
         sendOrder(order, [](FleetModel &fleet, const workers::StartOrder &sent, fleet::BootTime now) {
             return simulation::start(fleet, sent, now);
         });
