Evictions also for a gang that holds a reservation

Cause: a gang that had waited 1.5 s reserved the workers that should be free soonest, and stopped nothing for the 6 s of the reservation. Change: a reservation that waits for runs to end by themselves does not keep the step from stopping runs that lose little. The loss that is acceptable is stated for each candidate. Test: ofMiddlePriorityWithAReservationThatIsNotMet_takesThePlaceOfOthers failed before.

--- a/components/dispatch/candidate.hpp
+++ b/components/dispatch/candidate.hpp
@@ -38,6 +38,8 @@
     bool m_isGuaranteed = false;
     /// The candidate has waited long enough to reclaim capacity that other accounts borrow.
     bool m_mayReclaim = false;
+    /// Longest work that a run of lower priority may lose if it is stopped for the candidate; empty if none may be stopped.
+    std::optional<fleet::Duration> m_acceptableLoss;
     /// All tasks have to be placed in one rack.
     bool m_requiresOneRack = false;
     std::vector<std::uint16_t> m_tasks;
--- a/components/dispatch/evictions.cpp
+++ b/components/dispatch/evictions.cpp
@@ -25,8 +25,6 @@
 constexpr std::int64_t millisPerCore = 1000;
 /// Every run that starts again loses this time, and a run that resumes from a checkpoint the restore time as well.
 constexpr fleet::Duration startOverhead {50};
-/// A step that is not urgent may stop runs of lower priority that lose less work than this.
-constexpr fleet::Duration maxLossForNormal {750};
 /// A step that failed prefers workers with a healthy start within this time.
 constexpr fleet::Duration healthyStartAge {2000};
 
@@ -65,7 +63,7 @@
         return false;
     }
     if (run.m_priority > candidate.m_queue->m_priority) {
-        return candidate.m_queue->m_priority == 0 || lostTime(context, id, run) <= maxLossForNormal;
+        return candidate.m_acceptableLoss && lostTime(context, id, run) <= *candidate.m_acceptableLoss;
     }
     return candidate.m_mayReclaim && run.m_account != candidate.m_account && isBorrowed(context, cache.m_use, run);
 }
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -27,8 +27,9 @@
 /// stop, polling the worker and storing the ends. A step that has not started by then chooses again: a step of higher rank may have
 /// taken the capacity, or a worker may not answer. Runs that are being stopped already cost nothing then.
 constexpr fleet::Duration evictionOverhead {500};
-/// A step that is not urgent stops runs of lower priority after it has waited this long.
+/// A step that is not urgent stops runs of lower priority after it has waited this long, and only runs that lose little.
 constexpr fleet::Duration waitBeforeEviction {1000};
+constexpr fleet::Duration smallLoss {750};
 /// A gang that has waited this long gets workers reserved; other workers may be chosen after the reservation time.
 constexpr fleet::Duration gangWaitBeforeReservation {1500};
 constexpr fleet::Duration gangReservationTime {6000};
@@ -59,6 +60,18 @@
     return candidate.m_tickets ? candidate.m_tickets->at(worker) : std::string();
 }
 
+void dropReservation(Context &context, const jobs::StepId &step, AvailableWorkers &availableWorkers)
+{
+    if (context.m_state.m_reservations.erase(step) == 0) {
+        return;
+    }
+    for (AvailableWorker &available : availableWorkers) {
+        std::erase_if(available.m_reservations, [&](const WorkerReservation &reservation) {
+            return reservation.m_step == step;
+        });
+    }
+}
+
 void start(Context &context, const Candidate &candidate, const Placement &placement, AvailableWorkers &availableWorkers)
 {
     const journal::JobRecord &job = context.m_journalState.m_jobs.at(candidate.m_step.m_job);
@@ -72,13 +85,7 @@
             available->m_hasProbationRun = true;
         }
     }
-    if (context.m_state.m_reservations.erase(candidate.m_step) > 0) {
-        for (AvailableWorker &available : availableWorkers) {
-            std::erase_if(available.m_reservations, [&](const WorkerReservation &reservation) {
-                return reservation.m_step == candidate.m_step;
-            });
-        }
-    }
+    dropReservation(context, candidate.m_step, availableWorkers);
     if (candidate.m_spec->m_isGang) {
         context.m_state.m_incompleteGangs.insert(candidate.m_step);
     }
@@ -120,7 +127,9 @@
     for (const Eviction &eviction : chosen) {
         tasks[eviction.m_worker] = eviction.m_slots;
     }
+    dropReservation(context, candidate.m_step, availableWorkers);
     reserve(context, candidate, tasks, context.m_state.m_settings.m_stopGrace + evictionOverhead);
+    context.m_state.m_reservations.at(candidate.m_step).m_awaitsStops = true;
     for (const Eviction &eviction : chosen) {
         for (const jobs::RunId &victim : eviction.m_victims) {
             requestStop(context, victim, "room-for-" + toString(candidate.m_step.m_job));
@@ -217,9 +226,9 @@
         start(context, candidate, placement, availableWorkers);
         candidate.m_tasks.erase(candidate.m_tasks.begin(), candidate.m_tasks.begin() + placement.m_tasks);
     }
-    const bool hasReservation = context.m_state.m_reservations.contains(candidate.m_step);
-    const bool mayEvict = candidate.m_queue->m_priority == 0 || waitedFor(context, candidate) >= waitBeforeEviction;
-    if (!candidate.m_tasks.empty() && !hasReservation && mayEvict) {
+    const auto reservation = context.m_state.m_reservations.find(candidate.m_step);
+    const bool isAwaitingStops = reservation != context.m_state.m_reservations.end() && reservation->second.m_awaitsStops;
+    if (!candidate.m_tasks.empty() && !isAwaitingStops && candidate.m_acceptableLoss) {
         evictFor(context, candidate, availableWorkers);
     }
 }
@@ -235,9 +244,20 @@
     }
 }
 
+/// Urgent steps may stop runs of lower priority at once, whatever these lose.
+std::optional<fleet::Duration> acceptableLoss(const Context &context, const Candidate &candidate)
+{
+    if (candidate.m_queue->m_priority == 0) {
+        return fleet::Duration::max();
+    }
+    const fleet::Duration waited = waitedFor(context, candidate);
+    return waited < waitBeforeEviction ? std::nullopt : std::optional(smallLoss);
+}
+
 void placeCandidate(Context &context, Candidate &candidate, AvailableWorkers &availableWorkers, UnplaceableRequirements &unplaceable)
 {
     applyGuaranteeDeadline(context, candidate);
+    candidate.m_acceptableLoss = acceptableLoss(context, candidate);
     if (!isKnownUnplaceable(context, candidate, unplaceable)) {
         tryToPlace(context, candidate, availableWorkers);
     }
--- a/components/simulation/gangs_test.cpp
+++ b/components/simulation/gangs_test.cpp
@@ -105,3 +105,27 @@
     fixture.m_world.run(3s);
     cr_assert_eq(fixture.endedRunCount(fixture.m_small, "stopped"), 0);
 }
+
+/// The workers that were reserved for the gang stand still, so that their runs never end. The gang waited for the end of its reservation,
+/// although by then enough runs that lose little worked elsewhere.
+Test(gang, ofMiddlePriorityWithAReservationThatIsNotMet_takesThePlaceOfOthers)
+{
+    WorldFixture fixture(FullSiteFixture::siteSettings());
+    std::map<fleet::WorkerId, ModelWorker> &workers = fixture.m_world.m_fleet.m_workers;
+    fixture.submit(makeTasks(48), {60s}, 2);
+    fixture.m_world.run(300ms);
+    for (auto &[id, worker] : workers) {
+        worker.m_isHung = !worker.m_running.empty();
+    }
+    jobs::StepSpec withCheckpoints = makeTasks(8);
+    withCheckpoints.m_writesCheckpoints = true;
+    fixture.submit(withCheckpoints, {60s}, 2);
+    for (int i = 0; i < 8; ++i) {
+        fixture.submit(makeTasks(1), {1500ms + i * 100ms}, 2);
+    }
+    withCheckpoints.m_tasks = 64;
+    fixture.submit(withCheckpoints, {60s}, 2);
+    const jobs::JobId gang = fixture.submit(makeGang(2, 8), {500ms}, 1);
+    cr_assert(fixture.completes(gang, 5s));
+    fixture.expectNoViolation();
+}
