A caller whose submission is in doubt asks another instance

Ruled out: the same while no instance is known to be served; there the next tries would be refused although the append may still be stored. Change: while the holder is heard and served, such callers are told at once that the outcome is not known.

--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -393,9 +393,11 @@
     if (isUnreachable) {
         refuseQueuedCalls(now);
     }
+    // A caller whose record is in doubt is better off asking an instance that the store answers than waiting here for its time to end.
+    const bool canOthersAnswer = isUnreachable && isHolderServed(m_holderMonitor, now);
     std::vector<std::pair<std::uint64_t, OpenCall>> dueCalls;
     for (const auto &[call, openCall] : m_openCalls) {
-        if (now.m_boot >= openCall.m_answerBy || (isUnreachable && !openCall.m_waitsForAppend)) {
+        if (now.m_boot >= openCall.m_answerBy || (isUnreachable && !openCall.m_waitsForAppend) || canOthersAnswer) {
             dueCalls.emplace_back(call, openCall);
         }
     }
--- a/components/simulation/callers_test.cpp
+++ b/components/simulation/callers_test.cpp
@@ -224,6 +224,27 @@
     cr_assert(fixture.m_world.isReady(fixture.m_cutInstance));
 }
 
+/// The answer to the append is lost. The caller was held until its time was over, although another instance could have told it at once
+/// that the job is accepted.
+Test(callers, appendInDoubtAtAnInstanceAlone_callerAsksAnotherAndTheJobRunsOnce)
+{
+    WorldFixture fixture;
+    const int cut = fixture.nonHolder();
+    fixture.m_world.m_faults.m_cutFromStore.insert(cut);
+    jobs::JobId job;
+    const int first = fixture.submitThrough(cut, makeTasks(1), {100ms}, 1, job);
+    fixture.m_world.run(1s);
+    cr_assert(fixture.m_world.outcome(first).m_reply.has_value());
+    cr_assert_eq(fixture.m_world.outcome(first).m_reply->m_kind, callers::ReplyKind::Unknown);
+    --fixture.m_nextJob;
+    const int again = fixture.submitThrough(fixture.m_world.holder(), makeTasks(1), {100ms}, 1, job);
+    fixture.m_world.run(100ms);
+    cr_assert(fixture.m_world.wasAccepted(again));
+    fixture.m_world.m_faults.m_cutFromStore.clear();
+    fixture.m_world.run(5s);
+    cr_assert_eq(fixture.runCount(job), 1);
+}
+
 /// No instance can serve: a caller that came back at once would use up its tries within a fraction of the outage.
 Test(callers, storeAnswersNobody_refusedCallersComeBackLater)
 {
@@ -259,7 +280,9 @@
     fixture.m_world.run(10ms);
     const int queuedCall = fixture.submitThrough(cut, makeTasks(1), {100ms}, 1, queued);
     fixture.m_world.run(1s);
-    cr_assert_not(fixture.m_world.outcome(sentCall).m_reply.has_value());
+    // Whether the record that was sent is stored is not known, and its caller is told so.
+    cr_assert(fixture.m_world.outcome(sentCall).m_reply.has_value());
+    cr_assert_eq(fixture.m_world.outcome(sentCall).m_reply->m_kind, callers::ReplyKind::Unknown);
     cr_assert(fixture.m_world.outcome(queuedCall).m_reply.has_value());
     cr_assert_eq(fixture.m_world.outcome(queuedCall).m_reply->m_kind, callers::ReplyKind::Refused);
     fixture.m_world.m_faults.m_cutFromStore.clear();
