The last try of a caller is answered within the time that it leaves

Cause: answers were due 150 ms before the caller stops waiting, so a try with less than that left was answered as unknown at the next tick, although an append takes some ten milliseconds. Change: the margin is a quarter of the time left where that is short. Test: callsWithLittleTimeLeft_areAnsweredWithinIt failed before. Beside it, tests that a revoked key and a worker that left are not used again after all instances restarted; both held already.

--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -21,8 +21,10 @@
 
 /// Time limit for calls that name none.
 constexpr fleet::Duration defaultCallTimeout {3000};
-/// An answer is sent this long before the caller stops waiting.
-constexpr fleet::Duration answerMargin {150};
+/// An answer is sent this long before the caller stops waiting, or with a part of the time left if that is short: the last try of a
+/// caller may leave it a tenth of a second, in which most calls are answered.
+constexpr fleet::Duration maxAnswerMargin {150};
+constexpr int answerMarginDivisor = 4;
 /// Longest time since the journal was read for answering with the state of a job that has not ended, and with the number of
 /// waiting jobs.
 constexpr fleet::Duration maxJobStateAge {100};
@@ -44,6 +46,12 @@
 
 constexpr const char *storeUnreachableReason = "the store is out of reach; try another instance";
 
+fleet::Duration timeToAnswer(fleet::Duration timeout)
+{
+    const fleet::Duration given = std::max(fleet::Duration(0), timeout);
+    return given - std::min(maxAnswerMargin, given / answerMarginDivisor);
+}
+
 std::string makeProducerName(const Settings &settings)
 {
     std::ostringstream name;
@@ -139,7 +147,7 @@
     OpenCall openCall;
     openCall.m_kind = content.m_kind;
     openCall.m_arrivedAt = now.m_boot;
-    openCall.m_answerBy = now.m_boot + std::max(fleet::Duration(0), content.m_timeout.value_or(defaultCallTimeout) - answerMargin);
+    openCall.m_answerBy = now.m_boot + timeToAnswer(content.m_timeout.value_or(defaultCallTimeout));
     openCall.m_requestId = content.m_requestId;
     openCall.m_job = jobIdFromPath(content.m_path);
     if (!m_operatorConfig.hasCatalog()) {
--- a/components/simulation/callers_test.cpp
+++ b/components/simulation/callers_test.cpp
@@ -42,6 +42,29 @@
     }
 }
 
+Test(callers, revokedKeyAfterARestartOfAllInstances_isRefused)
+{
+    WorldFixture fixture;
+    catalog::Catalog catalog;
+    catalog.m_version = 2;
+    catalog.m_accounts.push_back({fleet::AccountId("account"), {"another"}, 16});
+    catalog.m_queues.push_back({});
+    catalog.m_queues.back().m_id = fleet::QueueId("q1");
+    catalog.m_queues.back().m_host = "queues.example";
+    catalog.m_queues.back().m_pathPrefix = "/jobs/1/";
+    fixture.m_world.publish(catalog);
+    for (int i = 0; i < fixture.m_world.instanceCount(); ++i) {
+        fixture.m_world.kill(i);
+        fixture.m_world.restart(i);
+    }
+    for (int tries = 0; tries < 20; ++tries) {
+        jobs::JobId job;
+        const int call = fixture.submitThrough(tries % fixture.m_world.instanceCount(), makeTasks(1), {1s}, 1, job);
+        fixture.m_world.run(100ms);
+        cr_assert_not(fixture.m_world.wasAccepted(call));
+    }
+}
+
 Test(callers, olderCatalogArrivingLate_doesNotTakeEffect)
 {
     WorldFixture fixture;
@@ -116,6 +139,20 @@
     cr_assert(fixture.completes(fixture.submit(makeTasks(1), {100ms}), 2s));
 }
 
+/// The last try of a caller came with 140 ms left. It was answered as unknown at the next tick, although the append took less.
+Test(callers, callsWithLittleTimeLeft_areAnsweredWithinIt)
+{
+    WorldFixture fixture;
+    fixture.m_world.m_callTimeout = 140ms;
+    fixture.m_world.m_faults.m_storeDelay = 50ms;
+    for (int i = 0; i < 10; ++i) {
+        jobs::JobId job;
+        const int call = fixture.submitThrough(fixture.nonHolder(), makeTasks(1), {100ms}, 1, job);
+        fixture.m_world.run(137ms);
+        cr_assert(fixture.m_world.wasAccepted(call));
+    }
+}
+
 Test(callers, instanceAskedToStop_isNotReadyAndStillAcceptsCalls)
 {
     WorldFixture fixture;
--- a/components/simulation/workers_test.cpp
+++ b/components/simulation/workers_test.cpp
@@ -134,6 +134,30 @@
     }
 }
 
+Test(worker, goneBeforeARestartOfAllInstances_getsNoRuns)
+{
+    WorldFixture fixture;
+    const fleet::WorkerId gone = fixture.m_world.workers().front();
+    fixture.submit(makeTasks(60), {500ms});
+    fixture.m_world.run(3s);
+    fixture.m_world.crashWorker(gone, false);
+    fixture.m_world.unlist(gone);
+    for (int i = 0; i < fixture.m_world.instanceCount(); ++i) {
+        fixture.m_world.kill(i);
+        fixture.m_world.restart(i);
+    }
+    cr_assert(fixture.waitForHolder(3s));
+    const std::size_t before = fixture.m_world.m_fleet.m_history.size();
+    // Up again at the same address, but not listed.
+    fixture.m_world.m_fleet.m_workers.at(gone).m_isUp = true;
+    fixture.m_world.run(500ms);
+    const jobs::JobId job = fixture.submit(makeTasks(60), {500ms});
+    cr_assert(fixture.completes(job, 8s));
+    for (std::size_t i = before; i < fixture.m_world.m_fleet.m_history.size(); ++i) {
+        cr_assert(fixture.m_world.m_fleet.m_history[i].m_incarnation.m_worker != gone);
+    }
+}
+
 /// Spot capacity is taken away two seconds after it was announced. Runs that were still there ended with their workers: each was
 /// given up only when its lease had expired, and with it the rest of its gang.
 Test(worker, shutDownAnnounced_gangResumesElsewhereWithoutWaitingForTheLease)
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -536,7 +536,7 @@
     m_openCalls[{instance, id}] = number;
     content.m_host = queueHost;
     content.m_key = m_callerKey;
-    content.m_timeout = 3s;
+    content.m_timeout = m_callTimeout;
     deliver(instance, m_instances[static_cast<std::size_t>(instance)].m_incarnation, node::CallArrived {id, std::move(content)});
     return number;
 }
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -88,8 +88,9 @@
     StoreModel m_store;
     FleetModel m_fleet;
     MachineModel m_machines;
-    /// API key that calls are made with.
+    /// API key that calls are made with, and how long callers wait for an answer.
     std::string m_callerKey = "key";
+    fleet::Duration m_callTimeout {3000};
     /// Prints each log line of the instances, to debug a failed test.
     bool m_trace = false;
     /// Number of polls that workers answered.
