A holder with little processor time hands the duty over

Cause: an instance with 0.12 of a core takes the scheduling duty when no stronger one can, as during a rolling restart while the store is slow, and kept it. Ruled out: a longer delay before weak instances claim (they are needed when no other can). Change: a holder with less than half of the largest processor share resigns once an instance with enough of it answers heartbeats and says that the store answers it; at most every 10 s. An instance's answer to a heartbeat carries how long the store has been silent to it. Tests: withLittleProcessorTime_handsOverOnceAStrongInstanceIsBack failed before; withLittleProcessorTimeWhileStrongInstancesLackTheStore_keepsTheDuty.

--- a/components/node/holder_monitor.cpp
+++ b/components/node/holder_monitor.cpp
@@ -42,19 +42,9 @@
     return fleet::Duration(static_cast<std::int64_t>(std::hash<std::string>()(instance.value()) % static_cast<std::size_t>(maxClaimJitter.count())));
 }
 
-/// True if no instance in the journal has far more processor time than this one.
-bool hasEnoughProcessorTime(const Settings &settings, const JournalView &journal)
-{
-    std::uint32_t highest = 0;
-    for (const auto &[id, instance] : journal.m_journalState.m_instances) {
-        highest = std::max(highest, instance.m_milliCores);
-    }
-    return settings.m_milliCores * preferredProcessorDivisor >= highest;
-}
-
 fleet::Duration claimDelay(const Settings &settings, const JournalView &journal)
 {
-    return claimJitter(settings.m_instance) + (hasEnoughProcessorTime(settings, journal) ? fleet::Duration(0) : slowInstanceClaimDelay);
+    return claimJitter(settings.m_instance) + (hasEnoughProcessorTime(settings.m_milliCores, journal) ? fleet::Duration(0) : slowInstanceClaimDelay);
 }
 
 /// Returns `limit`, doubled for recent changes of the holder.
@@ -83,6 +73,15 @@
 
 }
 
+bool hasEnoughProcessorTime(std::uint32_t milliCores, const JournalView &journal)
+{
+    std::uint32_t highest = 0;
+    for (const auto &[id, instance] : journal.m_journalState.m_instances) {
+        highest = std::max(highest, instance.m_milliCores);
+    }
+    return milliCores * preferredProcessorDivisor >= highest;
+}
+
 void onHolderMessage(HolderMonitor &monitor, const PeerMessage &message, fleet::Now now)
 {
     const fleet::Duration silence(message.m_storeSilenceMs);
--- a/components/node/holder_monitor.hpp
+++ b/components/node/holder_monitor.hpp
@@ -6,6 +6,7 @@
 #include "components/fleet/now.hpp"
 #include "components/fleet/time.hpp"
 
+#include <cstdint>
 #include <deque>
 #include <optional>
 
@@ -40,6 +41,9 @@
     std::deque<fleet::BootTime> m_recentHolderChanges;
 };
 
+/// True if no instance in the journal has far more processor time than the one with `milliCores`.
+bool hasEnoughProcessorTime(std::uint32_t milliCores, const JournalView &journal);
+
 /// Records a message from the holder.
 void onHolderMessage(HolderMonitor &monitor, const PeerMessage &message, fleet::Now now);
 
--- a/components/node/peer_message.hpp
+++ b/components/node/peer_message.hpp
@@ -23,7 +23,7 @@
     fleet::FencingToken m_token;
     /// The journal ends at this offset or beyond, according to the sender.
     std::uint64_t m_journalEnd = 0;
-    /// Holder: how long the store has left its calls unanswered, in milliseconds.
+    /// How long the store has left the calls of the sender unanswered, in milliseconds.
     std::uint32_t m_storeSilenceMs = 0;
     /// The sender gives up the scheduling duty that it held under the token.
     bool m_isResigning = false;
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -40,6 +40,15 @@
 constexpr fleet::Duration claimBackoff {3000};
 constexpr fleet::Duration lostRaceBackoff {300};
 constexpr fleet::Duration workerListReadInterval {500};
+/// A holder with little processor time hands the duty over once it has held it for minTimeToHandOver, and tries again after
+/// handOverInterval, since each change of the holder costs a fraction of a second.
+constexpr fleet::Duration minTimeToHandOver {1500};
+constexpr fleet::Duration handOverInterval {10'000};
+/// How recently such an instance must have answered a heartbeat.
+constexpr fleet::Duration recentHeartbeatAnswer {300};
+/// An instance whose reads were answered within this time can take the duty over.
+constexpr fleet::Duration maxSilenceToTakeOver {1500};
+constexpr std::int64_t maxReportedSilenceMs = 60'000;
 
 fleet::Duration snapshotInterval(const Settings &settings)
 {
@@ -113,6 +122,11 @@
     if (m_phase == DutyPhase::Holding && message.m_token > m_state.m_token) {
         stepDown("another instance says that it holds the duty", now);
     }
+    const auto sentBy = m_journal.m_journalState.m_instances.find(message.m_from);
+    const bool isStrong = sentBy != m_journal.m_journalState.m_instances.end() && hasEnoughProcessorTime(sentBy->second.m_milliCores, m_journal);
+    if (isStrong && !message.m_isResigning && message.m_storeSilenceMs < maxSilenceToTakeOver.count()) {
+        m_strongInstanceServedAt = now.m_boot;
+    }
     if (message.m_token.m_value > 0 && message.m_token >= knownToken) {
         onHolderMessage(m_holderMonitor, message, now);
         m_journal.m_holderReportedEnd = message.m_journalEnd;
@@ -120,7 +134,8 @@
     if (message.m_requestsAnswer) {
         const auto sender = m_journal.m_journalState.m_instances.find(message.m_from);
         if (sender != m_journal.m_journalState.m_instances.end() && sender->second.m_incarnation == message.m_incarnation) {
-            const PeerMessage answer {m_settings.m_instance, m_settings.m_incarnation, {}, m_journal.m_nextOffset, 0, false, false};
+            PeerMessage answer {m_settings.m_instance, m_settings.m_incarnation, {}, m_journal.m_nextOffset, 0, m_isStopping, false};
+            answer.m_storeSilenceMs = static_cast<std::uint32_t>(std::clamp<std::int64_t>(storeSilence(now).count(), 0, maxReportedSilenceMs));
             m_ports.sendDatagram(sender->second.m_peerAddress, signPeerMessage(answer, sender->second.m_peerKey));
         }
     }
@@ -173,7 +188,7 @@
 void SchedulingDuty::stepDown(const std::string &why, fleet::Now now)
 {
     m_ports.log(logging::Line("duty", "end").add("token", m_writer.m_epoch).add("why", why), now);
-    const bool hasHeld = m_phase == DutyPhase::Holding;
+    const bool hasHeld = m_phase == DutyPhase::Holding || m_phase == DutyPhase::Resigning;
     if (hasHeld) {
         // The journal state may contain records of this instance that were never stored.
         resetJournalView(m_journal);
@@ -396,6 +411,9 @@
 {
     if (m_phase == DutyPhase::Resigning) {
         broadcastResignation(now);
+        if (!m_isStopping && isIdle()) {
+            m_phase = DutyPhase::Following;
+        }
         return;
     }
     if (m_phase == DutyPhase::Following) {
@@ -412,6 +430,7 @@
     if (m_phase == DutyPhase::Holding) {
         sendHeartbeats(now);
         writeSnapshotIfDue(now);
+        handOverIfDue(now);
     }
     if (m_phase == DutyPhase::Holding && m_journal.m_needsSnapshot) {
         stepDown("the journal expired before it was read", now);
@@ -442,18 +461,38 @@
 void SchedulingDuty::resign(fleet::Now now)
 {
     if (m_phase == DutyPhase::Holding) {
-        journal::enqueue(m_writer, journal::encode(journal::HolderResigned {m_state.m_token, {}}), 0);
         m_ports.log(logging::Line("duty", "resign").add("token", m_state.m_token.m_value), now);
-        m_state = dispatch::State();
-        m_phase = DutyPhase::Resigning;
-        m_lastBroadcastAt = fleet::BootTime();
-        broadcastResignation(now);
+        giveUp(now);
     } else {
         m_phase = DutyPhase::Following;
     }
     m_isStopping = true;
 }
 
+void SchedulingDuty::giveUp(fleet::Now now)
+{
+    journal::enqueue(m_writer, journal::encode(journal::HolderResigned {m_state.m_token, {}}), 0);
+    m_state = dispatch::State();
+    m_phase = DutyPhase::Resigning;
+    m_lastBroadcastAt = fleet::BootTime();
+    broadcastResignation(now);
+}
+
+/// Hands the duty over to an instance with far more processor time. An instance with little time takes the duty when no other can,
+/// and every plan and order then takes several times as long.
+void SchedulingDuty::handOverIfDue(fleet::Now now)
+{
+    const bool mayHandOver = now.m_boot >= m_handOverNotBefore && now.m_boot - m_heldSince >= minTimeToHandOver;
+    const bool isStrongInstanceReady = now.m_boot - m_strongInstanceServedAt <= recentHeartbeatAnswer;
+    if (!mayHandOver || !isStrongInstanceReady || storeSilence(now) > storeSilenceLimit || hasEnoughProcessorTime(m_settings.m_milliCores, m_journal)) {
+        return;
+    }
+    m_handOverNotBefore = now.m_boot + handOverInterval;
+    m_claimNotBefore = now.m_boot + claimBackoff;
+    m_ports.log(logging::Line("duty", "hand-over").add("token", m_state.m_token.m_value).add("milli_cores", m_settings.m_milliCores), now);
+    giveUp(now);
+}
+
 void SchedulingDuty::abandon(fleet::Now now)
 {
     if (m_phase != DutyPhase::Following) {
--- a/components/simulation/holder_test.cpp
+++ b/components/simulation/holder_test.cpp
@@ -126,6 +126,71 @@
     fixture.expectNoViolation();
 }
 
+/// An instance with a quarter of the processor time of others takes the duty when no other can, as during a rolling restart. It kept the
+/// duty, and the first start of urgent jobs took four times as long for the rest of the day.
+struct WeakHolderFixture : WorldFixture
+{
+    WeakHolderFixture()
+        : WorldFixture(siteSettings())
+    {
+        for (int i = 0; i < strongInstances; ++i) {
+            m_world.kill(i);
+        }
+        cr_assert(waitForHolder(4s));
+        cr_assert_geq(m_world.holder(), strongInstances);
+    }
+
+    static WorldSettings siteSettings()
+    {
+        WorldSettings settings;
+        settings.m_strongInstances = strongInstances;
+        return settings;
+    }
+
+    void restartStrongInstances()
+    {
+        for (int i = 0; i < strongInstances; ++i) {
+            m_world.restart(i);
+        }
+    }
+
+    static constexpr int strongInstances = 2;
+};
+
+Test(holder, withLittleProcessorTime_handsOverOnceAStrongInstanceIsBack)
+{
+    WeakHolderFixture fixture;
+    const jobs::JobId job = fixture.submit(makeTasks(6), {8s});
+    fixture.m_world.run(500ms);
+    fixture.restartStrongInstances();
+    const bool isHandedOver = fixture.m_world.runUntil(
+        [&] {
+            return fixture.m_world.holder() >= 0 && fixture.m_world.holder() < WeakHolderFixture::strongInstances;
+        },
+        4s);
+    cr_assert(isHandedOver);
+    cr_assert(fixture.completes(job, 10s));
+    cr_assert_eq(fixture.runCount(job), 6);
+    fixture.m_world.run(5s);
+    cr_assert_eq(fixture.m_world.m_logCounts["duty/hand-over"], 1);
+    fixture.expectNoViolation();
+}
+
+Test(holder, withLittleProcessorTimeWhileStrongInstancesLackTheStore_keepsTheDuty)
+{
+    WeakHolderFixture fixture;
+    fixture.restartStrongInstances();
+    fixture.m_world.run(50ms);
+    for (int i = 0; i < WeakHolderFixture::strongInstances; ++i) {
+        fixture.m_world.m_faults.m_cutFromStore.insert(i);
+    }
+    fixture.m_world.run(500ms);
+    const int before = fixture.m_world.m_logCounts["duty/hand-over"];
+    fixture.m_world.run(8s);
+    cr_assert_leq(fixture.m_world.m_logCounts["duty/hand-over"] - before, 1);
+    cr_assert_geq(fixture.m_world.holder(), WeakHolderFixture::strongInstances);
+}
+
 /// An error that nobody expected ended the process, and with it the calls that it served.
 Test(holder, unexpectedErrorWhileScheduling_anotherInstanceTakesOverAndTheProcessGoesOn)
 {
