A gang resumes from the checkpoint written at its stop; the eviction policy in a file of its own

Cause: when a gang makes room, the member that is stopped writes a checkpoint; the others break with it and report their last regular one, which arrived later and replaced the newer. The work since then was done twice by every member. Change: the holder remembers which run of a gang was stopped and records no older checkpoint for it. What a run may lose for a step that waits is a pure function with the load pattern that it answers (components/dispatch/eviction_policy).

--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -5,6 +5,7 @@
 #include "components/dispatch/candidates.hpp"
 #include "components/dispatch/capacity_forecasts.hpp"
 #include "components/dispatch/context.hpp"
+#include "components/dispatch/eviction_policy.hpp"
 #include "components/dispatch/evictions.hpp"
 #include "components/dispatch/guarantees.hpp"
 #include "components/dispatch/placement_requirements.hpp"
@@ -27,9 +28,6 @@
 /// stop, polling the worker and storing the ends. A step that has not started by then chooses again: a step of higher rank may have
 /// taken the capacity, or a worker may not answer. Runs that are being stopped already cost nothing then.
 constexpr fleet::Duration evictionOverhead {500};
-/// A step that is not urgent stops runs of lower priority after it has waited this long, and only runs that lose little.
-constexpr fleet::Duration waitBeforeEviction {1000};
-constexpr fleet::Duration smallLoss {750};
 /// A gang that has waited this long gets workers reserved; other workers may be chosen after the reservation time.
 constexpr fleet::Duration gangWaitBeforeReservation {1500};
 constexpr fleet::Duration gangReservationTime {6000};
@@ -218,7 +216,7 @@
     return context.m_now.m_boot - context.m_state.m_activeJobs.at(candidate.m_step.m_job);
 }
 
-/// Launches the tasks that fit, and evicts runs for the rest if the candidate is urgent or has waited.
+/// Launches the tasks that fit, and evicts runs for the rest.
 void tryToPlace(Context &context, Candidate &candidate, AvailableWorkers &availableWorkers)
 {
     const Placement placement = choosePlacement(candidate, availableWorkers, context.m_now.m_boot);
@@ -244,20 +242,10 @@
     }
 }
 
-/// Urgent steps may stop runs of lower priority at once, whatever these lose.
-std::optional<fleet::Duration> acceptableLoss(const Context &context, const Candidate &candidate)
-{
-    if (candidate.m_queue->m_priority == 0) {
-        return fleet::Duration::max();
-    }
-    const fleet::Duration waited = waitedFor(context, candidate);
-    return waited < waitBeforeEviction ? std::nullopt : std::optional(smallLoss);
-}
-
 void placeCandidate(Context &context, Candidate &candidate, AvailableWorkers &availableWorkers, UnplaceableRequirements &unplaceable)
 {
     applyGuaranteeDeadline(context, candidate);
-    candidate.m_acceptableLoss = acceptableLoss(context, candidate);
+    candidate.m_acceptableLoss = acceptableLoss(candidate.m_queue->m_priority, waitedFor(context, candidate));
     if (!isKnownUnplaceable(context, candidate, unplaceable)) {
         tryToPlace(context, candidate, availableWorkers);
     }
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -158,6 +158,23 @@
                                       .add("priority", priorityOf(context, job)));
 }
 
+/// Returns the checkpoint to record for the end of a run. A member that is stopped writes one at its end, while those whose gang breaks
+/// with it have only their last regular one, which must not replace the newer.
+std::string checkpointToRecord(Context &context, const jobs::RunId &run, jobs::RunEnd end, const std::string &checkpoint)
+{
+    std::map<jobs::StepId, std::uint32_t> &stopped = context.m_state.m_stoppedGangRuns;
+    const jobs::StepId &step = run.m_task.m_step;
+    if (checkpoint.empty() || !stepOf(context, step).m_isGang) {
+        return checkpoint;
+    }
+    if (end == jobs::RunEnd::Stopped) {
+        stopped[step] = run.m_run;
+        return checkpoint;
+    }
+    const auto found = stopped.find(step);
+    return found != stopped.end() && found->second == run.m_run ? std::string() : checkpoint;
+}
+
 }
 
 void recordHealthyStart(WorkerState &worker, const RunState &run, fleet::BootTime now)
@@ -280,8 +297,7 @@
     if (end == jobs::RunEnd::Failed) {
         context.m_state.m_failures[run.m_task.m_step][incarnation.m_worker] = context.m_now.m_boot;
     }
-    const std::string &newest = checkpoint.empty() ? found->second.m_checkpoint : checkpoint;
-    const journal::EndedRun ended {run, incarnation, end, newest};
+    const journal::EndedRun ended {run, incarnation, end, checkpointToRecord(context, run, end, checkpoint.empty() ? found->second.m_checkpoint : checkpoint)};
     const auto worker = context.m_state.m_workers.find(incarnation.m_worker);
     if (worker != context.m_state.m_workers.end()) {
         worker->second.m_allocated = worker->second.m_allocated - found->second.m_allocated;
@@ -354,6 +370,9 @@
         std::erase_if(context.m_state.m_failures, [&](const auto &entry) {
             return entry.first.m_job == id;
         });
+        std::erase_if(context.m_state.m_stoppedGangRuns, [&](const auto &entry) {
+            return entry.first.m_job == id;
+        });
         logJobEnd(context, *job);
     }
 }
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -41,6 +41,8 @@
     std::map<jobs::StepId, Reservation> m_reservations;
     /// Workers where steps of active jobs failed, and when.
     std::map<jobs::StepId, std::map<fleet::WorkerId, fleet::BootTime>> m_failures;
+    /// Gangs of which a member was stopped and wrote a checkpoint, with the number of that run.
+    std::map<jobs::StepId, std::uint32_t> m_stoppedGangRuns;
     /// Advice for steps of queues that require the advice service.
     std::map<jobs::StepId, StepAdvice> m_advice;
     /// The advice service answers one question of an instance at a time.
--- a/components/node/timing.cpp
+++ b/components/node/timing.cpp
@@ -11,7 +11,7 @@
 {
 
 /// Part of the bound for a change that is left for the way to the store and back.
-constexpr fleet::Duration minAnswerTime {400};
+constexpr fleet::Duration answerReserve {400};
 /// Time beyond two waits after which a missing answer means that the store does not answer. It covers a slow store.
 constexpr fleet::Duration maxAnswerDelay {1000};
 
@@ -21,12 +21,12 @@
     return std::min({settings.m_catalogInForce, settings.m_zoneEvacuation, settings.m_keyRevocation - revocationMargin});
 }
 
-/// Two waits take four fifths of a long bound, and leave minAnswerTime of a short one.
+/// Two waits take four fifths of a long bound, and leave answerReserve of a short one.
 fleet::Duration operatorReadWait(fleet::Duration bound)
 {
     constexpr int numerator = 2;
     constexpr int denominator = 5;
-    return std::min(bound * numerator / denominator, (bound - minAnswerTime) / 2);
+    return std::min(bound * numerator / denominator, (bound - answerReserve) / 2);
 }
 
 }
--- a/components/simulation/gangs_test.cpp
+++ b/components/simulation/gangs_test.cpp
@@ -43,6 +43,22 @@
     fixture.expectNoViolation();
 }
 
+/// One member is stopped and writes a checkpoint; the others break with it and report their last regular one, which replaced the newer.
+Test(gang, stoppedLongAfterItsLastCheckpoint_resumesFromTheOneWrittenAtTheStop)
+{
+    WorldFixture fixture;
+    fixture.m_world.m_fleet.m_checkpointInterval = 20s;
+    jobs::StepSpec step = makeGang(4, 8);
+    step.m_writesCheckpoints = true;
+    const jobs::JobId patient = fixture.submit(step, {8s}, 2);
+    fixture.m_world.run(5s);
+    const jobs::JobId urgent = fixture.submit(makeGang(9, 8), {500ms}, 0);
+    cr_assert(fixture.completes(urgent, 4s));
+    // The rest takes about three seconds, and eight from the beginning.
+    cr_assert(fixture.completes(patient, 5s));
+    fixture.expectNoViolation();
+}
+
 Test(gang, ofWholeWorkersAmongSmallTasks_isNotStarved)
 {
     WorldSettings settings;
