A stopping process answers the calls that are still open before it exits

A stopping process whose connections had not drained exited at its time limit whatever calls were open. Change: when its time is up it answers all open calls with what is known, and exits 250 ms later, within the margin that it keeps. Test: callOpenWhenAStoppingInstanceHasToExit_isAnsweredBeforeIt failed before.

--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -414,6 +414,15 @@
     }
 }
 
+void CallHandler::answerOpenCalls(fleet::Now now)
+{
+    refuseQueuedCalls(now);
+    const std::map<std::uint64_t, OpenCall> openCalls = m_openCalls;
+    for (const auto &[call, openCall] : openCalls) {
+        answerWithoutWaiting(call, openCall, now);
+    }
+}
+
 /// Refuses calls whose records have not been sent to the store. Once removed from the writer they can't be stored any more, so
 /// the refusal is certain.
 void CallHandler::refuseQueuedCalls(fleet::Now now)
--- a/components/node/call_handler.hpp
+++ b/components/node/call_handler.hpp
@@ -45,6 +45,9 @@
     /// Answers the calls whose callers stop waiting soon, and those that need the store while it is unreachable.
     void onTick(fleet::Now now);
 
+    /// Answers all open calls without waiting for the store, because the process ends.
+    void answerOpenCalls(fleet::Now now);
+
     /// Records the start of this instance in the journal, with its incarnation, address and key.
     void announceInstance(fleet::Now now);
 
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -29,8 +29,10 @@
 /// instances differ.
 constexpr fleet::Duration forgetInterval {5000};
 constexpr fleet::Duration clockTolerance {15'000};
-/// The process exits this long before the platform would kill it.
+/// A stopping process answers the calls that are still open this long before the platform would kill it, and exits after
+/// finalAnswerTime, in which the answers are sent. The rest of the margin is for writing the log.
 constexpr fleet::Duration stopMargin {700};
+constexpr fleet::Duration finalAnswerTime {250};
 
 }
 
@@ -370,8 +372,12 @@
         m_hasStoppedAccepting = true;
         m_ports.stopAccepting();
     }
+    const fleet::Duration lastAnswersAt = m_settings.m_stopLimit - stopMargin;
+    if (since >= lastAnswersAt) {
+        m_callHandler.answerOpenCalls(now);
+    }
     const bool isServed = m_hasStoppedAccepting && m_callHandler.openCalls() == 0 && m_ports.isDrained() && m_duty.isIdle();
-    if (isServed || since >= m_settings.m_stopLimit - stopMargin) {
+    if (isServed || since >= lastAnswersAt + finalAnswerTime) {
         m_ports.log(logging::Line("node", "stopped").add("open_calls", m_callHandler.openCalls()).add("drained", m_ports.isDrained()), now);
         m_isStopped = true;
     }
--- a/components/simulation/callers_test.cpp
+++ b/components/simulation/callers_test.cpp
@@ -168,6 +168,22 @@
     cr_assert_not(fixture.m_world.isRunning(stopping));
 }
 
+/// A call whose append was unanswered when the process had to exit was read and never answered.
+Test(callers, callOpenWhenAStoppingInstanceHasToExit_isAnsweredBeforeIt)
+{
+    WorldFixture fixture;
+    const int stopping = fixture.nonHolder();
+    fixture.m_world.requestStop(stopping);
+    fixture.m_world.run(2s);
+    fixture.m_world.m_faults.m_unansweredAppends = 1;
+    fixture.m_world.m_callTimeout = 4s;
+    jobs::JobId job;
+    const int call = fixture.submitThrough(stopping, makeTasks(1), {300ms}, 1, job);
+    fixture.m_world.run(3900ms);
+    cr_assert_not(fixture.m_world.isRunning(stopping));
+    cr_assert(fixture.m_world.outcome(call).m_reply.has_value());
+}
+
 Test(callers, endOfAJobNotStoredYet_isNotReportedByTheHolder)
 {
     WorldFixture fixture;
