Read-through: hand-over decided off the path of messages, and expressions that stood twice

Cause: each message from another instance walked through all instances to judge the sender's processor time, which at 300 instances is done 3,000 times a second by a holder that needs it once a tick, if at all. How long a run has worked stood three times, the estimate of a worker's clock twice, a catalog of the tests twice; a reservation was changed after it had been made. Change: a message only notes that its sender is served; strength is judged when a hand-over is considered. ranFor and estimatedWorkerClock are shared; reserve() takes all it needs. Behaviour and checks are unchanged.

--- a/components/dispatch/departures.cpp
+++ b/components/dispatch/departures.cpp
@@ -19,11 +19,11 @@
 /// Returns how long ago the worker wrote its registration, by its own clock.
 fleet::Duration ageOf(const WorkerState &worker, const workers::Registration &registration, fleet::BootTime now)
 {
-    if (!registration.m_clockMs || !worker.m_clockMs) {
+    const std::optional<std::int64_t> clock = estimatedWorkerClock(worker, now);
+    if (!registration.m_clockMs || !clock) {
         return fleet::Duration(0);
     }
-    const std::int64_t clock = *worker.m_clockMs + (now - worker.m_clockAt).count();
-    return std::max(fleet::Duration(0), fleet::Duration(clock - *registration.m_clockMs));
+    return std::max(fleet::Duration(0), fleet::Duration(*clock - *registration.m_clockMs));
 }
 
 /// True if the run will be lost whatever it still does: it is known to need more time, and keeps nothing of its work.
--- a/components/dispatch/evictions.cpp
+++ b/components/dispatch/evictions.cpp
@@ -50,7 +50,7 @@
 /// Returns how much of the time that the run has worked would be lost if it were stopped.
 fleet::Duration lostTime(const Context &context, const jobs::RunId &id, const RunState &run)
 {
-    const fleet::Duration ran = run.m_phase == RunPhase::Running ? context.m_now.m_boot - run.m_startedAt : fleet::Duration(0);
+    const fleet::Duration ran = ranFor(run, context.m_now.m_boot);
     const bool isSaved = stepOf(context, id.m_task.m_step).m_writesCheckpoints;
     return (isSaved ? std::min(ran, context.m_state.m_settings.m_restoreTime) : ran) + startOverhead;
 }
--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -113,7 +113,8 @@
 
 std::optional<std::int64_t> leaseEnd(const Context &context, const WorkerState &worker, fleet::Duration length)
 {
-    if (!worker.m_clockMs) {
+    const std::optional<std::int64_t> clock = estimatedWorkerClock(worker, context.m_now.m_boot);
+    if (!clock) {
         return std::nullopt;
     }
     if (!context.m_state.m_mayRenewLeases || (worker.m_unansweredCalls > 0 && worker.m_grantedLeaseEndMs > 0)) {
@@ -121,7 +122,7 @@
         // extending the lease with each try would postpone the time at which the runs can be given up indefinitely.
         return worker.m_grantedLeaseEndMs > 0 ? std::optional(worker.m_grantedLeaseEndMs) : std::nullopt;
     }
-    return *worker.m_clockMs + (context.m_now.m_boot - worker.m_clockAt).count() + length.count();
+    return *clock + length.count();
 }
 
 void sendDueOrders(Context &context)
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -101,10 +101,11 @@
 }
 
 /// Reserves the resources of the given number of tasks on each worker for the candidate.
-void reserve(Context &context, const Candidate &candidate, const std::map<AvailableWorker *, std::uint32_t> &tasks, fleet::Duration length)
+void reserve(Context &context, const Candidate &candidate, const std::map<AvailableWorker *, std::uint32_t> &tasks, fleet::Duration length, bool awaitsStops)
 {
     Reservation reservation;
     reservation.m_until = context.m_now.m_boot + length;
+    reservation.m_awaitsStops = awaitsStops;
     reservation.m_rank = rankOf(candidate);
     for (const auto &[available, count] : tasks) {
         const fleet::Resources resources = candidate.m_perTask * count;
@@ -126,8 +127,7 @@
         tasks[eviction.m_worker] = eviction.m_slots;
     }
     dropReservation(context, candidate.m_step, availableWorkers);
-    reserve(context, candidate, tasks, context.m_state.m_settings.m_stopGrace + evictionOverhead);
-    context.m_state.m_reservations.at(candidate.m_step).m_awaitsStops = true;
+    reserve(context, candidate, tasks, context.m_state.m_settings.m_stopGrace + evictionOverhead, true);
     for (const Eviction &eviction : chosen) {
         for (const jobs::RunId &victim : eviction.m_victims) {
             requestStop(context, victim, "room-for-" + toString(candidate.m_step.m_job));
@@ -148,7 +148,7 @@
     if (!expected || reserved + expected->m_tasksPerWorker.size() > maxReserved) {
         return;
     }
-    reserve(context, candidate, expected->m_tasksPerWorker, gangReservationTime);
+    reserve(context, candidate, expected->m_tasksPerWorker, gangReservationTime, false);
     context.m_out.m_log.push_back(logging::Line("dispatch", "hold")
                                       .add("job", toString(candidate.m_step.m_job))
                                       .add("step", candidate.m_step.m_step)
--- a/components/dispatch/progress.cpp
+++ b/components/dispatch/progress.cpp
@@ -1,6 +1,7 @@
 #include "components/dispatch/progress.hpp"
 
 #include "components/dispatch/context.hpp"
+#include "components/dispatch/runs.hpp"
 
 #include <algorithm>
 
@@ -17,10 +18,9 @@
 fleet::Duration remainingTime(const Context &context, const jobs::RunId &id, const RunState &run)
 {
     const jobs::StepSpec &step = context.m_journalState.m_jobs.at(id.m_task.m_step.m_job).m_spec.m_steps[id.m_task.m_step.m_step];
-    const fleet::Duration ran = run.m_phase == RunPhase::Running ? context.m_now.m_boot - run.m_startedAt : fleet::Duration(0);
     const int progressed = run.m_percent - run.m_initialPercent;
     if (progressed <= 0) {
-        return std::max(fleet::Duration(0), step.m_estimate - ran);
+        return std::max(fleet::Duration(0), step.m_estimate - ranFor(run, context.m_now.m_boot));
     }
     const fleet::Duration perPercent = (run.m_percentAt - run.m_startedAt) / progressed;
     const fleet::Duration sinceProgress = context.m_now.m_boot - run.m_percentAt;
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -33,11 +33,6 @@
     return queue == nullptr ? 0 : queue->m_priority;
 }
 
-fleet::Duration ranFor(const RunState &run, fleet::BootTime now)
-{
-    return run.m_phase == RunPhase::Running ? now - run.m_startedAt : fleet::Duration(0);
-}
-
 /// Counts a failure against the worker unless the task has failed before, which makes the task the likely cause. A failure right
 /// after the start always counts. Each further consecutive failure doubles the time that the worker gets no new runs.
 void updateWorkerHealth(Context &context, WorkerState &worker, const jobs::TaskId &task, const RunState &run, jobs::RunEnd end)
@@ -197,6 +192,16 @@
     return found == context.m_state.m_runs.end() ? nullptr : &found->second;
 }
 
+fleet::Duration ranFor(const RunState &run, fleet::BootTime now)
+{
+    return run.m_phase == RunPhase::Running ? now - run.m_startedAt : fleet::Duration(0);
+}
+
+std::optional<std::int64_t> estimatedWorkerClock(const WorkerState &worker, fleet::BootTime now)
+{
+    return worker.m_clockMs ? std::optional(*worker.m_clockMs + (now - worker.m_clockAt).count()) : std::nullopt;
+}
+
 std::optional<std::int64_t> minWorkerClock(const WorkerState &worker, fleet::BootTime now)
 {
     if (!worker.m_clockMs) {
@@ -364,15 +369,12 @@
         requestStop(context, run, job->isOver() ? "job-over" : "not-needed");
     }
     if (job->isOver() && context.m_state.m_activeJobs.erase(id) > 0) {
-        std::erase_if(context.m_state.m_advice, [&](const auto &entry) {
-            return entry.first.m_job == id;
-        });
-        std::erase_if(context.m_state.m_failures, [&](const auto &entry) {
-            return entry.first.m_job == id;
-        });
-        std::erase_if(context.m_state.m_stoppedGangRuns, [&](const auto &entry) {
+        const auto isOfJob = [&](const auto &entry) {
             return entry.first.m_job == id;
-        });
+        };
+        std::erase_if(context.m_state.m_advice, isOfJob);
+        std::erase_if(context.m_state.m_failures, isOfJob);
+        std::erase_if(context.m_state.m_stoppedGangRuns, isOfJob);
         logJobEnd(context, *job);
     }
 }
--- a/components/dispatch/runs.hpp
+++ b/components/dispatch/runs.hpp
@@ -59,6 +59,12 @@
 /// that is over. Removes the state kept for a job that is over.
 void reconcileJob(Context &context, jobs::JobId job);
 
+/// Returns how long the run has worked, as far as is known.
+fleet::Duration ranFor(const RunState &run, fleet::BootTime now);
+
+/// Returns what the worker's clock shows now if it runs at the rate of this machine's, in milliseconds; nothing if it has never been read.
+std::optional<std::int64_t> estimatedWorkerClock(const WorkerState &worker, fleet::BootTime now);
+
 /// Returns the lowest value that the worker's clock can show now, in milliseconds; nothing if it has never been read.
 std::optional<std::int64_t> minWorkerClock(const WorkerState &worker, fleet::BootTime now);
 
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -122,10 +122,8 @@
     if (m_phase == DutyPhase::Holding && message.m_token > m_state.m_token) {
         stepDown("another instance says that it holds the duty", now);
     }
-    const auto sentBy = m_journal.m_journalState.m_instances.find(message.m_from);
-    const bool isStrong = sentBy != m_journal.m_journalState.m_instances.end() && hasEnoughProcessorTime(sentBy->second.m_milliCores, m_journal);
-    if (isStrong && !message.m_isResigning && message.m_storeSilenceMs < maxSilenceToTakeOver.count()) {
-        m_strongInstanceServedAt = now.m_boot;
+    if (!message.m_isResigning && message.m_storeSilenceMs < maxSilenceToTakeOver.count()) {
+        m_lastServedAt[message.m_from] = now.m_boot;
     }
     if (message.m_token.m_value > 0 && message.m_token >= knownToken) {
         onHolderMessage(m_holderMonitor, message, now);
@@ -478,13 +476,22 @@
     broadcastResignation(now);
 }
 
+/// True if an instance with enough processor time for the duty has answered recently and is served by the store.
+bool SchedulingDuty::isStrongInstanceReady(fleet::Now now) const
+{
+    return std::any_of(m_lastServedAt.begin(), m_lastServedAt.end(), [&](const auto &entry) {
+        const auto instance = m_journal.m_journalState.m_instances.find(entry.first);
+        return now.m_boot - entry.second <= recentHeartbeatAnswer && instance != m_journal.m_journalState.m_instances.end()
+            && hasEnoughProcessorTime(instance->second.m_milliCores, m_journal);
+    });
+}
+
 /// Hands the duty over to an instance with far more processor time. An instance with little time takes the duty when no other can,
 /// and every plan and order then takes several times as long.
 void SchedulingDuty::handOverIfDue(fleet::Now now)
 {
     const bool mayHandOver = now.m_boot >= m_handOverNotBefore && now.m_boot - m_heldSince >= minTimeToHandOver;
-    const bool isStrongInstanceReady = now.m_boot - m_strongInstanceServedAt <= recentHeartbeatAnswer;
-    if (!mayHandOver || !isStrongInstanceReady || storeSilence(now) > storeSilenceLimit || hasEnoughProcessorTime(m_settings.m_milliCores, m_journal)) {
+    if (!mayHandOver || hasEnoughProcessorTime(m_settings.m_milliCores, m_journal) || storeSilence(now) > storeSilenceLimit || !isStrongInstanceReady(now)) {
         return;
     }
     m_handOverNotBefore = now.m_boot + handOverInterval;
--- a/components/node/scheduling_duty.hpp
+++ b/components/node/scheduling_duty.hpp
@@ -88,6 +88,7 @@
     dispatch::Environment environment() const;
     void giveUp(fleet::Now now);
     void handOverIfDue(fleet::Now now);
+    bool isStrongInstanceReady(fleet::Now now) const;
     void broadcastResignation(fleet::Now now);
     void broadcast(const PeerMessage &message);
     void sendHeartbeats(fleet::Now now);
@@ -131,8 +132,8 @@
     std::uint64_t m_knownJournalEnd = 0;
     /// When each of the other instances last sent a message.
     std::map<fleet::InstanceId, fleet::BootTime> m_lastMessageAt;
-    /// When an instance with enough processor time for the duty last said that the store answers it.
-    fleet::BootTime m_strongInstanceServedAt;
+    /// When each of the other instances last said that the store answers it.
+    std::map<fleet::InstanceId, fleet::BootTime> m_lastServedAt;
     fleet::BootTime m_handOverNotBefore;
     fleet::BootTime m_claimNotBefore;
     /// The process is stopping and doesn't claim the duty any more.
--- a/components/simulation/callers_test.cpp
+++ b/components/simulation/callers_test.cpp
@@ -9,6 +9,24 @@
 using namespace simulation;
 using namespace simulation::test;
 
+namespace
+{
+
+/// A catalog that revokes the key of the callers.
+catalog::Catalog catalogWithAnotherKey()
+{
+    catalog::Catalog catalog;
+    catalog.m_version = 2;
+    catalog.m_accounts.push_back({fleet::AccountId("account"), {"another"}, 16});
+    catalog.m_queues.push_back({});
+    catalog.m_queues.back().m_id = fleet::QueueId("q1");
+    catalog.m_queues.back().m_host = "queues.example";
+    catalog.m_queues.back().m_pathPrefix = "/jobs/1/";
+    return catalog;
+}
+
+}
+
 Test(callers, instanceCutFromTheStore_refusesBeforeARevokedKeyCouldBeAccepted)
 {
     WorldFixture fixture;
@@ -25,14 +43,7 @@
 Test(callers, revokedKey_isRefusedEverywhereWithinTheBound)
 {
     WorldFixture fixture;
-    catalog::Catalog catalog = std::get<catalog::Catalog>(catalog::OperatorConfigChange());
-    catalog.m_version = 2;
-    catalog.m_accounts.push_back({fleet::AccountId("account"), {"another"}, 16});
-    catalog.m_queues.push_back({});
-    catalog.m_queues.back().m_id = fleet::QueueId("q1");
-    catalog.m_queues.back().m_host = "queues.example";
-    catalog.m_queues.back().m_pathPrefix = "/jobs/1/";
-    fixture.m_world.publish(catalog);
+    fixture.m_world.publish(catalogWithAnotherKey());
     fixture.m_world.run(2s);
     for (int i = 0; i < fixture.m_world.instanceCount(); ++i) {
         jobs::JobId job;
@@ -45,14 +56,7 @@
 Test(callers, revokedKeyAfterARestartOfAllInstances_isRefused)
 {
     WorldFixture fixture;
-    catalog::Catalog catalog;
-    catalog.m_version = 2;
-    catalog.m_accounts.push_back({fleet::AccountId("account"), {"another"}, 16});
-    catalog.m_queues.push_back({});
-    catalog.m_queues.back().m_id = fleet::QueueId("q1");
-    catalog.m_queues.back().m_host = "queues.example";
-    catalog.m_queues.back().m_pathPrefix = "/jobs/1/";
-    fixture.m_world.publish(catalog);
+    fixture.m_world.publish(catalogWithAnotherKey());
     for (int i = 0; i < fixture.m_world.instanceCount(); ++i) {
         fixture.m_world.kill(i);
         fixture.m_world.restart(i);
