A stop that comes during a hand-over keeps the resignation on its way

Cause: found in the read-through. A process that was asked to stop while the resignation of its hand-over was being stored went back to following and ignored the answer, so that its writer was never idle and it waited until the time limit of its stop. Change: it stays in the resigning phase. Test: stoppedWhileHandingOver_exitsBeforeItsTimeLimit failed before; 97 of 97 pass.

--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -461,7 +461,7 @@
     if (m_phase == DutyPhase::Holding) {
         m_ports.log(logging::Line("duty", "resign").add("token", m_state.m_token.m_value), now);
         giveUp(now);
-    } else {
+    } else if (m_phase != DutyPhase::Resigning) {
         m_phase = DutyPhase::Following;
     }
     m_isStopping = true;
--- a/components/simulation/holder_test.cpp
+++ b/components/simulation/holder_test.cpp
@@ -176,6 +176,26 @@
     fixture.expectNoViolation();
 }
 
+/// The stop came while the resignation was being stored. Its answer was ignored, so that the process waited until its time limit.
+Test(holder, stoppedWhileHandingOver_exitsBeforeItsTimeLimit)
+{
+    WeakHolderFixture fixture;
+    fixture.m_world.m_faults.m_storeDelay = 60ms;
+    fixture.restartStrongInstances();
+    const int before = fixture.m_world.holder();
+    const bool isHandingOver = fixture.m_world.runUntil(
+        [&] {
+            return fixture.m_world.m_logCounts["duty/hand-over"] > 0;
+        },
+        5s);
+    cr_assert(isHandingOver);
+    fixture.m_world.requestStop(before);
+    fixture.m_world.run(3s);
+    cr_assert_not(fixture.m_world.isRunning(before));
+    cr_assert_lt(fixture.m_world.holder(), WeakHolderFixture::strongInstances);
+    fixture.expectNoViolation();
+}
+
 Test(holder, withLittleProcessorTimeWhileStrongInstancesLackTheStore_keepsTheDuty)
 {
     WeakHolderFixture fixture;
