--- a/components/simulation/workers_test.cpp
+++ b/components/simulation/workers_test.cpp
@@ -1,6 +1,7 @@
 #include "components/simulation/world_fixture_test.hpp"
 
 #include <chrono>
+#include <cstdlib>
 
 #include <criterion/criterion.h>
 
@@ -121,6 +122,28 @@
     fixture.expectNoViolation();
 }
 
+/// KNOWN-RED.txt, entry 8.
+Test(worker, runDoneWhileItsWorkerWasUnreachable_countsAlthoughItWasGivenUp)
+{
+    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
+        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
+    }
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(makeTasks(1), {5s});
+    fixture.m_world.run(1s);
+    fixture.m_world.m_faults.m_unreachableWorkers.insert(fixture.runningWorker(job));
+    const bool isGivenUp = fixture.m_world.runUntil(
+        [&] {
+            return fixture.runCount(job) == 2;
+        },
+        12s);
+    cr_assert(isGivenUp);
+    cr_assert_eq(fixture.endedRunCount(job, "done"), 1);
+    fixture.m_world.m_faults.m_unreachableWorkers.clear();
+    // The second run takes five seconds more.
+    cr_assert(fixture.completes(job, 3s), "the task is done, and the scheduler waits for another run of it");
+}
+
 Test(worker, draining_getsNoNewRuns)
 {
     WorldFixture fixture;
