--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -168,6 +168,10 @@
     async def hold(self, body):
         if "deadline_ms" in body:
             self.extend(body["deadline_ms"])
+        for end in self.finished:
+            if end[0] <= body.get("observed", 0):
+                self.world.note("end", self.id, end[1], end[2], end[3], "is taken note of")
+                self.world.noted[end[1]] = end[3]
         self.finished = [end for end in self.finished if end[0] > body.get("observed", 0)]
         until = time.monotonic() + min(body.get("wait_ms", 0), 2000) / 1000
         life = self.born
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -143,6 +143,8 @@
         self.fails_after = {}
         # (time, runner, birth, task, run, what) of every start and end of a run.
         self.history = []
+        # How the last run of a task ended whose end was taken note of.
+        self.noted = {}
         self.machines = web.Server(self.handle_machines)
         self.on_machine_call = None
         self.is_store_down = False
@@ -244,14 +246,15 @@
         self.note("call", node.name, method, path, "->", status, text[:120])
         return status, answer
 
-    async def submit(self, queue, job, steps, seconds, tries=8, first=None):
+    async def submit(self, queue, job, steps, seconds, tries=8, first=None, schedule=None):
         """Hands a job in as a client does, at one node after the other until it is accepted."""
         self.jobs[job] = steps
         self.durations[job] = seconds
+        body = {"task_spec": job, "steps": steps, **(schedule or {})}
         nodes = [node for node in self.nodes if node.is_running()]
         start = nodes.index(first) if first in nodes else 0
         for number in range(tries):
-            status, _ = await self.ask(nodes[(start + number) % len(nodes)], "POST", f"/{queue}/{job}", {"task_spec": job, "steps": steps})
+            status, _ = await self.ask(nodes[(start + number) % len(nodes)], "POST", f"/{queue}/{job}", body)
             if status == 200:
                 return True
             await asyncio.sleep(0.1)
