--- a/review/common/world.py
+++ b/review/common/world.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -31,13 +32,17 @@
     """The case could not be played."""
 
 
+# Below the usual range of ports that the kernel gives to outgoing connections and to servers that name none.
+PORTS = range(12000, 32000)
+
+
 def free_port():
     """A port that is free for TCP and UDP."""
     while True:
+        port = random.choice(PORTS)
         with socket.socket() as tcp, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-            tcp.bind((web.HOST, 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind((web.HOST, port))
                 udp.bind((web.HOST, port))
                 return port
             except OSError:
