Process tests: each instance of a site gets ports of its own

Cause: the test asked the kernel for the ports of each instance in a call of its own, and released them before the next one, so two instances could be given one port. Also two processes could derive one loopback address, since the last octet was taken modulo 254. Ruled out: outgoing connections, which the kernel binds to 127.0.0.1 and not to the site's address. Change: all ports of a site are asked for in one call; the address holds the whole process number. The soak names the last log line of an instance that ended by itself.

--- a/tests/process/platform_site.py
+++ b/tests/process/platform_site.py
@@ -11,21 +11,22 @@
 ZONES = ["kochi", "thrissur", "kozhikode"]
 LIMIT_S = 40
 WORKERS_PER_ZONE = 4
+# Callers, readiness, peers and metrics.
+PORTS_PER_INSTANCE = 4
 KEY = "0123456789abcdefghij"
 OTHER_KEY = "zyxwvutsrqponmlkjihg"
 
 
-def own_address():
+def address_of(process):
     """A loopback address of this process only, so that no other site takes an instance's ports while it is down."""
-    number = os.getpid()
-    return f"127.{1 + number // 65536 % 254}.{number // 256 % 256}.{1 + number % 254}"
+    return f"127.{1 + process // 65536}.{process // 256 % 256}.{process % 256}"
 
 
-HOST = own_address()
+HOST = address_of(os.getpid())
 
 
 def free_ports(count):
-    """Ports that were free when this function checked them."""
+    """Ports that were free when this function checked them. Those of one call differ; those of two calls need not."""
     sockets = [socket.socket() for _ in range(count)]
     for each in sockets:
         each.bind((HOST, 0))
@@ -35,6 +36,12 @@
     return ports
 
 
+def instance_ports(names):
+    """Four ports for each name, all different."""
+    ports = free_ports(PORTS_PER_INSTANCE * len(names))
+    return {name: ports[i * PORTS_PER_INSTANCE : (i + 1) * PORTS_PER_INSTANCE] for i, name in enumerate(names)}
+
+
 def call(address, method, path, body=None, headers=None):
     """One HTTP call. Returns (status, body); status 0 if there was no answer."""
     host, port = address.split(":")
@@ -69,7 +76,7 @@
         self.instances = {}
         self.workers = len(ZONES) * WORKERS_PER_ZONE
         names = [zone if number == 0 else f"{zone}-{number + 1}" for zone in ZONES for number in range(per_zone)]
-        self.ports = {name: free_ports(4) for name in names}
+        self.ports = instance_ports(names)
         self.standin = self.start_standin()
         line = self.standin.stdout.readline()
         self.addresses = json.loads(line)
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -195,7 +195,8 @@
     def expect_running(self, name):
         instance = self.site.instances[name]
         if instance.poll() is not None:
-            last = instance.stdout.read().splitlines()[-1:] if instance.stdout else ""
+            log = self.site.folder / f"{name}.log"
+            last = (instance.stdout.read().decode() if instance.stdout else log.read_text()).splitlines()[-1:]
             self.violations.append(f"{name} ended by itself with {instance.returncode} {last}")
             self.site.start_instance(name)
 
