Poll a worker whose clock is unknown before a start

Callers saw a job shown as running for ever. A task was launched on a worker whose entry in the worker list has no usable clock_ms. The end of a lease can't be calculated without the worker's clock, so the start was not sent; the worker was not polled either, since no start was uncertain, and a run without a start is never given up. PROTOCOL.md does not list clock_ms among the members of an entry.

Evidence: in a run of real processes with 173 entries of another writer, 16 tasks on two entries without a usable clock_ms were logged as overdue (phase=1 uncertain=false silences=0) until the run was ended after 40 s.

The answer to a poll shows the clock, so a worker with runs and without a known clock is polled. If it leaves three polls unanswered, the runs that were never sent end as never begun and start elsewhere.

--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -70,7 +70,9 @@
     const bool hasEndsToAcknowledge = worker.m_endsStored > worker.m_endsAcknowledged;
     // A worker that did not answer is polled, since it gets new runs only after it has answered.
     const bool isUnresponsive = worker.m_unansweredCalls > 0 && worker.m_isListed;
-    if (hasEndsToAcknowledge || isUnresponsive || worker.m_isProbeDue) {
+    // No start can be sent before the worker's clock is known, which an answer shows.
+    const bool isClockNeeded = !worker.m_clockMs && !worker.m_runs.empty();
+    if (hasEndsToAcknowledge || isUnresponsive || worker.m_isProbeDue || isClockNeeded) {
         return true;
     }
     return std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
@@ -169,10 +171,28 @@
     return worker.m_hasAcceptedToken || isGone || worker.m_unansweredCalls >= unansweredCallsToGiveUp;
 }
 
+/// Ends the runs for which no start was sent because the worker never answered and its clock is not known.
+void endRunsWithoutClock(Context &context)
+{
+    std::vector<jobs::RunId> unsent;
+    for (const auto &[id, worker] : context.m_state.m_workers) {
+        if (worker.m_clockMs || worker.m_unansweredCalls < unansweredCallsToGiveUp) {
+            continue;
+        }
+        std::copy_if(worker.m_runs.begin(), worker.m_runs.end(), std::back_inserter(unsent), [&](const jobs::RunId &run) {
+            return context.m_state.m_runs.at(run).m_phase == RunPhase::Starting && context.m_state.m_runs.at(run).m_startTries == 0;
+        });
+    }
+    for (const jobs::RunId &run : unsent) {
+        endRun(context, run, jobs::RunEnd::NeverBegan, {});
+    }
+}
+
 }
 
 void endExpiredRuns(Context &context)
 {
+    endRunsWithoutClock(context);
     std::vector<jobs::RunId> expired;
     for (const auto &[id, worker] : context.m_state.m_workers) {
         if (!worker.m_runs.empty() && canGiveUpRuns(context, worker) && hasLeaseExpired(worker, context.m_now.m_boot)) {
--- a/components/dispatch/orders.hpp
+++ b/components/dispatch/orders.hpp
@@ -19,7 +19,7 @@
 /// that did not answer or are to be probed.
 void sendDuePolls(Context &context);
 
-/// Ends the runs of workers whose leases have certainly expired.
+/// Ends the runs of workers whose leases have certainly expired, and those that cannot be started since their worker is silent.
 void endExpiredRuns(Context &context);
 
 /// Returns the lease end to request now, in milliseconds on the worker's clock; nothing if that clock has never been read.
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -736,7 +736,12 @@
 
 void World::unlist(const fleet::WorkerId &worker)
 {
-    m_workerListLog.push_back({worker, std::nullopt});
+    writeEntry({worker, std::nullopt});
+}
+
+void World::writeEntry(const workers::WorkerListChange &change)
+{
+    m_workerListLog.push_back(change);
 }
 
 std::vector<fleet::WorkerId> World::workers() const
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -78,6 +78,8 @@
     /// The worker reports that it drains and shuts down after this time, and does so.
     void shutDownAfter(const fleet::WorkerId &worker, fleet::Duration length);
     void unlist(const fleet::WorkerId &worker);
+    /// Writes an entry of the worker list, or removes one, as any writer may.
+    void writeEntry(const workers::WorkerListChange &change);
     std::vector<fleet::WorkerId> workers() const;
 
     fleet::BootTime now() const;
