Escape bytes that are not printable in log lines

A value with bytes that are not UTF-8, such as a key of another writer, made the whole log unreadable for programs that decode it; control characters became blanks, so that two keys could look alike. Such bytes are written as \xNN now.

--- a/components/logging/line.cpp
+++ b/components/logging/line.cpp
@@ -8,10 +8,12 @@
 namespace
 {
 
+constexpr std::string_view hexDigits = "0123456789abcdef";
+
 bool needsQuotes(std::string_view value)
 {
     return value.empty() || std::any_of(value.begin(), value.end(), [](unsigned char c) {
-               return c <= ' ' || c == '"' || c == '=' || c == '\\';
+               return c <= ' ' || c >= 0x7f || c == '"' || c == '=' || c == '\\';
            });
 }
 
@@ -22,8 +24,14 @@
         if (c == '"' || c == '\\') {
             text += '\\';
         }
-        const bool isControl = static_cast<unsigned char>(c) < ' ';
-        text += isControl ? ' ' : c;
+        const auto byte = static_cast<unsigned char>(c);
+        if (byte >= ' ' && byte < 0x7f) {
+            text += c;
+        } else {
+            text += "\\x";
+            text += hexDigits[byte >> 4U];
+            text += hexDigits[byte & 15U];
+        }
     }
     text += '"';
 }
--- a/components/logging/line.hpp
+++ b/components/logging/line.hpp
@@ -15,7 +15,8 @@
 
 /// One structured log line: part of the program, event and named values, as in "part=dispatch event=launch job=5c0e".
 ///
-/// Values with blanks, quotes, equals signs, backslashes or control characters are quoted, so that a line can be parsed.
+/// Values with blanks, quotes, equals signs, backslashes or bytes that are not printable ASCII are quoted, and such bytes written as \xNN,
+/// so that a line can be parsed whatever it quotes.
 class Line
 {
 public:
