Refuse entries of the worker list that name no usable worker

Callers saw jobs wait: tasks were launched on workers that don't exist. An entry of another writer counted as a worker although it had port 0, a multicast address, a member of another type, a key that is no id (it is written into a header of each order), or a number so large that times calculated with it overflow: a start of the largest integer in "born" hides each later restart, in "remaining_ms" it stops the runs at once, in "clock_ms" the end of each lease is in the past.

An entry that is refused names no worker, also under the id of a live one, whose runs are polled on and whose next own entry makes it usable again.

--- a/components/workers/worker_list_change.hpp
+++ b/components/workers/worker_list_change.hpp
@@ -5,6 +5,7 @@
 #include "components/workers/registration.hpp"
 
 #include <optional>
+#include <string>
 
 namespace workers
 {
@@ -14,6 +15,8 @@
 {
     fleet::WorkerId m_worker;
     std::optional<Registration> m_registration;
+    /// Why an entry that was written names no usable worker; empty if it does, or was removed.
+    std::string m_refusal;
 
     bool operator==(const WorkerListChange &) const = default;
 };
