Log and count refused entries of the worker list

On-call could not see that another writer's entries stand in the worker list. The holder logs each once, with its key and the first member that is wrong, at most ten for each read, and counts those read in foxtailcross_worker_entries_refused_total.

--- a/components/node/instance_metrics.cpp
+++ b/components/node/instance_metrics.cpp
@@ -2,6 +2,7 @@
 
 #include "components/metrics/registry.hpp"
 
+#include <algorithm>
 #include <string>
 #include <variant>
 
@@ -115,6 +116,7 @@
         countCall("read-catalog", nameOf(operators->m_read.m_outcome), now.m_boot - operators->m_sentAt);
     } else if (const auto *list = std::get_if<WorkerListReadEnded>(&event)) {
         countCall("read-list", nameOf(list->m_read.m_outcome), now.m_boot - list->m_sentAt);
+        countRefusedEntries(list->m_read);
     } else if (const auto *start = std::get_if<StartEnded>(&event)) {
         countOrder("start", nameOf(start->m_result.m_outcome));
     } else if (const auto *stop = std::get_if<StopEnded>(&event)) {
@@ -139,6 +141,15 @@
     m_registry.histogram("foxtailcross_store_call_ms", "Time until the store answered, waits included, in milliseconds.", label("call", call)).add(took);
 }
 
+void InstanceMetrics::countRefusedEntries(const workers::WorkerListRead &read)
+{
+    const auto refused = std::count_if(read.m_changes.begin(), read.m_changes.end(), [](const workers::WorkerListChange &change) {
+        return !change.m_refusal.empty();
+    });
+    m_registry.counter("foxtailcross_worker_entries_refused_total", "Holder: entries read in the worker list that name no usable worker.")
+        .add(static_cast<std::uint64_t>(refused));
+}
+
 void InstanceMetrics::countOrder(const char *order, const char *outcome)
 {
     m_registry.counter("foxtailcross_worker_calls_total", "Orders and looks at workers, by outcome.", label("call", order) + ',' + label("outcome", outcome))
--- a/components/node/instance_metrics.hpp
+++ b/components/node/instance_metrics.hpp
@@ -29,6 +29,7 @@
 
 private:
     void countCall(const char *call, const char *outcome, fleet::Duration took);
+    void countRefusedEntries(const workers::WorkerListRead &read);
     void countOrder(const char *order, const char *outcome);
 
     metrics::Registry &m_registry;
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -49,6 +49,8 @@
 /// An instance whose reads were answered within this time can take the duty over.
 constexpr fleet::Duration maxSilenceToTakeOver {1500};
 constexpr std::int64_t maxReportedSilenceMs = 60'000;
+/// Refused entries of the worker list that one read names in the log.
+constexpr int maxRefusalLines = 10;
 
 fleet::Duration snapshotInterval(const Settings &settings)
 {
@@ -310,6 +312,26 @@
     }
 }
 
+/// Logs the entries of other writers that are new since the last read; an entry that is written again at each heartbeat is logged once.
+void SchedulingDuty::logRefusals(const workers::WorkerListRead &read, fleet::Now now)
+{
+    if (read.m_isFullRead) {
+        m_refusedEntries.clear();
+    }
+    int refused = 0;
+    for (const workers::WorkerListChange &change : read.m_changes) {
+        if (change.m_refusal.empty()) {
+            m_refusedEntries.erase(change.m_worker);
+        } else if (std::exchange(m_refusedEntries[change.m_worker], change.m_refusal) != change.m_refusal && ++refused <= maxRefusalLines) {
+            m_ports.log(logging::Line("worker-list", "entry-refused", logging::Level::Warning).add("key", change.m_worker.value()).add("why", change.m_refusal),
+                        now);
+        }
+    }
+    if (refused > maxRefusalLines) {
+        m_ports.log(logging::Line("worker-list", "entries-refused", logging::Level::Warning).add("more", refused - maxRefusalLines), now);
+    }
+}
+
 void SchedulingDuty::onWorkerListRead(const WorkerListReadEnded &event, fleet::Now now)
 {
     m_isWorkerListReadOpen = false;
@@ -334,6 +356,7 @@
             m_workerList.erase(change.m_worker);
         }
     }
+    logRefusals(event.m_read, now);
     m_workerListNextOffset = event.m_read.m_next;
     std::vector<workers::Registration> registrations;
     for (const auto &[id, registration] : m_workerList) {
--- a/components/node/scheduling_duty.hpp
+++ b/components/node/scheduling_duty.hpp
@@ -101,6 +101,7 @@
     void processOutbox(dispatch::Outbox &&outbox, fleet::Now now);
     void onSnapshotStored(const journal::WriteOutcome &outcome, fleet::Now now);
     void writeSnapshotIfDue(fleet::Now now);
+    void logRefusals(const workers::WorkerListRead &read, fleet::Now now);
 
     const Settings &m_settings;
     Ports &m_ports;
@@ -114,6 +115,8 @@
     unsigned m_snapshotSlot = 0;
     dispatch::State m_state;
     std::map<fleet::WorkerId, workers::Registration> m_workerList;
+    /// Entries of the worker list that name no usable worker, and why.
+    std::map<fleet::WorkerId, std::string> m_refusedEntries;
     std::optional<std::uint64_t> m_workerListNextOffset;
     bool m_isWorkerListReadOpen = false;
     fleet::BootTime m_nextWorkerListReadAt;
--- a/components/simulation/odd_entries_test.cpp
+++ b/components/simulation/odd_entries_test.cpp
@@ -1,6 +1,7 @@
 #include "components/simulation/world_fixture_test.hpp"
 
 #include <chrono>
+#include <string>
 
 #include <criterion/criterion.h>
 
@@ -48,3 +49,42 @@
     cr_assert_eq(fixture.runCount(job), 24);
     fixture.expectNoViolation();
 }
+
+/// Its entry names no worker until it writes the next one: nothing new starts there, and its runs are polled on.
+Test(worker, itsEntryReplacedByAnOddOne_itsRunsGoOnAndItIsUsedAgain)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(makeTasks(96), {4s});
+    fixture.m_world.run(500ms);
+    for (const fleet::WorkerId &worker : fixture.m_world.workers()) {
+        fixture.m_world.writeEntry({worker, std::nullopt, "bytes"});
+    }
+    fixture.m_world.run(1s);
+    const jobs::JobId other = fixture.submit(makeTasks(1), {100ms});
+    fixture.m_world.run(1s);
+    cr_assert_eq(fixture.runCount(other), 0);
+    for (const auto &[id, worker] : fixture.m_world.m_fleet.m_workers) {
+        fixture.m_world.writeEntry({id, worker.m_registration});
+    }
+    cr_assert(fixture.completes(job, 5s));
+    cr_assert(fixture.completes(other, 2s));
+    cr_assert_eq(fixture.runCount(job), 96);
+    fixture.expectNoViolation();
+}
+
+Test(workerList, oddEntriesWrittenAgain_areLoggedOnce)
+{
+    WorldFixture fixture;
+    for (int i = 0; i < 40; ++i) {
+        fixture.m_world.writeEntry({fleet::WorkerId("odd"), std::nullopt, "bytes"});
+        fixture.m_world.run(600ms);
+    }
+    cr_assert_eq(fixture.m_world.m_logCounts["worker-list/entry-refused"], 1);
+    cr_assert(fixture.m_world.m_lastLogLines["worker-list/entry-refused"].ends_with("key=odd why=bytes"));
+    for (int i = 0; i < 3000; ++i) {
+        fixture.m_world.writeEntry({fleet::WorkerId("odd-" + std::to_string(i)), std::nullopt, "bytes"});
+    }
+    fixture.m_world.run(2s);
+    cr_assert_eq(fixture.m_world.m_logCounts["worker-list/entry-refused"], 11);
+    cr_assert(fixture.m_world.m_lastLogLines["worker-list/entries-refused"].ends_with("more=2990"));
+}
