--- a/components/platform_standin/platform_stand_in.cpp
+++ b/components/platform_standin/platform_stand_in.cpp
@@ -123,7 +123,7 @@
     void onCallerRequest(const http::Request &request, const http::Responder &respond);
     void recordJob(const http::Request &request);
     void onControlRequest(const http::Request &request, const http::Responder &respond);
-    void setOperatorKey(const std::string &key, const std::string &value);
+    void setKey(const store::Topic &topic, const std::string &key, const std::string &value);
     http::Response setFaults(const json::object &faults);
     http::Response listRuns() const;
     const std::vector<std::string> &keysOf(const store::Topic &topic);
@@ -157,7 +157,7 @@
         m_instances.push_back(
             {{instance.m_callers.m_address, instance.m_callers.m_port}, {instance.m_readiness.m_address, instance.m_readiness.m_port}, maxMissedProbes + 1});
     }
-    setOperatorKey("config", readFile(settings.m_catalogFile));
+    setKey(operatorsTopic, "config", readFile(settings.m_catalogFile));
 }
 
 std::unique_ptr<http::Server> PlatformStandIn::Core::listen(std::uint16_t port, http::Server::Handler handler)
@@ -414,10 +414,10 @@
     respond(makeStatusResponse(statusBadGateway));
 }
 
-void PlatformStandIn::Core::setOperatorKey(const std::string &key, const std::string &value)
+void PlatformStandIn::Core::setKey(const store::Topic &topic, const std::string &key, const std::string &value)
 {
     store::AppendCall call;
-    call.m_topic = operatorsTopic;
+    call.m_topic = topic;
     call.m_keys = {key};
     call.m_records = {value};
     simulation::append(m_store, call);
@@ -443,11 +443,7 @@
         for (const json::value &worker : *crashed) {
             const fleet::WorkerId id {std::string(worker.as_string())};
             simulation::crash(m_fleet, id, false, node::currentTime().m_boot);
-            store::AppendCall call;
-            call.m_topic = workerListTopic;
-            call.m_keys = {id.value()};
-            call.m_records = {""};
-            simulation::append(m_store, call);
+            setKey(workerListTopic, id.value(), "");
         }
     }
     if (m_storeMode != "silent") {
@@ -482,9 +478,16 @@
 void PlatformStandIn::Core::onControlRequest(const http::Request &request, const http::Responder &respond)
 {
     constexpr std::string_view operators = "/v1/operators/";
+    constexpr std::string_view entries = "/v1/entries/";
     const std::string path(http::pathOf(request.m_target));
-    if (path.starts_with(operators) && (request.m_method == "PUT" || request.m_method == "DELETE")) {
-        setOperatorKey(path.substr(operators.size()), request.m_method == "PUT" ? request.m_body : std::string());
+    const bool isWrite = request.m_method == "PUT" || request.m_method == "DELETE";
+    const std::string value = request.m_method == "PUT" ? request.m_body : std::string();
+    if (path.starts_with(operators) && isWrite) {
+        setKey(operatorsTopic, path.substr(operators.size()), value);
+        respond(makeStatusResponse(http::Response().m_status));
+    } else if (path.starts_with(entries) && isWrite) {
+        const std::vector<std::string> segments = http::pathSegments(path);
+        setKey(workerListTopic, segments.size() > 2 ? segments[2] : std::string(), value);
         respond(makeStatusResponse(http::Response().m_status));
     } else if (path == "/v1/faults" && request.m_method == "POST") {
         const auto faults = platform::parseObject(request.m_body);
--- a/components/platform_standin/platform_stand_in.hpp
+++ b/components/platform_standin/platform_stand_in.hpp
@@ -16,6 +16,8 @@
 ///
 /// Control calls:
 /// - `PUT /v1/operators/KEY` and `DELETE /v1/operators/KEY` set and delete a key of the operators' topic.
+/// - `PUT /v1/entries/KEY` and `DELETE /v1/entries/KEY` write any bytes as an entry of the worker list, as another writer may, and
+///   remove an entry. KEY is percent-encoded; without it, the key is empty.
 /// - `POST /v1/faults` injects faults: `store` (`serves`, `busy` or `silent`), `cut` (ids of workers that no instance can reach),
 ///   `crash` (ids of workers that crash for good) and `reborn` (ids of workers that crash and restart).
 /// - `GET /v1/runs` lists every run that was started on a worker, and in `broken` the violations of the rules for runs.
