--- /dev/null
+++ b/components/simulation/expiry_test.cpp
@@ -0,0 +1,172 @@
+#include "components/journal/snapshot.hpp"
+#include "components/simulation/world_fixture_test.hpp"
+
+#include <chrono>
+#include <cstdlib>
+
+#include <criterion/criterion.h>
+
+using namespace std::chrono_literals;
+using namespace simulation;
+using namespace simulation::test;
+
+namespace
+{
+
+const store::Topic journalTopic {"foxtailcross.journal", 0, false};
+const store::Topic snapshotTopic {"foxtailcross.snapshot", 0, true};
+
+void expireJournal(World &world)
+{
+    expire(world.m_store, journalTopic, world.m_store.m_topics[journalTopic].m_records.size());
+}
+
+/// Returns the kind of the instance's answer about the job; empty if there was none.
+std::optional<callers::ReplyKind> askFor(World &world, int instance, jobs::JobId job)
+{
+    const int call = world.show(instance, job);
+    world.runUntil(
+        [&] {
+            return world.outcome(call).m_reply.has_value();
+        },
+        3s);
+    const auto &reply = world.outcome(call).m_reply;
+    return reply ? std::optional(reply->m_kind) : std::nullopt;
+}
+
+}
+
+/// KNOWN-RED.txt, entry 16.
+/// The holder knows the job and stores a snapshot of it later.
+Test(expiry, recordsExpiredBeforeASnapshotOfThem_startingInstanceDoesNotDenyTheJob)
+{
+    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
+        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
+    }
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(makeTasks(1), {60s});
+    fixture.m_world.run(1s);
+    expireJournal(fixture.m_world);
+    const int other = fixture.nonHolder();
+    fixture.m_world.kill(other);
+    fixture.m_world.restart(other);
+    fixture.m_world.run(2s);
+    cr_assert(askFor(fixture.m_world, other, job) != callers::ReplyKind::NoSuchJob);
+}
+
+/// KNOWN-RED.txt, entry 16.
+Test(expiry, recordsExpiredBeforeASnapshotOfThem_startingInstanceKnowsTheJobFromTheNextSnapshot)
+{
+    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
+        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
+    }
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(makeTasks(1), {60s});
+    fixture.m_world.run(1s);
+    expireJournal(fixture.m_world);
+    const int other = fixture.nonHolder();
+    fixture.m_world.kill(other);
+    fixture.m_world.restart(other);
+    const int before = fixture.m_world.m_logCounts["journal/snapshot-stored"];
+    cr_assert(fixture.m_world.runUntil(
+        [&] {
+            return fixture.m_world.m_logCounts["journal/snapshot-stored"] > before;
+        },
+        40s));
+    fixture.m_world.run(2s);
+    cr_assert(fixture.m_world.stateOf(other, job) == jobs::JobState::Running);
+}
+
+/// The snapshot of an instance that lacks records would replace one that has them.
+Test(expiry, recordsExpiredBeforeASnapshotOfThem_incompleteInstanceDoesNotTakeTheDuty)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(makeTasks(1), {15s});
+    fixture.m_world.run(1s);
+    expireJournal(fixture.m_world);
+    const int other = fixture.nonHolder();
+    fixture.m_world.kill(other);
+    fixture.m_world.restart(other);
+    fixture.m_world.run(2s);
+    for (int i = 0; i < 8; ++i) {
+        const int holder = fixture.m_world.holder();
+        cr_assert_neq(holder, other, "after %d changes of hands", i);
+        if (holder >= 0) {
+            fixture.m_world.kill(holder);
+            cr_assert(fixture.waitForHolder(5s));
+            fixture.m_world.restart(holder);
+        }
+        fixture.m_world.run(300ms);
+    }
+    cr_assert(fixture.completes(job, 30s));
+    cr_assert_eq(fixture.runCount(job), 1);
+}
+
+/// KNOWN-RED.txt, entry 17.
+/// The store remembers the epoch of claims whose records have expired, and refuses lower ones.
+Test(expiry, claimsExpiredBeforeASnapshotOfThem_theDutyIsTakenAgain)
+{
+    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
+        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
+    }
+    for (int earlierClaims = 1; earlierClaims <= 12; ++earlierClaims) {
+        WorldFixture fixture;
+        for (int i = 1; i < earlierClaims; ++i) {
+            const int holder = fixture.m_world.holder();
+            fixture.m_world.kill(holder);
+            cr_assert(fixture.waitForHolder(10s));
+            fixture.m_world.restart(holder);
+            fixture.m_world.run(1s);
+        }
+        for (int i = 0; i < fixture.m_world.instanceCount(); ++i) {
+            fixture.m_world.kill(i);
+        }
+        expireJournal(fixture.m_world);
+        // As if no snapshot had been stored before the instances ended.
+        fixture.m_world.m_store.m_topics.erase(snapshotTopic);
+        fixture.m_world.run(1s);
+        for (int i = 0; i < fixture.m_world.instanceCount(); ++i) {
+            fixture.m_world.restart(i);
+        }
+        cr_assert(fixture.waitForHolder(6s), "after %d claims", earlierClaims);
+        const jobs::JobId job = fixture.submit(makeTasks(1), {300ms});
+        cr_assert(fixture.completes(job, 10s), "after %d claims", earlierClaims);
+        fixture.expectNoViolation();
+    }
+}
+
+/// Frozen for longer than the journal is kept; snapshots are stored meanwhile.
+Test(expiry, instanceFrozenForLongerThanTheRetention_knowsTheJobsAtOnce)
+{
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        WorldSettings settings;
+        settings.m_seed = seed;
+        settings.m_journalRetention = 20s;
+        WorldFixture fixture(settings);
+        const jobs::JobId before = fixture.submit(makeTasks(1), {300ms});
+        cr_assert(fixture.completes(before, 3s));
+        fixture.m_world.run(6s);
+        const int other = fixture.nonHolder();
+        fixture.m_world.freeze(other, 30s);
+        jobs::JobId during;
+        for (int i = 0; i < fixture.m_world.instanceCount(); ++i) {
+            if (i != other && i != fixture.m_world.holder()) {
+                fixture.submitThrough(i, makeTasks(1), {200ms}, 1, during);
+                break;
+            }
+        }
+        fixture.m_world.run(29s);
+        const auto snapshot = journal::assembleSnapshot(newest(fixture.m_world.m_store, snapshotTopic));
+        cr_assert(snapshot.has_value());
+        expire(fixture.m_world.m_store, journalTopic, snapshot->m_next);
+        const int firstCall = fixture.m_world.show(other, before);
+        const int secondCall = fixture.m_world.show(other, during);
+        fixture.m_world.run(5s);
+        for (const int call : {firstCall, secondCall}) {
+            const auto &reply = fixture.m_world.outcome(call).m_reply;
+            cr_assert(reply && reply->m_kind != callers::ReplyKind::NoSuchJob, "seed %u", seed);
+        }
+        cr_assert(fixture.m_world.stateOf(other, during) == jobs::JobState::Completed, "seed %u", seed);
+        fixture.expectNoViolation();
+    }
+}
