--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -48,6 +48,8 @@
 constexpr fleet::Duration recentHeartbeatAnswer {300};
 /// An instance whose reads were answered within this time can take the duty over.
 constexpr fleet::Duration maxSilenceToTakeOver {1500};
+/// Limits how far the token of a claim skips ahead.
+constexpr int maxTokenDoublings = 16;
 constexpr std::int64_t maxReportedSilenceMs = 60'000;
 /// Refused entries of the worker list that one read names in the log.
 constexpr int maxRefusalLines = 10;
@@ -129,6 +131,7 @@
     }
     if (message.m_token.m_value > 0 && message.m_token >= knownToken) {
         onHolderMessage(m_holderMonitor, message, now);
+        m_holderHeardAt = now.m_boot;
         m_journal.m_holderReportedEnd = message.m_journalEnd;
     }
     if (message.m_requestsAnswer) {
@@ -146,7 +149,8 @@
     m_phase = DutyPhase::Claiming;
     m_writer = journal::Writer();
     m_writer.m_producer = producer;
-    m_writer.m_epoch = m_journal.m_journalState.m_holder.m_token.m_value + 1;
+    // The store may have seen higher tokens, if the records of their claims expired before they were read here.
+    m_writer.m_epoch = m_journal.m_journalState.m_holder.m_token.m_value + (std::uint64_t {1} << std::min(m_refusedClaims, maxTokenDoublings));
     journal::enqueue(m_writer, journal::encode(journal::HolderClaimed {m_settings.m_instance, m_settings.m_incarnation, {m_writer.m_epoch}}), 0);
     m_ports.log(logging::Line("duty", "claim")
                     .add("token", m_writer.m_epoch)
@@ -173,6 +177,11 @@
     m_snapshotWriter = journal::Writer();
     m_snapshotWriter.m_producer = snapshotProducer;
     m_snapshotWriter.m_epoch = m_state.m_token.m_value;
+    if (isIncomplete(m_journal)) {
+        // No instance that has the missing records has shown itself; from here on, this state is the one that counts.
+        m_journal.m_missingBefore.reset();
+        m_lastSnapshotAt = now.m_boot - snapshotInterval(m_settings);
+    }
     m_ports.log(logging::Line("duty", "hold")
                     .add("token", m_state.m_token.m_value)
                     .add("journal_end", m_journal.m_nextOffset)
@@ -217,6 +226,7 @@
         m_holderMonitor.m_startedAt = now.m_boot;
     }
     if (changes.m_holderChanged) {
+        m_refusedClaims = 0;
         onHolderChanged(m_holderMonitor, m_journal.m_journalState.m_holder.m_token, now);
     }
     const journal::HolderRecord &holder = m_journal.m_journalState.m_holder;
@@ -226,6 +236,10 @@
             startHolding(now);
         } else if (holder.m_token.m_value >= m_writer.m_epoch) {
             stepDown("another instance claimed first", now);
+        } else if (m_journal.m_nextOffset >= m_lastAppendEnd) {
+            // The store answered as for an earlier claim with this token, whose record has expired.
+            ++m_refusedClaims;
+            stepDown("the claim is not in the journal", now);
         }
     } else if (m_phase == DutyPhase::Holding && holder.m_token.m_value != m_writer.m_epoch) {
         stepDown("another instance holds the duty", now);
@@ -284,6 +298,7 @@
     }
     const journal::WriteOutcome outcome = journal::onAppendEnded(m_writer, tag.m_sequence, sentAt, result, now.m_boot);
     if (outcome.m_isFenced) {
+        m_refusedClaims += m_phase == DutyPhase::Claiming ? 1 : 0;
         stepDown("fenced by the store", now);
         return;
     }
@@ -422,6 +437,11 @@
 void SchedulingDuty::claimIfDue(fleet::Now now)
 {
     updateDutyFree(m_holderMonitor, m_journal, m_operatorConfig.hasCatalog(), now);
+    // An instance with the whole journal state claims sooner.
+    const fleet::Duration holderSilence = now.m_boot - std::max(m_holderHeardAt, m_journal.m_incompleteSince);
+    if (isIncomplete(m_journal) && holderSilence < m_settings.m_dispatch.m_holderAuthority) {
+        return;
+    }
     const bool mayClaim = m_hasReadJournal && !m_isStopping && now.m_boot >= m_claimNotBefore && m_operatorConfig.hasCatalog();
     if (mayClaim && m_knownJournalEnd <= m_journal.m_nextOffset && shouldClaim(m_holderMonitor, m_settings, m_journal, now)) {
         claim(now);
