HTTP server: a failing test of the linger time of idle connections

Callers saw: an instance that was stopped as planned kept connections without a request for its whole stop limit (5.6 s) and cut all of them at once when it exited. Cause: ServerSession::beginStop sets the linger time while a read is pending, and a time limit of the stream applies only to operations that begin later. Listed in KNOWN-RED.txt until its fix.

--- a/components/http/server_test.cpp
+++ b/components/http/server_test.cpp
@@ -4,6 +4,7 @@
 #include "components/http/server.hpp"
 #include "components/http/server_error.hpp"
 
+#include <cstdlib>
 #include <future>
 #include <optional>
 #include <string>
@@ -149,6 +150,32 @@
     cr_assert_eq(server.inFlight(), 0U);
 }
 
+/// KNOWN-RED.txt, entry 16.
+Test(http_server, stopWithIdleConnection_connectionIsClosedAfterTheLinger)
+{
+    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
+        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
+    }
+    auto settings = smallLimits();
+    settings.m_stopLinger = 50ms;
+    http::Server server(settings, echo);
+    auto peer = http::RawSocket::connect(server.port());
+    peer.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(peer.readUntil("GET /a ").ends_with("GET /a "));
+    cr_assert(server.stop(5s));
+}
+
+Test(http_server, stopWithIdleConnection_requestSentWithinTheLingerIsAnswered)
+{
+    http::Server server(smallLimits(), echo);
+    auto peer = http::RawSocket::connect(server.port());
+    peer.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(peer.readUntil("GET /a ").ends_with("GET /a "));
+    server.beginStop();
+    peer.send("GET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(peer.readToClose().ends_with("GET /b "));
+}
+
 Test(http_server, stopWithHungHandler_closesAtTheLimitAndLateAnswerIsHarmless)
 {
     std::promise<http::Responder> held;
