HTTP server: failing tests of requests behind the one in flight in a stop

Callers saw: of requests sent one behind the other on a connection to a stopping instance, only the one in flight was answered. Cause: its answer carries Connection: close, and the input that had already arrived is read and thrown away. Listed in KNOWN-RED.txt until the fix.

--- a/components/http/server_test.cpp
+++ b/components/http/server_test.cpp
@@ -4,6 +4,7 @@
 #include "components/http/server.hpp"
 #include "components/http/server_error.hpp"
 
+#include <cstdlib>
 #include <future>
 #include <optional>
 #include <string>
@@ -171,6 +172,57 @@
     cr_assert(peer.readToClose().ends_with("GET /b "));
 }
 
+namespace
+{
+
+/// Answers of a server that is stopped while it handles the first of two requests on a connection.
+/// @param isSentTogether True if the second request arrives with the first one, false if it arrives while the first is handled.
+std::string answersToTwoRequestsInAStop(bool isSentTogether)
+{
+    const std::string second = "GET /b HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::promise<http::Responder> held;
+    http::Server server(smallLimits(), [&](const http::Request &request, const http::Responder &respond) {
+        if (request.m_target == "/x") {
+            held.set_value(respond);
+        } else {
+            echo(request, respond);
+        }
+    });
+    auto peer = http::RawSocket::connect(server.port());
+    peer.send(post(1) + (isSentTogether ? second : std::string()));
+    const auto respond = held.get_future().get();
+    if (!isSentTogether) {
+        peer.send(second);
+    }
+    server.beginStop();
+    respond({200, "first", "text/plain", {}});
+    return peer.readToClose();
+}
+
+}
+
+/// KNOWN-RED.txt, entry 16.
+Test(http_server, stopWithRequestBehindTheOneInFlight_bothAreAnswered)
+{
+    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
+        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
+    }
+    const auto answers = answersToTwoRequestsInAStop(true);
+    cr_assert(answers.find("first") != std::string::npos);
+    cr_assert(answers.ends_with("GET /b "));
+}
+
+/// KNOWN-RED.txt, entry 16.
+Test(http_server, stopWithRequestSentDuringTheOneInFlight_bothAreAnswered)
+{
+    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
+        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
+    }
+    const auto answers = answersToTwoRequestsInAStop(false);
+    cr_assert(answers.find("first") != std::string::npos);
+    cr_assert(answers.ends_with("GET /b "));
+}
+
 Test(http_server, stopWithHungHandler_closesAtTheLimitAndLateAnswerIsHarmless)
 {
     std::promise<http::Responder> held;
