Node: signal handlers are in place before the settings are read

Operators saw: a SIGHUP that reached a process while it read its settings ended it, and a SIGTERM ended it with the signal instead of 0. Cause: the handlers were installed after the settings had been read. Fix: main installs them first. A reload signal that came before the settings are in force leads to one reload; a stop signal to a planned stop. Remaining: a signal while the loader still links the program ends it as before.

--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -42,6 +42,14 @@
     stopSignals = stopSignals + 1;
 }
 
+void installSignalHandlers()
+{
+    std::signal(SIGTERM, onStopSignal);
+    std::signal(SIGINT, onStopSignal);
+    std::signal(SIGHUP, onReloadSignal);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
 http::Address toAddress(const settings::Endpoint &endpoint)
 {
     return {endpoint.m_address, endpoint.m_port};
@@ -157,10 +165,6 @@
 
 int run(const std::string &file, const settings::NodeSettings &settings)
 {
-    std::signal(SIGTERM, onStopSignal);
-    std::signal(SIGINT, onStopSignal);
-    std::signal(SIGHUP, onReloadSignal);
-    std::signal(SIGPIPE, SIG_IGN);
     logging::LineLog log(settings.m_logLevel, {});
     serve(file, settings, log);
     if (!log.close(logDrainLimit)) {
@@ -180,6 +184,8 @@
 
 int main(int argc, char **argv)
 {
+    // First of all, since a SIGHUP or SIGTERM without a handler ends the process at once.
+    installSignalHandlers();
     try {
         const char *fromEnvironment = std::getenv("FOXTAILCROSS_SETTINGS");
         const std::string file = argc > 1 ? argv[1] : fromEnvironment != nullptr ? fromEnvironment : "";
