--- a/components/http/server.cpp
+++ b/components/http/server.cpp
@@ -30,6 +30,11 @@
     return m_core->port();
 }
 
+std::size_t Server::openConnections() const
+{
+    return m_core->openConnections();
+}
+
 std::size_t Server::inFlight() const
 {
     return m_core->inFlight();
--- a/components/http/server.hpp
+++ b/components/http/server.hpp
@@ -39,6 +39,8 @@
     /// The port listened on.
     std::uint16_t port() const;
 
+    std::size_t openConnections() const;
+
     /// Number of requests passed to the handler whose response has not been written yet.
     std::size_t inFlight() const;
 
--- a/components/http/server_core.cpp
+++ b/components/http/server_core.cpp
@@ -81,6 +81,12 @@
     return m_port;
 }
 
+std::size_t ServerCore::openConnections() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_sessions.size();
+}
+
 std::size_t ServerCore::inFlight() const
 {
     return m_inFlight.load();
--- a/components/http/server_core.hpp
+++ b/components/http/server_core.hpp
@@ -33,6 +33,7 @@
     bool stop(fleet::Duration limit);
 
     std::uint16_t port() const;
+    std::size_t openConnections() const;
     std::size_t inFlight() const;
     bool stopping() const;
     bool isDrained() const;
--- a/components/http/server_test.cpp
+++ b/components/http/server_test.cpp
@@ -136,6 +136,7 @@
     peer.send(post(1));
     const auto respond = held.get_future().get();
     cr_assert_eq(server.inFlight(), 1U);
+    cr_assert_eq(server.openConnections(), 1U);
     server.beginStop();
     std::thread answering([&] {
         respond({200, "whole", "text/plain", {}});
@@ -147,6 +148,7 @@
     cr_assert(answer.find("Connection: close") != std::string::npos);
     cr_assert(server.stop(longTimeout));
     cr_assert_eq(server.inFlight(), 0U);
+    cr_assert_eq(server.openConnections(), 0U);
 }
 
 Test(http_server, stopWithIdleConnection_connectionIsClosedAfterTheLinger)
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -358,6 +358,7 @@
     stats.m_unreadableRecords = m_journal.m_unreadableRecords;
     stats.m_jobs = m_journal.m_journalState.m_jobs.size();
     stats.m_openCalls = m_callHandler.openCalls();
+    stats.m_callerConnections = m_ports.callerConnections();
     m_duty.addStats(stats);
     return stats;
 }
@@ -378,7 +379,13 @@
     }
     const bool isServed = m_hasStoppedAccepting && m_callHandler.openCalls() == 0 && m_ports.isDrained() && m_duty.isIdle();
     if (isServed || since >= lastAnswersAt + finalAnswerTime) {
-        m_ports.log(logging::Line("node", "stopped").add("open_calls", m_callHandler.openCalls()).add("drained", m_ports.isDrained()), now);
+        const CallerConnections connections = m_ports.callerConnections();
+        m_ports.log(logging::Line("node", "stopped")
+                        .add("open_calls", m_callHandler.openCalls())
+                        .add("drained", m_ports.isDrained())
+                        .add("connections", connections.m_open)
+                        .add("unanswered", connections.m_unanswered),
+                    now);
         m_isStopped = true;
     }
 }
--- a/components/node/instance_metrics.cpp
+++ b/components/node/instance_metrics.cpp
@@ -164,6 +164,8 @@
     set("foxtailcross_journal_unreadable", "Records of the journal that could not be read.", stats.m_unreadableRecords);
     set("foxtailcross_jobs_known", "Jobs in the ledger, ended ones within their retention included.", stats.m_jobs);
     set("foxtailcross_calls_open", "Callers' calls that wait for the store.", stats.m_openCalls);
+    set("foxtailcross_connections_open", "Callers' connections.", stats.m_callerConnections.m_open);
+    set("foxtailcross_requests_unanswered", "Callers' requests whose answers have not been written yet.", stats.m_callerConnections.m_unanswered);
     set("foxtailcross_jobs_active", "Holder: jobs that are not over.", stats.m_activeJobs);
     set("foxtailcross_runs_open", "Holder: runs that are not over.", stats.m_openRuns);
     set("foxtailcross_workers_known", "Holder: workers in its list or with open runs.", stats.m_workers);
--- a/components/node/instance_stats.hpp
+++ b/components/node/instance_stats.hpp
@@ -1,6 +1,8 @@
 #ifndef COMPONENTS_NODE_INSTANCE_STATS_HPP
 #define COMPONENTS_NODE_INSTANCE_STATS_HPP
 
+#include "components/node/caller_connections.hpp"
+
 #include <cstddef>
 #include <cstdint>
 
@@ -23,6 +25,7 @@
     std::uint64_t m_unreadableRecords = 0;
     std::size_t m_jobs = 0;
     std::size_t m_openCalls = 0;
+    CallerConnections m_callerConnections;
     /// The members from here on are set on the holder only.
     std::size_t m_activeJobs = 0;
     std::size_t m_openRuns = 0;
--- a/components/node/ports.hpp
+++ b/components/node/ports.hpp
@@ -10,6 +10,7 @@
 #include "components/machines/upkeep_order.hpp"
 #include "components/machines/wave_report.hpp"
 #include "components/node/append_tag.hpp"
+#include "components/node/caller_connections.hpp"
 #include "components/store/append_call.hpp"
 #include "components/store/read_call.hpp"
 #include "components/workers/advice_question.hpp"
@@ -56,6 +57,7 @@
     virtual void stopAccepting() = 0;
     /// True if no caller's connection is open.
     virtual bool isDrained() const = 0;
+    virtual CallerConnections callerConnections() const = 0;
     virtual void log(const logging::Line &line, fleet::Now now) = 0;
 };
 
--- a/components/simulation/callers_test.cpp
+++ b/components/simulation/callers_test.cpp
@@ -188,6 +188,18 @@
     cr_assert(fixture.m_world.outcome(call).m_reply.has_value());
 }
 
+Test(callers, instanceThatExitsWithOpenConnections_logLineCountsThem)
+{
+    WorldFixture fixture;
+    const int stopping = fixture.nonHolder();
+    fixture.m_world.m_callerConnections = {3, 1};
+    fixture.m_world.requestStop(stopping);
+    fixture.m_world.run(6s);
+    cr_assert_not(fixture.m_world.isRunning(stopping));
+    const std::string line = fixture.m_world.m_lastLogLines["node/stopped"];
+    cr_assert_neq(line.find("connections=3 unanswered=1"), std::string::npos, "%s", line.c_str());
+}
+
 Test(callers, endOfAJobNotStoredYet_isNotReportedByTheHolder)
 {
     WorldFixture fixture;
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -246,6 +246,11 @@
         return true;
     }
 
+    node::CallerConnections callerConnections() const override
+    {
+        return m_world.m_callerConnections;
+    }
+
     void log(const logging::Line &line, fleet::Now) override
     {
         if (m_world.m_trace) {
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -8,6 +8,7 @@
 #include "components/jobs/job_spec.hpp"
 #include "components/jobs/job_state.hpp"
 #include "components/metrics/registry.hpp"
+#include "components/node/caller_connections.hpp"
 #include "components/node/control.hpp"
 #include "components/simulation/call_outcome.hpp"
 #include "components/simulation/faults.hpp"
@@ -101,6 +102,8 @@
     std::map<std::string, int> m_logCounts;
     /// Latest log line of each event, with the same keys.
     std::map<std::string, std::string> m_lastLogLines;
+    /// What each instance sees as the connections of its callers.
+    node::CallerConnections m_callerConnections;
 
 private:
     friend class InstancePorts;
