--- a/components/http/server_test.cpp
+++ b/components/http/server_test.cpp
@@ -136,6 +136,7 @@
     peer.send(post(1));
     const auto respond = held.get_future().get();
     cr_assert_eq(server.inFlight(), 1U);
+    cr_assert_eq(server.openConnections(), 1U);
     server.beginStop();
     std::thread answering([&] {
         respond({200, "whole", "text/plain", {}});
@@ -147,6 +148,72 @@
     cr_assert(answer.find("Connection: close") != std::string::npos);
     cr_assert(server.stop(longTimeout));
     cr_assert_eq(server.inFlight(), 0U);
+    cr_assert_eq(server.openConnections(), 0U);
+}
+
+Test(http_server, stopWithIdleConnection_connectionIsClosedAfterTheLinger)
+{
+    auto settings = smallLimits();
+    settings.m_stopLinger = 50ms;
+    http::Server server(settings, echo);
+    auto peer = http::RawSocket::connect(server.port());
+    peer.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(peer.readUntil("GET /a ").ends_with("GET /a "));
+    cr_assert(server.stop(5s));
+}
+
+Test(http_server, stopWithIdleConnection_requestSentWithinTheLingerIsAnswered)
+{
+    http::Server server(smallLimits(), echo);
+    auto peer = http::RawSocket::connect(server.port());
+    peer.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(peer.readUntil("GET /a ").ends_with("GET /a "));
+    server.beginStop();
+    peer.send("GET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(peer.readToClose().ends_with("GET /b "));
+}
+
+namespace
+{
+
+/// Answers of a server that is stopped while it handles the first of two requests on a connection.
+/// @param isSentTogether True if the second request arrives with the first one, false if it arrives while the first is handled.
+std::string answersToTwoRequestsInAStop(bool isSentTogether)
+{
+    const std::string second = "GET /b HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::promise<http::Responder> held;
+    http::Server server(smallLimits(), [&](const http::Request &request, const http::Responder &respond) {
+        if (request.m_target == "/x") {
+            held.set_value(respond);
+        } else {
+            echo(request, respond);
+        }
+    });
+    auto peer = http::RawSocket::connect(server.port());
+    peer.send(post(1) + (isSentTogether ? second : std::string()));
+    const auto respond = held.get_future().get();
+    if (!isSentTogether) {
+        peer.send(second);
+    }
+    server.beginStop();
+    respond({200, "first", "text/plain", {}});
+    return peer.readToClose();
+}
+
+}
+
+Test(http_server, stopWithRequestBehindTheOneInFlight_bothAreAnswered)
+{
+    const auto answers = answersToTwoRequestsInAStop(true);
+    cr_assert(answers.find("first") != std::string::npos);
+    cr_assert(answers.ends_with("GET /b "));
+}
+
+Test(http_server, stopWithRequestSentDuringTheOneInFlight_bothAreAnswered)
+{
+    const auto answers = answersToTwoRequestsInAStop(false);
+    cr_assert(answers.find("first") != std::string::npos);
+    cr_assert(answers.ends_with("GET /b "));
 }
 
 Test(http_server, stopWithHungHandler_closesAtTheLimitAndLateAnswerIsHarmless)
