Dispatch: acknowledge ends of runs only until the worker has forgotten them

Callers saw a task run again whose end as done had been acknowledged (rule TWICE).

Cause: each poll repeated the number up to which ends are acknowledged. A worker that restarts under its id numbers its ends anew. A start order that was sent before the list shows the restart is carried out by the new life, whose first ends then have numbers that the previous life had used: the next poll acknowledged them before anyone had read them, and the run counted as lost with its worker.

An acknowledgement is now sent until a poll that carries it was answered, and not again.

--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -92,7 +92,8 @@
     order.m_target = worker.m_registration.m_incarnation;
     order.m_address = worker.m_registration.m_address;
     order.m_token = context.m_state.m_token;
-    order.m_acknowledgedUpTo = worker.m_endsStored;
+    // A worker numbers its ends anew after a restart, and would take an acknowledgement that is repeated for one of its new ends.
+    order.m_acknowledgedUpTo = worker.m_endsStored > worker.m_endsAcknowledged ? worker.m_endsStored : 0;
     if (!worker.m_runs.empty()) {
         order.m_leaseUntilMs = leaseEnd(context, worker, context.m_state.m_settings.m_leaseLimit);
         // An end that is listed but may not be forgotten yet would end the wait at once.
--- a/components/simulation/workers_test.cpp
+++ b/components/simulation/workers_test.cpp
@@ -375,6 +375,22 @@
     fixture.expectNoViolation();
 }
 
+/// The numbers of ends begin anew with each life of a worker.
+Test(worker, restartedBeforeTheListShowsIt_endOfItsNewLifeIsNotAcknowledgedForAnEarlierOne)
+{
+    WorldSettings settings;
+    settings.m_zones = 1;
+    settings.m_workersPerZone = 1;
+    WorldFixture fixture(settings);
+    cr_assert(fixture.completes(fixture.submit(makeTasks(4), {100ms}), 2s));
+    fixture.m_world.run(500ms);
+    fixture.m_world.crashWorker(fixture.m_world.workers().front(), true);
+    const jobs::JobId job = fixture.submit(makeTasks(1), {100ms});
+    cr_assert(fixture.completes(job, 8s));
+    cr_assert_eq(fixture.runCount(job), 1);
+    fixture.expectNoViolation();
+}
+
 Test(worker, zonePartitioned_itsIdleWorkersGetNoNewRuns)
 {
     WorldFixture fixture;
