--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -749,6 +749,11 @@
     m_workerListLog.push_back(change);
 }
 
+void World::relist(const fleet::WorkerId &worker)
+{
+    appendToWorkerList(worker);
+}
+
 std::vector<fleet::WorkerId> World::workers() const
 {
     std::vector<fleet::WorkerId> ids;
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -81,6 +81,7 @@
     void unlist(const fleet::WorkerId &worker);
     /// Writes an entry of the worker list, or removes one, as any writer may.
     void writeEntry(const workers::WorkerListChange &change);
+    void relist(const fleet::WorkerId &worker);
     std::vector<fleet::WorkerId> workers() const;
 
     fleet::BootTime now() const;
