HTTP client: the last handlers of a request do not refer to a client that is gone

Cause: ClientExchange refers to a member of ClientCore; the shared network thread outlives the client and runs the handlers of aborted reads later. Fix: the exchanges share the byte count. Evidence: http_client/destroyedByACallbackWithARequestInFlight_laterHandlersDoNotReferToIt failed before in the asan build (heap-use-after-free in the handler of the read) and passes. Only a sanitizer shows this fault; other builds only run the test.

--- a/components/http/client_core.cpp
+++ b/components/http/client_core.cpp
@@ -69,7 +69,7 @@
 
 const ByteCount &ClientCore::byteCount() const
 {
-    return m_byteCount;
+    return *m_byteCount;
 }
 
 void ClientCore::enqueue(const std::shared_ptr<ClientExchange> &exchange, fleet::Duration timeout)
--- a/components/http/client_core.hpp
+++ b/components/http/client_core.hpp
@@ -9,6 +9,7 @@
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <vector>
@@ -50,7 +51,8 @@
     void abortAll();
 
     ClientSettings m_settings;
-    ByteCount m_byteCount;
+    /// Shared with the exchanges, whose last handlers may run after the client is gone.
+    std::shared_ptr<ByteCount> m_byteCount = std::make_shared<ByteCount>();
     boost::asio::io_context &m_io;
     boost::asio::steady_timer m_sweepTimer;
     std::map<Address, Pool> m_pools;
--- a/components/http/client_exchange.cpp
+++ b/components/http/client_exchange.cpp
@@ -44,8 +44,8 @@
 
 }
 
-ClientExchange::ClientExchange(boost::asio::io_context &io, ByteCount &byteCount, Address address, Request request, Client::Callback callback)
-    : m_byteCount(byteCount)
+ClientExchange::ClientExchange(boost::asio::io_context &io, std::shared_ptr<ByteCount> byteCount, Address address, Request request, Client::Callback callback)
+    : m_byteCount(std::move(byteCount))
     , m_timer(io)
     , m_address(std::move(address))
     , m_request(toMessage(m_address, std::move(request)))
@@ -141,7 +141,7 @@
 
 void ClientExchange::onWritten(const Error &error, std::size_t count)
 {
-    m_byteCount.m_sent += count;
+    m_byteCount->m_sent += count;
     if (!error) {
         read();
         return;
@@ -159,7 +159,7 @@
 void ClientExchange::read()
 {
     beasthttp::async_read(m_connection->m_socket, m_connection->m_buffer, *m_parser, [self = shared_from_this()](const Error &error, std::size_t count) {
-        self->m_byteCount.m_received += count;
+        self->m_byteCount->m_received += count;
         if (!self->m_ended) {
             self->onRead(error);
         }
--- a/components/http/client_exchange.hpp
+++ b/components/http/client_exchange.hpp
@@ -28,7 +28,7 @@
     /// Called once at the end, with the connection if it can be reused and a null pointer otherwise.
     using ReleaseCallback = std::function<void(std::unique_ptr<ClientConnection>)>;
 
-    ClientExchange(boost::asio::io_context &io, ByteCount &byteCount, Address address, Request request, Client::Callback callback);
+    ClientExchange(boost::asio::io_context &io, std::shared_ptr<ByteCount> byteCount, Address address, Request request, Client::Callback callback);
 
     void startTimeout(fleet::Duration timeout);
     /// Sends the request on the connection, which is opened first if it is closed.
@@ -50,7 +50,7 @@
     void onRead(const Error &error);
     void end(Result result, bool reusable);
 
-    ByteCount &m_byteCount;
+    std::shared_ptr<ByteCount> m_byteCount;
     boost::asio::steady_timer m_timer;
     Address m_address;
     boost::beast::http::request<boost::beast::http::string_body> m_request;
--- a/components/http/client_test.cpp
+++ b/components/http/client_test.cpp
@@ -1,5 +1,6 @@
 #include "components/http/address.hpp"
 #include "components/http/client.hpp"
+#include "components/http/io_thread.hpp"
 #include "components/http/raw_socket_test.hpp"
 #include "components/http/request.hpp"
 #include "components/http/result.hpp"
@@ -167,3 +168,24 @@
     client.reset();
     cr_assert(result.get().m_kind == http::ResultKind::Unknown);
 }
+
+/// The address sanitizer shows a handler that refers to the client.
+Test(http_client, destroyedByACallbackWithARequestInFlight_laterHandlersDoNotReferToIt)
+{
+    const auto thread = std::make_shared<http::IoThread>();
+    const auto silent = http::RawSocket::listen();
+    const auto answering = http::RawSocket::listen();
+    auto client = std::make_unique<http::Client>(http::ClientSettings(), thread);
+    auto result = start(*client, silent.port(), post("x"));
+    const auto silentPeer = silent.accept();
+    silentPeer.readUntil("\r\n\r\nx");
+    client->send({"127.0.0.1", answering.port()}, post("y"), longTimeout, [&client](const http::Result &) {
+        client.reset();
+    });
+    const auto answeringPeer = answering.accept();
+    answeringPeer.readUntil("\r\n\r\ny");
+    answeringPeer.send(okAnswer(""));
+    cr_assert(result.get().m_kind == http::ResultKind::Unknown);
+    thread->join();
+    cr_assert_null(client.get());
+}
