HTTP server: a responder that outlives its server owns no part of it

Seen: http_server/stopWithHungHandler_closesAtTheLimitAndLateAnswerIsHarmless passes in the release build and fails in the asan build (heap-use-after-free in ~ServerCore). In the node a call that is still open when the process exits has such a responder; whether it ever ended a process otherwise than with 0 was not seen. Cause: a responder owned ServerCore, whose timer and sockets refer to the threads' context, which is gone by then. Fix: a responder owns only a gate, which the server closes before its threads end. Evidence: the test fails before and passes after in the asan build; all 30 tests of http_test pass there.

--- a/components/http/server_core.cpp
+++ b/components/http/server_core.cpp
@@ -132,12 +132,9 @@
     }
 }
 
-void ServerCore::runUnlessTerminated(const std::function<void()> &action)
+const std::shared_ptr<ServerGate> &ServerCore::gate() const
 {
-    const std::lock_guard lock(m_mutex);
-    if (!m_terminated) {
-        action();
-    }
+    return m_gate;
 }
 
 void ServerCore::accept()
@@ -207,6 +204,7 @@
 
 void ServerCore::terminate()
 {
+    m_gate->close();
     std::unique_lock lock(m_mutex);
     m_terminated = true;
     for (const auto &session : m_sessions) {
--- a/components/http/server_core.hpp
+++ b/components/http/server_core.hpp
@@ -2,6 +2,7 @@
 #define COMPONENTS_HTTP_SERVER_CORE_HPP
 
 #include "components/http/server.hpp"
+#include "components/http/server_gate.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -10,6 +11,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <memory>
 #include <mutex>
 #include <set>
 
@@ -45,8 +47,8 @@
     void onRequestFinished();
     /// Called when a session has ended.
     void removeSession(const std::shared_ptr<ServerSession> &session);
-    /// Runs `action` unless the server is terminated. The server's threads still run during `action`, which may post to them.
-    void runUnlessTerminated(const std::function<void()> &action);
+    /// Closed when the server is terminated. Its threads still run while an action runs at the gate, which may post to them.
+    const std::shared_ptr<ServerGate> &gate() const;
 
 private:
     void accept();
@@ -69,6 +71,7 @@
     /// Notified when the last session ends and when the listening socket is closed.
     std::condition_variable m_drainedCondition;
     std::set<std::shared_ptr<ServerSession>> m_sessions;
+    std::shared_ptr<ServerGate> m_gate = std::make_shared<ServerGate>();
     bool m_listenerClosed = false;
     bool m_terminated = false;
 };
--- a/components/http/server_session.cpp
+++ b/components/http/server_session.cpp
@@ -2,6 +2,7 @@
 
 #include "components/http/error_response.hpp"
 #include "components/http/server_core.hpp"
+#include "components/http/server_gate.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
@@ -151,8 +152,9 @@
     m_stream.expires_never();
     m_isRequestInFlight = true;
     const bool last = !m_parser->keep_alive();
-    const Responder responder([core = m_core, weak = weak_from_this(), last](std::optional<Response> response) {
-        core->runUnlessTerminated([&] {
+    // A responder may outlive the server and its threads, so it must not own a part of it.
+    const Responder responder([gate = m_core->gate(), weak = weak_from_this(), last](std::optional<Response> response) {
+        gate->runUnlessClosed([&] {
             if (const auto self = weak.lock()) {
                 boost::asio::post(self->m_stream.get_executor(), [self, last, response = std::move(response)]() mutable {
                     self->onHandlerDone(std::move(response), last);
