--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -151,6 +151,7 @@
     updateStoreStatus(outcome == store::ReadOutcome::Read || outcome == store::ReadOutcome::Expired, event.m_result.m_reason, now);
     const std::uint64_t unreadable = m_journal.m_unreadableRecords;
     const std::uint64_t from = m_journal.m_nextOffset;
+    const std::optional<fleet::BootTime> readBefore = m_journal.m_asOf;
     journal::Changes changes;
     const bool hasMore = applyJournalRead(m_journal, event.m_result, event.m_sentAt, now.m_boot, changes);
     if (outcome == store::ReadOutcome::Expired && isIncomplete(m_journal) && m_journal.m_nextOffset > from) {
@@ -167,7 +168,7 @@
                     now);
     }
     if (event.m_result.m_outcome == store::ReadOutcome::Read) {
-        m_duty.onJournalRead(changes, now);
+        m_duty.onJournalRead(changes, readBefore, now);
         m_callHandler.onJournalRead(now);
     }
     if (hasMore) {
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -210,14 +210,15 @@
     m_holderMonitor.m_startedAt = now.m_boot;
 }
 
-void SchedulingDuty::onJournalRead(const journal::Changes &changes, fleet::Now now)
+void SchedulingDuty::onJournalRead(const journal::Changes &changes, std::optional<fleet::BootTime> readBefore, fleet::Now now)
 {
     if (!m_lastSnapshotAt) {
         // The time of the last snapshot is not known. A quarter of the interval passes before this instance would write one.
         m_lastSnapshotAt = now.m_boot - snapshotInterval(m_settings) * 3 / 4;
     }
-    if (changes.m_snapshotWritten) {
-        m_lastSnapshotAt = now.m_boot;
+    if (changes.m_snapshotWritten && readBefore) {
+        // The records that an instance reads first may be as old as the retention.
+        m_lastSnapshotAt = std::max(*m_lastSnapshotAt, *readBefore);
     }
     if (!m_hasReadJournal) {
         m_hasReadJournal = true;
--- a/components/node/scheduling_duty.hpp
+++ b/components/node/scheduling_duty.hpp
@@ -46,7 +46,8 @@
 public:
     SchedulingDuty(const Settings &settings, Ports &ports, const OperatorConfigView &operatorConfig, JournalView &journal);
 
-    void onJournalRead(const journal::Changes &changes, fleet::Now now);
+    /// @param readBefore Everything stored before this time was read before; empty if the journal's end was not reached before.
+    void onJournalRead(const journal::Changes &changes, std::optional<fleet::BootTime> readBefore, fleet::Now now);
     void onAppendEnded(const AppendTag &tag, fleet::BootTime sentAt, const store::AppendResult &result, fleet::Now now);
     void onWorkerListRead(const WorkerListReadEnded &event, fleet::Now now);
     void onStartEnded(const StartEnded &event, fleet::Now now);
@@ -109,7 +110,7 @@
     DutyPhase m_phase = DutyPhase::Following;
     journal::Writer m_writer;
     journal::Writer m_snapshotWriter;
-    /// When any holder last wrote a snapshot, as far as this instance has learned.
+    /// When any holder last wrote a snapshot at the earliest, as far as this instance has learned.
     std::optional<fleet::BootTime> m_lastSnapshotAt;
     unsigned m_snapshotSlot = 0;
     dispatch::State m_state;
--- a/components/simulation/expiry_test.cpp
+++ b/components/simulation/expiry_test.cpp
@@ -33,6 +33,25 @@
     return reply ? std::optional(reply->m_kind) : std::nullopt;
 }
 
+int snapshotCount(World &world)
+{
+    return world.m_logCounts["journal/snapshot-stored"];
+}
+
+void killAll(World &world)
+{
+    for (int i = 0; i < world.instanceCount(); ++i) {
+        world.kill(i);
+    }
+}
+
+void restartAll(World &world)
+{
+    for (int i = 0; i < world.instanceCount(); ++i) {
+        world.restart(i);
+    }
+}
+
 }
 
 /// The holder knows the job and stores a snapshot of it later.
@@ -105,16 +124,12 @@
             fixture.m_world.restart(holder);
             fixture.m_world.run(1s);
         }
-        for (int i = 0; i < fixture.m_world.instanceCount(); ++i) {
-            fixture.m_world.kill(i);
-        }
+        killAll(fixture.m_world);
         expireJournal(fixture.m_world);
         // As if no snapshot had been stored before the instances ended.
         fixture.m_world.m_store.m_topics.erase(snapshotTopic);
         fixture.m_world.run(1s);
-        for (int i = 0; i < fixture.m_world.instanceCount(); ++i) {
-            fixture.m_world.restart(i);
-        }
+        restartAll(fixture.m_world);
         cr_assert(fixture.waitForHolder(6s), "after %d claims", earlierClaims);
         const jobs::JobId job = fixture.submit(makeTasks(1), {300ms});
         cr_assert(fixture.completes(job, 10s), "after %d claims", earlierClaims);
@@ -157,3 +172,40 @@
         fixture.expectNoViolation();
     }
 }
+
+/// The instances that start read the record of a snapshot that is as old as the interval between snapshots.
+Test(expiry, allInstancesRestartedLongAfterASnapshot_nextSnapshotIsNotDelayedByAnInterval)
+{
+    WorldFixture fixture;
+    const int before = snapshotCount(fixture.m_world);
+    cr_assert(fixture.m_world.runUntil(
+        [&] {
+            return snapshotCount(fixture.m_world) > before;
+        },
+        40s));
+    fixture.m_world.run(12s);
+    killAll(fixture.m_world);
+    fixture.m_world.run(1s);
+    restartAll(fixture.m_world);
+    const int stored = snapshotCount(fixture.m_world);
+    cr_assert(fixture.m_world.runUntil(
+        [&] {
+            return snapshotCount(fixture.m_world) > stored;
+        },
+        6s));
+}
+
+/// Guards against a snapshot after each change of the holder, since bytes to the store are priced.
+Test(expiry, holderChangesOften_snapshotsStayAsRareAsWithOneHolder)
+{
+    WorldFixture fixture;
+    const int before = snapshotCount(fixture.m_world);
+    for (int i = 0; i < 12; ++i) {
+        const int holder = fixture.m_world.holder();
+        fixture.m_world.kill(holder);
+        cr_assert(fixture.waitForHolder(10s));
+        fixture.m_world.restart(holder);
+        fixture.m_world.run(5s);
+    }
+    cr_assert_leq(snapshotCount(fixture.m_world) - before, 6);
+}
