--- a/components/node/journal_view.cpp
+++ b/components/node/journal_view.cpp
@@ -96,7 +96,8 @@
     fresh.m_answeringSince = view.m_answeringSince;
     fresh.m_lastReadDuration = view.m_lastReadDuration;
     fresh.m_unansweredSince = view.m_unansweredSince;
-    view = fresh;
+    fresh.m_retention = std::move(view.m_retention);
+    view = std::move(fresh);
 }
 
 bool applyJournalRead(JournalView &view, const store::ReadResult &result, fleet::BootTime sentAt, fleet::BootTime now, journal::Changes &changes)
@@ -114,6 +115,7 @@
     }
     view.m_lastAnswerAt = now;
     view.m_hasGap = false;
+    onJournalBoundsSeen(view.m_retention, result.m_oldest, result.m_end, sentAt, now);
     // A read that begins after m_nextOffset was sent before the view was reset.
     if (result.m_from > view.m_nextOffset) {
         return false;
--- a/components/node/journal_view.hpp
+++ b/components/node/journal_view.hpp
@@ -4,6 +4,7 @@
 #include "components/fleet/boot_time.hpp"
 #include "components/journal/changes.hpp"
 #include "components/journal/journal_state.hpp"
+#include "components/node/retention_monitor.hpp"
 #include "components/store/keyed_record.hpp"
 #include "components/store/read_result.hpp"
 
@@ -46,6 +47,7 @@
     fleet::BootTime m_lastHolderRecordAt;
     std::uint64_t m_holderReportedEnd = 0;
     std::uint64_t m_unreadableRecords = 0;
+    RetentionMonitor m_retention;
 };
 
 /// Records that a read is sent.
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -22,6 +22,8 @@
 constexpr int snapshotsPerRetention = 4;
 /// Limits the number of records that a starting process has to read after the newest snapshot.
 constexpr fleet::Duration maxSnapshotInterval {15'000};
+/// Limits the bytes of snapshots if records expire at once.
+constexpr fleet::Duration minSnapshotInterval {250};
 /// The holder sends a message to every instance this often.
 constexpr fleet::Duration heartbeatInterval {100};
 /// A resigning holder broadcasts its resignation this often until its last record is stored.
@@ -52,9 +54,11 @@
 constexpr int maxTokenDoublings = 16;
 constexpr std::int64_t maxReportedSilenceMs = 60'000;
 
-fleet::Duration snapshotInterval(const Settings &settings)
+/// The store may keep records for less time than the settings say, as when a partition reaches its size.
+fleet::Duration snapshotInterval(const Settings &settings, const JournalView &journal)
 {
-    return std::min(settings.m_journalRetention / snapshotsPerRetention, maxSnapshotInterval);
+    const fleet::Duration retention = std::min(settings.m_journalRetention, journal.m_retention.m_observed.value_or(fleet::Duration::max()));
+    return std::clamp(retention / snapshotsPerRetention, minSnapshotInterval, maxSnapshotInterval);
 }
 
 }
@@ -178,7 +182,7 @@
     if (isIncomplete(m_journal)) {
         // No instance that has the missing records has shown itself; from here on, this state is the one that counts.
         m_journal.m_missingBefore.reset();
-        m_lastSnapshotAt = now.m_boot - snapshotInterval(m_settings);
+        m_lastSnapshotAt = now.m_boot - snapshotInterval(m_settings, m_journal);
     }
     m_ports.log(logging::Line("duty", "hold")
                     .add("token", m_state.m_token.m_value)
@@ -213,8 +217,10 @@
 void SchedulingDuty::onJournalRead(const journal::Changes &changes, std::optional<fleet::BootTime> readBefore, fleet::Now now)
 {
     if (!m_lastSnapshotAt) {
-        // The time of the last snapshot is not known. A quarter of the interval passes before this instance would write one.
-        m_lastSnapshotAt = now.m_boot - snapshotInterval(m_settings) * 3 / 4;
+        // The time of the last snapshot is not known. A quarter of the interval passes before this instance would write one, or no time
+        // if records expire.
+        const fleet::Duration interval = snapshotInterval(m_settings, m_journal);
+        m_lastSnapshotAt = now.m_boot - (m_journal.m_retention.m_oldest > 0 ? interval : interval * 3 / 4);
     }
     if (changes.m_snapshotWritten && readBefore) {
         // The records that an instance reads first may be as old as the retention.
@@ -272,7 +278,7 @@
 /// stored up to one offset.
 void SchedulingDuty::writeSnapshotIfDue(fleet::Now now)
 {
-    const bool isDue = m_lastSnapshotAt && now.m_boot - *m_lastSnapshotAt >= snapshotInterval(m_settings);
+    const bool isDue = m_lastSnapshotAt && now.m_boot - *m_lastSnapshotAt >= snapshotInterval(m_settings, m_journal);
     const bool isJournalStateStored = isIdle() && m_state.m_pendingBatches.empty() && m_knownJournalEnd <= m_journal.m_nextOffset && m_journal.m_readsOpen == 0;
     if (!isDue || !isJournalStateStored || m_snapshotWriter.m_sent) {
         return;
--- a/components/simulation/expiry_test.cpp
+++ b/components/simulation/expiry_test.cpp
@@ -2,6 +2,8 @@
 #include "components/simulation/world_fixture_test.hpp"
 
 #include <chrono>
+#include <map>
+#include <set>
 
 #include <criterion/criterion.h>
 
@@ -33,11 +35,53 @@
     return reply ? std::optional(reply->m_kind) : std::nullopt;
 }
 
+/// Runs while the store keeps the journal's records for `kept`. Returns how long records were missing that had expired before a
+/// snapshot of them was stored.
+class ExpiringJournal
+{
+public:
+    ExpiringJournal(World &world, fleet::Duration kept)
+        : m_world(world)
+        , m_kept(kept)
+    {
+    }
+
+    fleet::Duration run(fleet::Duration length)
+    {
+        constexpr fleet::Duration step {100};
+        fleet::Duration missing {0};
+        for (fleet::Duration ran {0}; ran < length; ran += step) {
+            m_world.run(step);
+            TopicState &topic = m_world.m_store.m_topics[journalTopic];
+            m_ends.emplace(m_world.now(), topic.m_records.size());
+            for (; m_ends.begin()->first <= m_world.now() - m_kept; m_ends.erase(m_ends.begin())) {
+                expire(m_world.m_store, journalTopic, m_ends.begin()->second);
+            }
+            const auto snapshot = journal::assembleSnapshot(newest(m_world.m_store, snapshotTopic));
+            missing += topic.m_oldest > (snapshot ? snapshot->m_next : 0) ? step : fleet::Duration(0);
+        }
+        return missing;
+    }
+
+private:
+    World &m_world;
+    fleet::Duration m_kept;
+    std::map<fleet::BootTime, std::uint64_t> m_ends;
+};
+
 int snapshotCount(World &world)
 {
     return world.m_logCounts["journal/snapshot-stored"];
 }
 
+void runWithoutSnapshots(World &world, fleet::Duration length)
+{
+    for (fleet::Duration ran {0}; ran < length; ran += 1ms) {
+        world.run(1ms);
+        world.m_store.m_topics.erase(snapshotTopic);
+    }
+}
+
 void killAll(World &world)
 {
     for (int i = 0; i < world.instanceCount(); ++i) {
@@ -87,26 +131,39 @@
     cr_assert(fixture.m_world.stateOf(other, job) == jobs::JobState::Running);
 }
 
-/// The snapshot of an instance that lacks records would replace one that has them.
+/// The snapshot of an instance that lacks records would replace one that has them. No instance finds a snapshot until each but one
+/// has been started anew.
 Test(expiry, recordsExpiredBeforeASnapshotOfThem_incompleteInstanceDoesNotTakeTheDuty)
 {
     WorldFixture fixture;
+    World &world = fixture.m_world;
     const jobs::JobId job = fixture.submit(makeTasks(1), {15s});
-    fixture.m_world.run(1s);
-    expireJournal(fixture.m_world);
-    const int other = fixture.nonHolder();
-    fixture.m_world.kill(other);
-    fixture.m_world.restart(other);
-    fixture.m_world.run(2s);
-    for (int i = 0; i < 8; ++i) {
-        const int holder = fixture.m_world.holder();
-        cr_assert_neq(holder, other, "after %d changes of hands", i);
-        if (holder >= 0) {
-            fixture.m_world.kill(holder);
-            cr_assert(fixture.waitForHolder(5s));
-            fixture.m_world.restart(holder);
+    world.run(1s);
+    expireJournal(world);
+    std::set<int> incomplete {fixture.nonHolder()};
+    world.kill(*incomplete.begin());
+    world.restart(*incomplete.begin());
+    runWithoutSnapshots(world, 2s);
+    while (static_cast<int>(incomplete.size()) < world.instanceCount()) {
+        const int holder = world.holder();
+        cr_assert(holder >= 0 && !incomplete.contains(holder), "with %zu incomplete instances", incomplete.size());
+        incomplete.insert(holder);
+        if (static_cast<int>(incomplete.size()) < world.instanceCount()) {
+            world.kill(holder);
+            runWithoutSnapshots(world, 4s);
+            cr_assert_neq(world.holder(), -1);
+            world.restart(holder);
+            runWithoutSnapshots(world, 300ms);
         }
-        fixture.m_world.run(300ms);
+    }
+    world.run(2s);
+    for (int i = 0; i < 8; ++i) {
+        const int holder = world.holder();
+        cr_assert(holder >= 0 && askFor(world, holder, job) == callers::ReplyKind::State, "after %d changes of hands", i);
+        world.kill(holder);
+        cr_assert(fixture.waitForHolder(5s));
+        world.restart(holder);
+        world.run(300ms);
     }
     cr_assert(fixture.completes(job, 30s));
     cr_assert_eq(fixture.runCount(job), 1);
@@ -209,3 +266,47 @@
     }
     cr_assert_leq(snapshotCount(fixture.m_world) - before, 6);
 }
+
+/// The settings say five minutes. Until a record has expired, the instances can't know that it is less.
+Test(expiry, storeKeepsRecordsForLessThanTheSettingsSay_snapshotsContainThemBeforeTheyExpire)
+{
+    for (const fleet::Duration kept : {4s, 8s, 12s}) {
+        WorldFixture fixture;
+        ExpiringJournal journal(fixture.m_world, kept);
+        journal.run(20s);
+        cr_assert_eq(journal.run(60s).count(), 0, "kept for %d ms", static_cast<int>(kept.count()));
+        fixture.expectNoViolation();
+    }
+}
+
+Test(expiry, storeKeepsRecordsForLessThanTheSettingsSay_jobsOutliveRestartsOfAllInstances)
+{
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+        WorldSettings settings;
+        settings.m_seed = seed;
+        WorldFixture fixture(settings);
+        ExpiringJournal journal(fixture.m_world, 10s);
+        const jobs::JobId job = fixture.submit(makeTasks(1), {100s});
+        journal.run(20s);
+        for (int i = 0; i < 4; ++i) {
+            journal.run(fleet::Duration(5000 + static_cast<int>(fixture.m_world.random()() % 8000)));
+            killAll(fixture.m_world);
+            journal.run(1s);
+            restartAll(fixture.m_world);
+        }
+        cr_assert_eq(journal.run(60s).count(), 0, "seed %u", seed);
+        cr_assert(askFor(fixture.m_world, fixture.nonHolder(), job) == callers::ReplyKind::State, "seed %u", seed);
+        cr_assert(fixture.completes(job, 60s), "seed %u", seed);
+        cr_assert_eq(fixture.runCount(job), 1, "seed %u", seed);
+    }
+}
+
+/// Guards against more snapshots than the settings ask for, since bytes to the store are priced.
+Test(expiry, nothingExpires_snapshotsStayAsRareAsTheSettingsAsk)
+{
+    WorldFixture fixture;
+    ExpiringJournal journal(fixture.m_world, 300s);
+    const int before = snapshotCount(fixture.m_world);
+    journal.run(90s);
+    cr_assert_leq(snapshotCount(fixture.m_world) - before, 7);
+}
