Ended jobs are forgotten by each instance's own clock since boot

What callers saw: with clocks 200 s apart, instances answered 410 for accepted jobs within seconds of their end, and a submission repeated seconds later ran the job again.

Cause: an instance compared its time of day with the time of day at which another one had recorded the end, with 15 s of tolerance.

Change: forgetEnded() notes when it first sees the end of a job, by the time since boot, and counts the retention from then. The time of day decides nothing there.

The world of the simulation has a time of day for each instance now.

--- a/components/journal/job_record.hpp
+++ b/components/journal/job_record.hpp
@@ -24,7 +24,7 @@
     bool m_hasFailed = false;
     /// True once a run of the job was launched.
     bool m_hasBegun = false;
-    /// When the job completed, failed or was cancelled.
+    /// When the job completed, failed or was cancelled, by the clock of the instance that recorded it.
     fleet::TimePoint m_endedAt;
     /// Occurrences with at least one launched run that are not done or still have an open run.
     std::map<std::uint32_t, OccurrenceRecord> m_occurrences;
--- a/components/journal/journal_state.cpp
+++ b/components/journal/journal_state.cpp
@@ -49,7 +49,7 @@
     }
     found->second.m_isCancelled = true;
     found->second.m_endedAt = record.m_at;
-    state.m_ended.emplace(record.m_at, record.m_job);
+    state.m_newlyEnded.push_back(record.m_job);
     changes.m_cancelled.push_back(record.m_job);
     changes.m_changed.push_back(record.m_job);
 }
@@ -192,7 +192,7 @@
     completeOccurrence(job, id.m_step.m_occurrence);
     if (!wasOver && job.isOver()) {
         job.m_endedAt = at;
-        state.m_ended.emplace(at, job.m_spec.m_id);
+        state.m_newlyEnded.push_back(job.m_spec.m_id);
     }
     changes.m_changed.push_back(id.m_step.m_job);
 }
@@ -273,9 +273,13 @@
     return found == state.m_jobs.end() ? nullptr : &found->second;
 }
 
-void forgetEnded(JournalState &state, fleet::TimePoint time)
+void forgetEnded(JournalState &state, fleet::Duration retention, fleet::BootTime now)
 {
-    for (auto entry = state.m_ended.begin(); entry != state.m_ended.end() && entry->first < time;) {
+    for (const jobs::JobId job : state.m_newlyEnded) {
+        state.m_ended.emplace(now, job);
+    }
+    state.m_newlyEnded.clear();
+    for (auto entry = state.m_ended.begin(); entry != state.m_ended.end() && now - entry->first >= retention;) {
         const auto job = state.m_jobs.find(entry->second);
         if (job == state.m_jobs.end() || job->second.m_openRuns == 0) {
             state.m_jobs.erase(entry->second);
--- a/components/journal/journal_state.hpp
+++ b/components/journal/journal_state.hpp
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_JOURNAL_JOURNAL_STATE_HPP
 #define COMPONENTS_JOURNAL_JOURNAL_STATE_HPP
 
+#include "components/fleet/boot_time.hpp"
 #include "components/fleet/identifiers.hpp"
 #include "components/journal/former_holder.hpp"
 #include "components/journal/holder_record.hpp"
@@ -29,8 +30,10 @@
     std::vector<FormerHolder> m_formerHolders;
     /// Machines that were taken down for their upkeep, by wave.
     std::map<std::uint64_t, std::set<fleet::MachineId>> m_upkeeps;
-    /// Ended jobs by end time, for forgetEnded().
-    std::multimap<fleet::TimePoint, jobs::JobId> m_ended;
+    /// Jobs that ended since the last call of forgetEnded().
+    std::vector<jobs::JobId> m_newlyEnded;
+    /// The other ended jobs, and when forgetEnded() first saw that they had ended.
+    std::multimap<fleet::BootTime, jobs::JobId> m_ended;
 
     bool operator==(const JournalState &) const = default;
 };
@@ -39,8 +42,9 @@
 
 const JobRecord *findJob(const JournalState &state, jobs::JobId id);
 
-/// Removes jobs that ended before `time` and have no open runs.
-void forgetEnded(JournalState &state, fleet::TimePoint time);
+/// Removes jobs without open runs whose end an earlier call saw, at least `retention` ago. The times at which the ends were recorded do
+/// not count, since they come from the clocks of other instances.
+void forgetEnded(JournalState &state, fleet::Duration retention, fleet::BootTime now);
 
 }
 
--- a/components/journal/journal_state_test.cpp
+++ b/components/journal/journal_state_test.cpp
@@ -1,11 +1,15 @@
 #include "components/journal/changes.hpp"
 #include "components/journal/journal_state.hpp"
 
+#include <chrono>
+
 #include <criterion/criterion.h>
 
 namespace journal::test
 {
 
+using namespace std::chrono_literals;
+
 namespace
 {
 
@@ -39,6 +43,19 @@
         apply(m_state, RunsEnded {{{{{{job, 0, 0}, task}, run}, on, how, {}}}, {}}, m_changes);
     }
 
+    /// Both members are done, one after the other.
+    void complete()
+    {
+        end(0, 1, firstWorker, jobs::RunEnd::Done);
+        end(1, 1, secondWorker, jobs::RunEnd::Done);
+    }
+
+    bool isKnownAfterForgetting(fleet::Duration now)
+    {
+        forgetEnded(m_state, std::chrono::seconds(100), fleet::BootTime(now));
+        return findJob(m_state, job) != nullptr;
+    }
+
     const TaskRecord &task(std::uint16_t index) const
     {
         return *findTask(m_state.m_jobs.at(job), {{job, 0, 0}, index});
@@ -90,4 +107,28 @@
     cr_assert(fixture.task(0).m_open.empty());
 }
 
+Test(JournalState, endedJob_isForgottenOnceTheRetentionHasPassedSinceItsEndWasSeen)
+{
+    JournalStateFixture fixture;
+    fixture.launch(0, 1, firstWorker);
+    fixture.launch(1, 1, secondWorker);
+    cr_assert(fixture.isKnownAfterForgetting(1000s));
+    fixture.complete();
+    cr_assert(fixture.isKnownAfterForgetting(2000s));
+    cr_assert(fixture.isKnownAfterForgetting(2099s));
+    cr_assert(!fixture.isKnownAfterForgetting(2100s));
+}
+
+Test(JournalState, endedJobWithAnOpenRun_isForgottenOnlyAfterTheRun)
+{
+    JournalStateFixture fixture;
+    fixture.launch(0, 1, firstWorker);
+    fixture.launch(1, 1, secondWorker);
+    fixture.end(0, 1, firstWorker, jobs::RunEnd::Done);
+    cr_assert(fixture.isKnownAfterForgetting(2000s));
+    cr_assert(fixture.isKnownAfterForgetting(2200s));
+    fixture.end(1, 1, secondWorker, jobs::RunEnd::Done);
+    cr_assert(!fixture.isKnownAfterForgetting(2205s));
+}
+
 }
--- a/components/journal/snapshot.cpp
+++ b/components/journal/snapshot.cpp
@@ -73,7 +73,7 @@
     JournalState state;
     for (auto &[id, job] : body.m_jobs) {
         if (job.isOver()) {
-            state.m_ended.emplace(job.m_endedAt, id);
+            state.m_newlyEnded.push_back(id);
         }
         state.m_jobs.emplace(id, std::move(job));
     }
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -25,10 +25,10 @@
 constexpr fleet::Duration followerTick {100};
 /// After a stop request, new connections keep arriving until the platform has twice seen that the instance is not ready.
 constexpr fleet::Duration balancerDelay {2200};
-/// Ended jobs are dropped this often. They are kept for clockTolerance longer than their retention, since the clocks of
-/// instances differ.
+/// Ended jobs are dropped this often. They are kept for forgetMargin longer than their retention, since callers may learn of the end
+/// from an instance that learned of it later.
 constexpr fleet::Duration forgetInterval {5000};
-constexpr fleet::Duration clockTolerance {15'000};
+constexpr fleet::Duration forgetMargin {15'000};
 /// A stopping process answers the calls that are still open this long before the platform would kill it, and exits after
 /// finalAnswerTime, in which the answers are sent. The rest of the margin is for writing the log.
 constexpr fleet::Duration stopMargin {700};
@@ -88,7 +88,7 @@
     });
     if (now.m_boot - m_lastForgetAt >= forgetInterval) {
         m_lastForgetAt = now.m_boot;
-        journal::forgetEnded(m_journal.m_journalState, now.m_wall - m_settings.m_statusRetention - clockTolerance);
+        journal::forgetEnded(m_journal.m_journalState, m_settings.m_statusRetention + forgetMargin, now.m_boot);
     }
     updateReadiness(now);
     onEventsHandled(now);
--- a/components/simulation/faults.hpp
+++ b/components/simulation/faults.hpp
@@ -5,6 +5,7 @@
 #include "components/fleet/time.hpp"
 #include "components/simulation/store_mode.hpp"
 
+#include <map>
 #include <set>
 
 namespace simulation
@@ -34,6 +35,8 @@
     bool m_isAdviceUnavailable = false;
     /// Share (0 to 1) of upkeep orders that are carried out but not answered.
     double m_unansweredUpkeeps = 0;
+    /// How far the time of day of instances is ahead of the others'.
+    std::map<int, fleet::Duration> m_clockOffsets;
     /// Share (0 to 1) of datagrams that are lost.
     double m_lostDatagrams = 0;
 };
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -453,9 +453,11 @@
     return m_settings.m_oneWayLatency;
 }
 
-fleet::Now World::currentTime() const
+fleet::Now World::currentTime(int instance) const
 {
-    return {m_now, fleet::TimePoint(m_now.time_since_epoch()) + fleet::Duration(wallClockStartMs)};
+    const auto offset = m_faults.m_clockOffsets.find(instance);
+    const fleet::Duration ahead = offset == m_faults.m_clockOffsets.end() ? fleet::Duration(0) : offset->second;
+    return {m_now, fleet::TimePoint(m_now.time_since_epoch()) + fleet::Duration(wallClockStartMs) + ahead};
 }
 
 void World::schedule(fleet::Duration delay, std::function<void()> action)
@@ -473,8 +475,8 @@
         target.m_deferredEvents.push_back(event);
         return;
     }
-    target.m_control->handle(event, currentTime());
-    target.m_control->onEventsHandled(currentTime());
+    target.m_control->handle(event, currentTime(instance));
+    target.m_control->onEventsHandled(currentTime(instance));
 }
 
 void World::tick(int instance, std::uint64_t incarnation)
@@ -490,14 +492,14 @@
         return;
     }
     for (const node::Event &event : std::exchange(target.m_deferredEvents, {})) {
-        target.m_control->handle(event, currentTime());
+        target.m_control->handle(event, currentTime(instance));
     }
-    target.m_control->tick(currentTime());
+    target.m_control->tick(currentTime(instance));
     if (target.m_control->isStopped()) {
         kill(instance);
         return;
     }
-    m_queue.emplace(target.m_control->nextTick(currentTime()), [this, instance, incarnation] {
+    m_queue.emplace(target.m_control->nextTick(currentTime(instance)), [this, instance, incarnation] {
         tick(instance, incarnation);
     });
 }
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -119,7 +119,7 @@
     void schedule(fleet::Duration delay, std::function<void()> action);
     void deliver(int instance, std::uint64_t incarnation, const node::Event &event);
     void tick(int instance, std::uint64_t incarnation);
-    fleet::Now currentTime() const;
+    fleet::Now currentTime(int instance) const;
     fleet::Duration oneWayLatency() const;
     int sendCall(int instance, callers::Call content);
     void appendToWorkerList(const fleet::WorkerId &worker);
