Contain errors that nobody expected on the network thread

Any exception in a handler on the network thread ended the process, and with it all calls that it served: std::terminate, since nothing caught it. If it had only been caught there, the read whose callback had thrown would never have come back, and whatever follows it, such as the list of workers, would have stood still for ever.

Evidence: callbackThatThrows_isCalledOnceMoreWithoutAnAnswerAndTheThreadGoesOn and responseThatCannotBeWritten_closesItsConnectionAndTheOthersAreServed crashed before. No answer of the platform is known to throw.

The thread goes on after such an error and reports it to the control thread, which logs and counts it (foxtailcross_unexpected_errors_total). The callback of a request is called once more without an answer, which every caller handles. A connection whose response can't be written is closed, and the next datagram is awaited before the handler of the last.

--- a/components/http/client.hpp
+++ b/components/http/client.hpp
@@ -24,7 +24,8 @@
 class Client
 {
 public:
-    /// Called exactly once for each request, on the client's thread. It must not block or throw.
+    /// Called once for each request, on the client's thread. It must not block. If it throws, it is called once more with Unknown,
+    /// so that whatever waits for the end of the request goes on.
     using Callback = std::function<void(Result)>;
 
     /// Creates a client with its own thread.
--- a/components/http/client_exchange.cpp
+++ b/components/http/client_exchange.cpp
@@ -1,9 +1,11 @@
 #include "components/http/client_exchange.hpp"
 
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <exception>
 #include <netinet/tcp.h>
 #include <utility>
 
@@ -194,7 +196,27 @@
     if (onReleased) {
         onReleased(std::move(connection));
     }
-    callback(std::move(result));
+    try {
+        callback(std::move(result));
+    } catch (const std::exception &error) {
+        reportFailedCallback(callback, error.what());
+    }
+}
+
+/// Whoever sent the request still waits for its end. The error itself goes to the thread, since nothing may be thrown here: other
+/// exchanges may be about to end as well.
+void ClientExchange::reportFailedCallback(const Client::Callback &callback, const std::string &reason)
+{
+    boost::asio::post(m_timer.get_executor(), [error = std::current_exception()] {
+        std::rethrow_exception(error);
+    });
+    try {
+        callback({ResultKind::Unknown, {}, "the answer of " + toString(m_address) + " could not be handled: " + reason});
+    } catch (const std::exception &) {
+        boost::asio::post(m_timer.get_executor(), [error = std::current_exception()] {
+            std::rethrow_exception(error);
+        });
+    }
 }
 
 }
--- a/components/http/client_exchange.hpp
+++ b/components/http/client_exchange.hpp
@@ -16,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace http
 {
@@ -49,6 +50,7 @@
     void read();
     void onRead(const Error &error);
     void end(Result result, bool reusable);
+    void reportFailedCallback(const Client::Callback &callback, const std::string &reason);
 
     ByteCount &m_byteCount;
     boost::asio::steady_timer m_timer;
--- a/components/http/client_test.cpp
+++ b/components/http/client_test.cpp
@@ -1,13 +1,16 @@
 #include "components/http/address.hpp"
 #include "components/http/client.hpp"
+#include "components/http/io_thread.hpp"
 #include "components/http/raw_socket_test.hpp"
 #include "components/http/request.hpp"
 #include "components/http/result.hpp"
 #include "components/http/server.hpp"
 
+#include <exception>
 #include <future>
 #include <memory>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -167,3 +170,28 @@
     client.reset();
     cr_assert(result.get().m_kind == http::ResultKind::Unknown);
 }
+
+/// An error in a callback ended the process, and the read that it belonged to never came back.
+Test(http_client, callbackThatThrows_isCalledOnceMoreWithoutAnAnswerAndTheThreadGoesOn)
+{
+    http::Server server({}, [](const http::Request &request, const http::Responder &respond) {
+        respond({200, request.m_body, "text/plain", {}});
+    });
+    std::promise<std::string> error;
+    const auto thread = std::make_shared<http::IoThread>(1, [&](const std::exception &thrown) {
+        error.set_value(thrown.what());
+    });
+    http::Client client({}, thread);
+    std::promise<http::Result> second;
+    client.send({"127.0.0.1", server.port()}, post("x"), longTimeout, [&](http::Result result) {
+        if (result.m_kind == http::ResultKind::Answered) {
+            throw std::out_of_range("no such member");
+        }
+        second.set_value(std::move(result));
+    });
+    const http::Result result = second.get_future().get();
+    cr_assert(result.m_kind == http::ResultKind::Unknown);
+    cr_assert(result.m_reason.ends_with("no such member"));
+    cr_assert_eq(error.get_future().get(), "no such member");
+    cr_assert(exchange(client, server.port(), post("x")).m_kind == http::ResultKind::Answered);
+}
--- a/components/http/io_thread.cpp
+++ b/components/http/io_thread.cpp
@@ -1,15 +1,18 @@
 #include "components/http/io_thread.hpp"
 
+#include <utility>
+
 namespace http
 {
 
-IoThread::IoThread(int threads)
-    : m_context(threads)
+IoThread::IoThread(int threads, ErrorHandler onError)
+    : m_onError(std::move(onError))
+    , m_context(threads)
     , m_work(m_context.get_executor())
 {
     for (int i = 0; i < threads; ++i) {
         m_threads.emplace_back([this] {
-            m_context.run();
+            run();
         });
     }
 }
@@ -25,6 +28,21 @@
     return m_context;
 }
 
+/// An error in the handler of one call must not end the process, which serves others.
+void IoThread::run()
+{
+    while (true) {
+        try {
+            m_context.run();
+            return;
+        } catch (const std::exception &error) {
+            if (m_onError) {
+                m_onError(error);
+            }
+        }
+    }
+}
+
 void IoThread::join()
 {
     m_work.reset();
--- a/components/http/io_thread.hpp
+++ b/components/http/io_thread.hpp
@@ -4,6 +4,8 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <exception>
+#include <functional>
 #include <thread>
 #include <vector>
 
@@ -15,7 +17,10 @@
 class IoThread
 {
 public:
-    explicit IoThread(int threads = 1);
+    /// Called on one of the threads with an error that nobody expected in a handler. The other handlers still run.
+    using ErrorHandler = std::function<void(const std::exception &)>;
+
+    explicit IoThread(int threads = 1, ErrorHandler onError = {});
     /// Drops pending operations without calling their handlers.
     ~IoThread();
 
@@ -27,6 +32,9 @@
     void join();
 
 private:
+    void run();
+
+    ErrorHandler m_onError;
     boost::asio::io_context m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     std::vector<std::thread> m_threads;
--- a/components/http/server_session.cpp
+++ b/components/http/server_session.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <exception>
 #include <utility>
 
 namespace http
@@ -167,7 +168,13 @@
         return;
     }
     m_stream.expires_after(m_core->settings().m_bodyTimeout);
-    writeResponse(std::move(*response), last || m_core->stopping());
+    try {
+        writeResponse(std::move(*response), last || m_core->stopping());
+    } catch (const std::exception &) {
+        // Without this, the connection would stay open and the server would never be drained.
+        onWritten(beasthttp::make_error_code(beasthttp::error::bad_status), true);
+        throw;
+    }
 }
 
 void ServerSession::writeResponse(Response response, bool last)
--- a/components/http/server_test.cpp
+++ b/components/http/server_test.cpp
@@ -180,3 +180,19 @@
     cr_assert(message.find(std::to_string(first.port())) != std::string::npos);
     cr_assert(message.find("set a free address and port") != std::string::npos);
 }
+
+/// The error ended the process, and with it all other calls.
+Test(http_server, responseThatCannotBeWritten_closesItsConnectionAndTheOthersAreServed)
+{
+    http::Server server({}, [](const http::Request &request, const http::Responder &respond) {
+        const int status = request.m_target == "/odd" ? 99'999 : 200;
+        respond({status, "", "text/plain", {}});
+    });
+    auto peer = http::RawSocket::connect(server.port());
+    peer.send("GET /odd HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert_eq(peer.readToClose(), "");
+    auto other = http::RawSocket::connect(server.port());
+    other.send("GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    cr_assert(startsWith(other.readToClose(), "HTTP/1.1 200"));
+    cr_assert_eq(server.inFlight(), 0);
+}
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -75,11 +75,17 @@
     try {
         action();
     } catch (const std::exception &error) {
-        m_ports.log(logging::Line("node", "unexpected-error", logging::Level::Error).add("where", where).add("reason", error.what()), now);
+        recordUnexpectedError(where, error.what(), now);
         m_duty.abandon(now);
     }
 }
 
+void Control::recordUnexpectedError(const char *where, const std::string &reason, fleet::Now now)
+{
+    m_metrics.countUnexpectedError(where);
+    m_ports.log(logging::Line("node", "unexpected-error", logging::Level::Error).add("where", where).add("reason", reason), now);
+}
+
 void Control::tick(fleet::Now now)
 {
     contain("tick", now, [&] {
@@ -240,6 +246,11 @@
     }
 }
 
+void Control::process(const TrafficFailed &event, fleet::Now now)
+{
+    recordUnexpectedError("traffic", event.m_reason, now);
+}
+
 void Control::updateStoreStatus(bool isAnswered, const std::string &reason, fleet::Now now)
 {
     if (isAnswered && m_storeUnreachableSince) {
--- a/components/node/control.hpp
+++ b/components/node/control.hpp
@@ -56,9 +56,11 @@
     void process(const UpkeepEnded &event, fleet::Now now);
     void process(const WaveReported &event, fleet::Now now);
     void process(const DatagramArrived &event, fleet::Now now);
+    void process(const TrafficFailed &event, fleet::Now now);
     void process(const StopRequested &event, fleet::Now now);
     template<class Action>
     void contain(const char *where, fleet::Now now, Action action);
+    void recordUnexpectedError(const char *where, const std::string &reason, fleet::Now now);
     void updateStoreStatus(bool isAnswered, const std::string &reason, fleet::Now now);
     void notifyHolder();
     void sendPending(fleet::Now now);
--- a/components/node/events.hpp
+++ b/components/node/events.hpp
@@ -114,6 +114,13 @@
     std::string m_bytes;
 };
 
+/// A handler of the network I/O failed with an error that nobody expected. The call that it belonged to ends as one without an
+/// answer.
+struct TrafficFailed
+{
+    std::string m_reason;
+};
+
 /// The platform asked the process to stop.
 struct StopRequested
 {
@@ -133,6 +140,7 @@
                            UpkeepEnded,
                            WaveReported,
                            DatagramArrived,
+                           TrafficFailed,
                            StopRequested>;
 
 }
--- a/components/node/instance_metrics.cpp
+++ b/components/node/instance_metrics.cpp
@@ -134,6 +134,11 @@
     m_registry.histogram("foxtailcross_answer_ms", "Time from a caller's call to its answer in milliseconds.", label("call", call)).add(took);
 }
 
+void InstanceMetrics::countUnexpectedError(const char *where)
+{
+    m_registry.counter("foxtailcross_unexpected_errors_total", "Errors that nobody expected, by where they were contained.", label("where", where)).add();
+}
+
 void InstanceMetrics::countCall(const char *call, const char *outcome, fleet::Duration took)
 {
     m_registry.counter("foxtailcross_store_calls_total", "Calls of the store, by call and outcome.", label("call", call) + ',' + label("outcome", outcome))
--- a/components/node/instance_metrics.hpp
+++ b/components/node/instance_metrics.hpp
@@ -24,6 +24,8 @@
     void count(const Event &event, fleet::Now now);
     /// Counts an answer to a caller and its duration.
     void countAnswer(const char *call, const char *outcome, fleet::Duration took);
+    /// Counts an error that nobody expected, by the part of the program that it ended.
+    void countUnexpectedError(const char *where);
     /// Sets the gauges. Counts a change of the holder if the token differs from that of the previous call.
     void publish(const InstanceStats &stats);
 
--- a/components/peers/udp_socket.cpp
+++ b/components/peers/udp_socket.cpp
@@ -42,12 +42,14 @@
             if (self->m_isClosed) {
                 return;
             }
-            if (!error) {
-                self->m_handler(std::string(self->m_buffer.data(), size));
-            }
+            std::string bytes(self->m_buffer.data(), error ? 0 : size);
+            // Before the handler, which may throw: the next datagrams are received all the same.
             if (error != boost::asio::error::operation_aborted) {
                 self->receive();
             }
+            if (!error) {
+                self->m_handler(std::move(bytes));
+            }
         });
     }
 
--- a/components/simulation/faults.hpp
+++ b/components/simulation/faults.hpp
@@ -30,6 +30,12 @@
     double m_delayedOrders = 0;
     /// The next orders to start a run that throw in the instance which sends them, as an error in its code would.
     int m_throwingStarts = 0;
+    /// The next appends, reads and datagrams of all instances that throw where they are sent.
+    int m_throwingAppends = 0;
+    int m_throwingReads = 0;
+    int m_throwingDatagrams = 0;
+    /// The next answers to callers that throw.
+    int m_throwingReplies = 0;
     /// The advice service does not answer.
     bool m_isAdviceUnavailable = false;
     /// Share (0 to 1) of upkeep orders that are carried out but not answered.
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -58,6 +58,7 @@
 
     void append(const store::AppendCall &call, const node::AppendTag &tag, fleet::BootTime now) override
     {
+        throwIfDue(m_world.m_faults.m_throwingAppends);
         const Faults &faults = m_world.m_faults;
         if (!reachesStore(faults, m_instance)) {
             deliverAfter(storeTimeout, node::AppendEnded {tag, now, {}});
@@ -87,6 +88,7 @@
 
     void readJournal(const store::ReadCall &call, fleet::BootTime now) override
     {
+        throwIfDue(m_world.m_faults.m_throwingReads);
         ++m_world.m_journalReads;
         readFromStore<store::ReadResult>(
             [call](World &world) {
@@ -98,13 +100,19 @@
     }
 
     void readOperators(std::optional<std::uint64_t> from, fleet::Duration wait, fleet::BootTime now) override
+    {
+        throwIfDue(m_world.m_faults.m_throwingReads);
+        waitForOperators(from, wait, now);
+    }
+
+    void waitForOperators(std::optional<std::uint64_t> from, fleet::Duration wait, fleet::BootTime now)
     {
         if (from && *from == m_world.m_operatorLog.size() && wait.count() > 0 && reachesStore(m_world.m_faults, m_instance)) {
             // Polls for a change in steps, since the model of the store has no waiting reads.
             const fleet::Duration step = std::min(wait, fleet::Duration(50));
             m_world.schedule(step, [world = &m_world, instance = m_instance, incarnation = m_incarnation, from, wait, step, now] {
                 if (incarnation == world->m_instances[instance].m_incarnation && world->m_instances[instance].m_ports) {
-                    world->m_instances[instance].m_ports->readOperators(from, wait - step, now);
+                    world->m_instances[instance].m_ports->waitForOperators(from, wait - step, now);
                 }
             });
             return;
@@ -141,6 +149,7 @@
 
     void readKeyed(const store::Topic &topic, fleet::BootTime now) override
     {
+        throwIfDue(m_world.m_faults.m_throwingReads);
         readFromStore<node::KeyedReadEnded>(
             [topic, now](World &world) {
                 return node::KeyedReadEnded {now, store::ReadOutcome::Read, newest(world.m_store, topic)};
@@ -152,10 +161,7 @@
 
     void start(const workers::StartOrder &order) override
     {
-        if (m_world.m_faults.m_throwingStarts > 0) {
-            --m_world.m_faults.m_throwingStarts;
-            throw std::out_of_range("no such run");
-        }
+        throwIfDue(m_world.m_faults.m_throwingStarts);
         sendOrder(order, [](FleetModel &fleet, const workers::StartOrder &sent, fleet::BootTime now) {
             return simulation::start(fleet, sent, now);
         });
@@ -211,6 +217,7 @@
 
     void sendDatagram(const std::string &address, std::string bytes) override
     {
+        throwIfDue(m_world.m_faults.m_throwingDatagrams);
         const int target = std::stoi(address);
         if (m_world.randomFraction() < m_world.m_faults.m_lostDatagrams
             || isPartitioned(m_world.m_faults, m_world.zoneOf(m_instance), m_world.zoneOf(target))) {
@@ -223,6 +230,7 @@
 
     void reply(std::uint64_t call, const callers::Reply &reply) override
     {
+        throwIfDue(m_world.m_faults.m_throwingReplies);
         const auto open = m_world.m_openCalls.find({m_instance, call});
         if (open != m_world.m_openCalls.end()) {
             CallOutcome &outcome = m_world.m_outcomes[static_cast<std::size_t>(open->second)];
@@ -257,6 +265,15 @@
     }
 
 private:
+    /// Throws as an error in the code of the instance would, if the fault has any throws left.
+    static void throwIfDue(int &throws)
+    {
+        if (throws > 0) {
+            --throws;
+            throw std::out_of_range("no such run");
+        }
+    }
+
     static void answerPoll(World &world, int instance, std::uint64_t incarnation, workers::PollOrder order, fleet::BootTime sentAt, fleet::Duration wait)
     {
         if (!world.m_fleet.m_workers.at(order.m_target.m_worker).m_isUp) {
@@ -673,6 +690,11 @@
     deliver(instance, m_instances[static_cast<std::size_t>(instance)].m_incarnation, node::StopRequested {});
 }
 
+void World::failTraffic(int instance)
+{
+    deliver(instance, m_instances[static_cast<std::size_t>(instance)].m_incarnation, node::TrafficFailed {"no such member"});
+}
+
 bool World::isRunning(int instance) const
 {
     return m_instances[static_cast<std::size_t>(instance)].m_control != nullptr;
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -65,6 +65,8 @@
     void restart(int instance);
     void freeze(int instance, fleet::Duration length);
     void requestStop(int instance);
+    /// Reports an error of a handler on the instance's network thread.
+    void failTraffic(int instance);
     bool isRunning(int instance) const;
     /// Returns the instance that holds the scheduling duty, or -1 if none does.
     int holder() const;
