Contain errors while an instance sends what is due

An exception in sendPending (appends, reads, the notice to the holder), in the readiness, the metrics or the steps of a planned stop ended the process, and with it all calls that it served. One in the answer to a call left the call open for ever: its caller waited until its own limit.

These parts are contained as the others were. A call whose handling failed is answered with an unknown outcome, unless its record is on its way.

Not mended: a datagram of the holder that can't be sent still ends its duty.

--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -200,6 +200,19 @@
     }
 }
 
+void CallHandler::onCallFailed(std::uint64_t call, const callers::Call &content, fleet::Now now)
+{
+    if (m_openCalls.contains(call)) {
+        return;
+    }
+    OpenCall openCall;
+    openCall.m_kind = content.m_kind;
+    openCall.m_arrivedAt = now.m_boot;
+    openCall.m_requestId = content.m_requestId;
+    openCall.m_job = jobIdFromPath(content.m_path);
+    reply(call, openCall, {callers::ReplyKind::Unknown, {}, 0, {}, "the instance failed; ask for the job again"}, now);
+}
+
 void CallHandler::submit(
     std::uint64_t call, OpenCall openCall, const callers::Call &content, const catalog::Queue &queue, const fleet::AccountId &account, fleet::Now now)
 {
--- a/components/node/call_handler.hpp
+++ b/components/node/call_handler.hpp
@@ -38,6 +38,8 @@
                 InstanceMetrics &instanceMetrics);
 
     void onCall(std::uint64_t call, const callers::Call &content, fleet::Now now);
+    /// Answers a call whose handling ended with an unexpected error, unless it still waits for its record or for a read.
+    void onCallFailed(std::uint64_t call, const callers::Call &content, fleet::Now now);
     /// Handles the end of an append by writer().
     void onAppendEnded(std::uint64_t sequence, fleet::BootTime sentAt, const store::AppendResult &result, fleet::Now now);
     /// Answers the calls that waited for this read of the journal.
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -50,13 +50,19 @@
 void Control::handle(const Event &event, fleet::Now now)
 {
     m_metrics.count(event, now);
-    contain("event", now, [&] {
+    const bool isHandled = contain("event", now, [&] {
         std::visit(
             [&](const auto &body) {
                 process(body, now);
             },
             event);
     });
+    const auto *arrived = std::get_if<CallArrived>(&event);
+    if (!isHandled && arrived != nullptr) {
+        contain("answer", now, [&] {
+            m_callHandler.onCallFailed(arrived->m_call, arrived->m_content, now);
+        });
+    }
 }
 
 void Control::onEventsHandled(fleet::Now now)
@@ -64,19 +70,36 @@
     contain("cycle", now, [&] {
         m_duty.runSchedulingCycle(now);
     });
-    sendPending(now);
+    contain("send", now, [&] {
+        sendPending(now);
+    });
 }
 
 /// Callers of this instance are still served after an error that nobody expected. What the scheduling duty believes may be half
 /// changed by then, so it is given up and built anew from the journal.
+/// Returns false if there was an error.
 template<class Action>
-void Control::contain(const char *where, fleet::Now now, Action action)
+bool Control::contain(const char *where, fleet::Now now, Action action)
 {
     try {
         action();
+        return true;
     } catch (const std::exception &error) {
         recordUnexpectedError(where, error.what(), now);
         m_duty.abandon(now);
+        return false;
+    }
+}
+
+/// Sends one request; if that fails, it ends as one without an answer. Whoever waits for its end would wait for ever otherwise.
+template<class Send>
+void Control::sendOrEnd(const char *where, fleet::Now now, Send send, const Event &withoutAnswer)
+{
+    try {
+        send();
+    } catch (const std::exception &error) {
+        recordUnexpectedError(where, error.what(), now);
+        handle(withoutAnswer, now);
     }
 }
 
@@ -92,14 +115,18 @@
         m_duty.onTick(now);
         m_callHandler.onTick(now);
     });
-    if (now.m_boot - m_lastForgetAt >= forgetInterval) {
-        m_lastForgetAt = now.m_boot;
-        journal::forgetEnded(m_journal.m_journalState, now.m_wall - m_settings.m_statusRetention - clockTolerance);
-    }
-    updateReadiness(now);
+    contain("state", now, [&] {
+        if (now.m_boot - m_lastForgetAt >= forgetInterval) {
+            m_lastForgetAt = now.m_boot;
+            journal::forgetEnded(m_journal.m_journalState, now.m_wall - m_settings.m_statusRetention - clockTolerance);
+        }
+        updateReadiness(now);
+    });
     onEventsHandled(now);
-    m_metrics.publish(collectStats(now));
-    checkStop(now);
+    contain("stop", now, [&] {
+        m_metrics.publish(collectStats(now));
+        checkStop(now);
+    });
 }
 
 fleet::BootTime Control::nextTick(fleet::Now now) const
@@ -295,21 +322,36 @@
 
 void Control::sendAppends(fleet::Now now)
 {
-    while (const auto call = journal::takeDueCall(m_duty.writer(), journalTopic, now.m_boot)) {
-        m_ports.append(*call, {WriterKind::Holder, m_duty.writer().m_epoch, call->m_producer->m_sequence}, now.m_boot);
-    }
-    while (const auto call = journal::takeDueCall(m_duty.snapshotWriter(), snapshotTopic, now.m_boot)) {
-        m_ports.append(*call, {WriterKind::Snapshots, m_duty.snapshotWriter().m_epoch, call->m_producer->m_sequence}, now.m_boot);
-    }
-    while (const auto call = journal::takeDueCall(m_callHandler.writer(), journalTopic, now.m_boot)) {
-        m_ports.append(*call, {WriterKind::Callers, m_callHandler.writer().m_epoch, call->m_producer->m_sequence}, now.m_boot);
+    sendDueAppends(m_duty.writer(), journalTopic, WriterKind::Holder, now);
+    sendDueAppends(m_duty.snapshotWriter(), snapshotTopic, WriterKind::Snapshots, now);
+    sendDueAppends(m_callHandler.writer(), journalTopic, WriterKind::Callers, now);
+}
+
+void Control::sendDueAppends(journal::Writer &writer, const store::Topic &topic, WriterKind kind, fleet::Now now)
+{
+    while (const auto call = journal::takeDueCall(writer, topic, now.m_boot)) {
+        const AppendTag tag {kind, writer.m_epoch, call->m_producer->m_sequence};
+        sendOrEnd(
+            "append",
+            now,
+            [&] {
+                m_ports.append(*call, tag, now.m_boot);
+            },
+            AppendEnded {tag, now.m_boot, {}});
     }
 }
 
 void Control::readJournal(fleet::Now now)
 {
     recordReadSent(m_journal, now.m_boot);
-    m_ports.readJournal({journalTopic, m_journal.m_nextOffset, fleet::Duration(0)}, now.m_boot);
+    const store::ReadCall call {journalTopic, m_journal.m_nextOffset, fleet::Duration(0)};
+    sendOrEnd(
+        "read",
+        now,
+        [&] {
+            m_ports.readJournal(call, now.m_boot);
+        },
+        JournalRead {call, now.m_boot, {}});
 }
 
 void Control::sendReads(fleet::Now now)
@@ -317,12 +359,24 @@
     if (!m_operatorConfig.m_readSentAt && now.m_boot >= m_operatorConfig.m_nextReadAt) {
         m_operatorConfig.m_readSentAt = now.m_boot;
         const bool shouldWait = m_operatorConfig.m_nextOffset && !m_operatorConfig.m_hasFailedRead;
-        m_ports.readOperators(m_operatorConfig.m_nextOffset, shouldWait ? m_timing.m_operatorReadWait : fleet::Duration(0), now.m_boot);
+        sendOrEnd(
+            "read",
+            now,
+            [&] {
+                m_ports.readOperators(m_operatorConfig.m_nextOffset, shouldWait ? m_timing.m_operatorReadWait : fleet::Duration(0), now.m_boot);
+            },
+            OperatorsReadEnded {now.m_boot, {}});
     }
     if (m_journal.m_needsSnapshot) {
         if (!m_journal.m_isSnapshotReadOpen && now.m_boot >= m_journal.m_nextSnapshotReadAt) {
             m_journal.m_isSnapshotReadOpen = true;
-            m_ports.readKeyed(snapshotTopic, now.m_boot);
+            sendOrEnd(
+                "read",
+                now,
+                [&] {
+                    m_ports.readKeyed(snapshotTopic, now.m_boot);
+                },
+                KeyedReadEnded {now.m_boot, store::ReadOutcome::NoAnswer, {}});
         }
         return;
     }
--- a/components/node/control.hpp
+++ b/components/node/control.hpp
@@ -16,6 +16,11 @@
 class Registry;
 }
 
+namespace store
+{
+struct Topic;
+}
+
 namespace node
 {
 
@@ -59,12 +64,15 @@
     void process(const TrafficFailed &event, fleet::Now now);
     void process(const StopRequested &event, fleet::Now now);
     template<class Action>
-    void contain(const char *where, fleet::Now now, Action action);
+    bool contain(const char *where, fleet::Now now, Action action);
+    template<class Send>
+    void sendOrEnd(const char *where, fleet::Now now, Send send, const Event &withoutAnswer);
     void recordUnexpectedError(const char *where, const std::string &reason, fleet::Now now);
     void updateStoreStatus(bool isAnswered, const std::string &reason, fleet::Now now);
     void notifyHolder();
     void sendPending(fleet::Now now);
     void sendAppends(fleet::Now now);
+    void sendDueAppends(journal::Writer &writer, const store::Topic &topic, WriterKind kind, fleet::Now now);
     void sendReads(fleet::Now now);
     void readJournal(fleet::Now now);
     void updateReadiness(fleet::Now now);
