Show the state of the job with the id 0

GET of the job was answered with {"pending": n}, as if asked for its queue, so that its caller never learned what became of an accepted job.

Cause: an open call for the queue was marked by that job id. It has a mark of its own now.

--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -177,7 +177,7 @@
     openCall.m_queue = queue->m_id;
     const std::string rest = content.m_path.substr(queue->m_pathPrefix.size());
     if (rest.empty() && content.m_kind == callers::CallKind::Show) {
-        openCall.m_job = jobs::JobId();
+        openCall.m_isForQueue = true;
         showQueue(call, openCall, now);
         return;
     }
@@ -359,7 +359,7 @@
 bool CallHandler::tryAnswer(std::uint64_t call, const OpenCall &openCall, fleet::Now now)
 {
     const journal::JobRecord *job = journal::findJob(m_journal.m_journalState, openCall.m_job);
-    if (openCall.m_kind == callers::CallKind::Show && openCall.m_job == jobs::JobId()) {
+    if (openCall.m_isForQueue) {
         reply(call, openCall, waitingReply(openCall.m_queue), now);
     } else if (job == nullptr) {
         reply(call, openCall, replyOf(callers::ReplyKind::NoSuchJob), now);
@@ -448,7 +448,8 @@
 
 void CallHandler::answerWithoutWaiting(std::uint64_t call, const OpenCall &openCall, fleet::Now now)
 {
-    const journal::JobRecord *job = openCall.m_kind == callers::CallKind::Show ? journal::findJob(m_journal.m_journalState, openCall.m_job) : nullptr;
+    const bool isForJob = openCall.m_kind == callers::CallKind::Show && !openCall.m_isForQueue;
+    const journal::JobRecord *job = isForJob ? journal::findJob(m_journal.m_journalState, openCall.m_job) : nullptr;
     if (job != nullptr && job->isOver()) {
         reply(call, openCall, stateReply(*job), now);
     } else if (openCall.m_waitsForAppend) {
--- a/components/node/call_handler.hpp
+++ b/components/node/call_handler.hpp
@@ -71,6 +71,8 @@
         /// The journal must have been read as of this time or later before the call can be answered.
         fleet::BootTime m_minJournalAsOf;
         bool m_waitsForAppend = false;
+        /// True if the caller asks how many jobs of the queue wait; m_job has no meaning then, and each value of it names a job.
+        bool m_isForQueue = false;
         std::string m_requestId;
     };
 
--- a/components/simulation/callers_test.cpp
+++ b/components/simulation/callers_test.cpp
@@ -436,3 +436,21 @@
     const auto &reply = fixture.m_world.outcome(again).m_reply;
     cr_assert(!reply || reply->m_kind != callers::ReplyKind::Refused, "the job ran, and the caller was told that it never would");
 }
+
+/// The id stood for the queue, and the caller never learned the state of its job.
+Test(callers, jobWithTheSmallestId_isAnsweredWithItsState)
+{
+    WorldFixture fixture;
+    jobs::JobSpec spec;
+    spec.m_queue = fleet::QueueId("q1");
+    spec.m_payload = "payload";
+    spec.m_steps = {makeTasks(1)};
+    const int submitted = fixture.m_world.submit(fixture.nonHolder(), spec, {500ms});
+    fixture.m_world.run(5s);
+    cr_assert(fixture.m_world.wasAccepted(submitted));
+    const int call = fixture.m_world.show(fixture.nonHolder(), jobs::JobId());
+    fixture.m_world.run(500ms);
+    cr_assert(fixture.m_world.outcome(call).m_reply.has_value());
+    cr_assert(fixture.m_world.outcome(call).m_reply->m_kind == callers::ReplyKind::State);
+    cr_assert(fixture.m_world.outcome(call).m_reply->m_state == jobs::JobState::Completed);
+}
