--- a/components/callers/submission_limits.cpp
+++ b/components/callers/submission_limits.cpp
@@ -38,6 +38,9 @@
         if (step.m_estimate > maxLength) {
             return "the estimate of a task is longer than 10 years; give a shorter one";
         }
+        if (step.m_tailLatencyObjective > maxLength) {
+            return "the latency objective of a step is longer than 10 years; give a shorter one";
+        }
     }
     const jobs::Schedule &schedule = submission.m_schedule;
     if (schedule.m_interval > maxLength || schedule.m_firstDue > latestDue) {
