Take the machine's own worker for upkeep beside a copy of its entry

Tasks on a machine due for upkeep were ended at once if a copy of its worker's entry stood in the list under an id that sorts first: the copy has no runs, so the machine counted as empty, and neither its drain time nor the disruption budgets were kept.

Evidence: copyOfAnEntryUnderAnotherId_theRunsOnTheMachineAreLeftToEnd failed before: tasks of the job ran twice.

Of the workers that name the machine, the one with runs is taken, then one that answers, and no new run starts on any of them.

--- a/components/dispatch/upkeep.cpp
+++ b/components/dispatch/upkeep.cpp
@@ -33,12 +33,31 @@
     return context.m_state.m_settings.m_upkeepTime + relistTime;
 }
 
+/// Returns the worker of the machine. An entry of another writer may name the machine as well, under another id: the worker that has
+/// runs comes first, then one that answers, so that a machine with runs never counts as empty.
 WorkerState *workerOf(Context &context, const fleet::MachineId &machine)
 {
-    const auto found = std::find_if(context.m_state.m_workers.begin(), context.m_state.m_workers.end(), [&](const auto &entry) {
-        return entry.second.m_isListed && entry.second.m_registration.m_machine == machine;
-    });
-    return found == context.m_state.m_workers.end() ? nullptr : &found->second;
+    const auto rank = [](const WorkerState &worker) {
+        return std::pair(!worker.m_runs.empty(), worker.m_unansweredCalls == 0);
+    };
+    WorkerState *found = nullptr;
+    for (auto &[id, worker] : context.m_state.m_workers) {
+        const bool isOfMachine = worker.m_isListed && worker.m_registration.m_machine == machine;
+        if (isOfMachine && (found == nullptr || rank(worker) > rank(*found))) {
+            found = &worker;
+        }
+    }
+    return found;
+}
+
+/// Sets whether new runs may start on the machine, under whatever id.
+void setCordoned(Context &context, const fleet::MachineId &machine, bool isCordoned)
+{
+    for (auto &[id, worker] : context.m_state.m_workers) {
+        if (worker.m_isListed && worker.m_registration.m_machine == machine) {
+            worker.m_isCordoned = isCordoned;
+        }
+    }
 }
 
 bool isDown(const MachineUpkeep &upkeep)
@@ -154,10 +173,7 @@
 void advanceMachine(Context &context, std::uint64_t wave, const fleet::MachineId &machine, MachineUpkeep &upkeep, UnavailableTasks &unavailable)
 {
     WorkerState *worker = workerOf(context, machine);
-    const bool isCordoned = isInProgress(upkeep);
-    if (worker != nullptr) {
-        worker->m_isCordoned = isCordoned;
-    }
+    setCordoned(context, machine, isInProgress(upkeep));
     const bool isDue = !upkeep.m_isOrderOpen && context.m_now.m_boot >= upkeep.m_nextOrderAt;
     const bool isDrained = upkeep.m_phase == UpkeepPhase::Draining && drain(context, upkeep, worker, unavailable);
     if ((isDrained || upkeep.m_phase == UpkeepPhase::Ordered) && isDue) {
@@ -167,9 +183,7 @@
         if (isBack || context.m_now.m_boot - upkeep.m_since >= expectedDowntime(context) + maxDelayAfterUpkeep) {
             upkeep.m_phase = UpkeepPhase::Over;
             context.m_state.m_planIsDue = true;
-            if (worker != nullptr) {
-                worker->m_isCordoned = false;
-            }
+            setCordoned(context, machine, false);
         }
     }
 }
--- a/components/simulation/upkeep_test.cpp
+++ b/components/simulation/upkeep_test.cpp
@@ -98,3 +98,22 @@
     cr_assert(isAlwaysKept);
     cr_assert(fixture.m_world.m_machines.m_reportedCompletion[number]);
 }
+
+/// The copy has no runs: its machine counted as empty and was taken down at once, which ended the tasks on it.
+Test(upkeep, copyOfAnEntryUnderAnotherId_theRunsOnTheMachineAreLeftToEnd)
+{
+    UpkeepFixture fixture;
+    for (const fleet::WorkerId &worker : fixture.m_world.workers()) {
+        workers::Registration copy = fixture.m_world.m_fleet.m_workers.at(worker).m_registration;
+        copy.m_incarnation.m_worker = fleet::WorkerId("a-" + worker.value());
+        fixture.m_world.writeEntry({copy.m_incarnation.m_worker, copy});
+    }
+    fixture.m_world.run(3s);
+    const jobs::JobId job = fixture.submit(makeTasks(96), {1500ms});
+    fixture.m_world.run(500ms);
+    fixture.requestUpkeep(2, 1, 30s);
+    cr_assert(fixture.isCompleted(30s));
+    cr_assert(fixture.completes(job, 5s));
+    cr_assert_eq(fixture.runCount(job), 96);
+    cr_assert_eq(fixture.m_world.m_machines.m_falseReports, 0);
+}
