--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -178,7 +178,7 @@
     openCall.m_queue = queue->m_id;
     const std::string rest = content.m_path.substr(queue->m_pathPrefix.size());
     if (rest.empty() && content.m_kind == callers::CallKind::Show) {
-        openCall.m_job = jobs::JobId();
+        openCall.m_isForQueue = true;
         showQueue(call, openCall, now);
         return;
     }
@@ -201,6 +201,19 @@
     }
 }
 
+void CallHandler::onCallFailed(std::uint64_t call, const callers::Call &content, fleet::Now now)
+{
+    if (m_openCalls.contains(call)) {
+        return;
+    }
+    OpenCall openCall;
+    openCall.m_kind = content.m_kind;
+    openCall.m_arrivedAt = now.m_boot;
+    openCall.m_requestId = content.m_requestId;
+    openCall.m_job = jobIdFromPath(content.m_path);
+    reply(call, openCall, {callers::ReplyKind::Unknown, {}, 0, {}, "the instance failed; ask for the job again"}, now);
+}
+
 void CallHandler::submit(
     std::uint64_t call, OpenCall openCall, const callers::Call &content, const catalog::Queue &queue, const fleet::AccountId &account, fleet::Now now)
 {
@@ -347,9 +360,9 @@
 bool CallHandler::tryAnswer(std::uint64_t call, const OpenCall &openCall, fleet::Now now)
 {
     const journal::JobRecord *job = journal::findJob(m_journal.m_journalState, openCall.m_job);
-    if (isIncomplete(m_journal) && (job == nullptr || !job->isOver())) {
+    if (isIncomplete(m_journal) && (openCall.m_isForQueue || job == nullptr || !job->isOver())) {
         reply(call, openCall, refusal(incompleteReason, now), now);
-    } else if (openCall.m_kind == callers::CallKind::Show && openCall.m_job == jobs::JobId()) {
+    } else if (openCall.m_isForQueue) {
         reply(call, openCall, waitingReply(openCall.m_queue), now);
     } else if (job == nullptr) {
         reply(call, openCall, replyOf(callers::ReplyKind::NoSuchJob), now);
@@ -438,7 +451,8 @@
 
 void CallHandler::answerWithoutWaiting(std::uint64_t call, const OpenCall &openCall, fleet::Now now)
 {
-    const journal::JobRecord *job = openCall.m_kind == callers::CallKind::Show ? journal::findJob(m_journal.m_journalState, openCall.m_job) : nullptr;
+    const bool isForJob = openCall.m_kind == callers::CallKind::Show && !openCall.m_isForQueue;
+    const journal::JobRecord *job = isForJob ? journal::findJob(m_journal.m_journalState, openCall.m_job) : nullptr;
     if (job != nullptr && job->isOver()) {
         reply(call, openCall, stateReply(*job), now);
     } else if (openCall.m_waitsForAppend) {
--- a/components/node/call_handler.hpp
+++ b/components/node/call_handler.hpp
@@ -38,6 +38,8 @@
                 InstanceMetrics &instanceMetrics);
 
     void onCall(std::uint64_t call, const callers::Call &content, fleet::Now now);
+    /// Answers a call whose handling ended with an unexpected error, unless it still waits for its record or for a read.
+    void onCallFailed(std::uint64_t call, const callers::Call &content, fleet::Now now);
     /// Handles the end of an append by writer().
     void onAppendEnded(std::uint64_t sequence, fleet::BootTime sentAt, const store::AppendResult &result, fleet::Now now);
     /// Answers the calls that waited for this read of the journal.
@@ -69,6 +71,8 @@
         /// The journal must have been read as of this time or later before the call can be answered.
         fleet::BootTime m_minJournalAsOf;
         bool m_waitsForAppend = false;
+        /// True if the caller asks how many jobs of the queue wait; m_job has no meaning then, and each value of it names a job.
+        bool m_isForQueue = false;
         std::string m_requestId;
     };
 
