Tests: a gang that prefers one rack and fits no rack is never started

Cause: findCandidates turns the preference of a step into a requirement, and only a step within its account's guarantee gives it up (applyGuaranteeDeadline). A gang that needs more workers than a rack has, or one that finds a worker of each rack in use, waits for ever.

The tests are entry 16 of KNOWN-RED.txt.

--- a/components/simulation/gangs_test.cpp
+++ b/components/simulation/gangs_test.cpp
@@ -1,6 +1,8 @@
 #include "components/simulation/world_fixture_test.hpp"
 
 #include <chrono>
+#include <cstdlib>
+#include <string>
 
 #include <criterion/criterion.h>
 
@@ -145,3 +147,47 @@
     cr_assert(fixture.completes(gang, 5s));
     fixture.expectNoViolation();
 }
+
+/// A rack of the world holds two workers.
+struct OneRackFixture : WorldFixture
+{
+    static jobs::StepSpec makeOneRackGang(std::uint16_t count)
+    {
+        jobs::StepSpec step = makeGang(count, 8);
+        step.m_prefersOneRack = true;
+        return step;
+    }
+};
+
+/// KNOWN-RED.txt, entry 16.
+Test(gang, preferringOneRackAndLargerThanAnyRack_runsOnSeveral)
+{
+    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
+        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
+    }
+    OneRackFixture fixture;
+    const jobs::JobId gang = fixture.submit(OneRackFixture::makeOneRackGang(3), {500ms}, 1);
+    cr_assert(fixture.completes(gang, 4s));
+    fixture.expectNoViolation();
+}
+
+/// KNOWN-RED.txt, entry 16.
+Test(gang, preferringOneRackWhileNoRackIsFree_runsOnSeveral)
+{
+    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
+        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
+    }
+    OneRackFixture fixture;
+    for (int zone = 0; zone < 3; ++zone) {
+        for (int rack = 0; rack < 2; ++rack) {
+            jobs::StepSpec lasting = makeTasks(1, 8);
+            lasting.m_isLongRunning = true;
+            lasting.m_dataRack = "r" + std::to_string(zone) + '-' + std::to_string(rack);
+            fixture.submit(lasting, {60s}, 1);
+        }
+    }
+    fixture.m_world.run(1s);
+    const jobs::JobId gang = fixture.submit(OneRackFixture::makeOneRackGang(2), {500ms}, 1);
+    cr_assert(fixture.completes(gang, 4s));
+    fixture.expectNoViolation();
+}
