Dispatch: log why a step stands still, and count steps that would fit

A step whose turn has come and of which no task was placed for 2 s now gets a line "waiting" with the first reason that leaves it too little room: no worker, no room, avoided workers, reservations, tickets, one rack. At most 50 reports a second, and no further work for steps that start in time.

--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -11,6 +11,7 @@
 #include "components/dispatch/placement_requirements.hpp"
 #include "components/dispatch/placing.hpp"
 #include "components/dispatch/runs.hpp"
+#include "components/dispatch/waiting.hpp"
 
 #include <algorithm>
 #include <map>
@@ -270,10 +271,17 @@
     AvailableWorkers availableWorkers = findAvailableWorkers(context);
     UnplaceableRequirements unplaceable;
     bool isAnyLeft = false;
-    for (Candidate &candidate : findCandidates(context)) {
+    std::vector<Candidate> candidates = findCandidates(context);
+    for (Candidate &candidate : candidates) {
+        WaitingStep &waiting = findWaitingStep(context, candidate);
+        const std::size_t ready = candidate.m_tasks.size();
         placeCandidate(context, candidate, availableWorkers, unplaceable);
+        if (candidate.m_tasks.size() < ready) {
+            recordPlaced(context, waiting);
+        }
         isAnyLeft = isAnyLeft || !candidate.m_tasks.empty();
     }
+    reportWaitingSteps(context, candidates, availableWorkers);
     return isAnyLeft;
 }
 
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -6,6 +6,7 @@
 #include "components/dispatch/run_state.hpp"
 #include "components/dispatch/settings.hpp"
 #include "components/dispatch/step_advice.hpp"
+#include "components/dispatch/waiting_step.hpp"
 #include "components/dispatch/wave_state.hpp"
 #include "components/dispatch/worker_state.hpp"
 #include "components/fleet/fencing_token.hpp"
@@ -39,6 +40,9 @@
     /// instance.
     std::map<jobs::JobId, fleet::BootTime> m_activeJobs;
     std::map<jobs::StepId, Reservation> m_reservations;
+    /// Steps with tasks that the last plan could not place.
+    std::map<jobs::StepId, WaitingStep> m_waitingSteps;
+    fleet::BootTime m_waitsReportedAt;
     /// Workers where steps of active jobs failed, and when.
     std::map<jobs::StepId, std::map<fleet::WorkerId, fleet::BootTime>> m_failures;
     /// Gangs of which a member was stopped and wrote a checkpoint, with the number of that run.
--- a/components/node/instance_metrics.cpp
+++ b/components/node/instance_metrics.cpp
@@ -169,6 +169,10 @@
     set("foxtailcross_workers_known", "Holder: workers in its list or with open runs.", stats.m_workers);
     set("foxtailcross_workers_silent", "Holder: workers that left the last call without an answer.", stats.m_silentWorkers);
     set("foxtailcross_batches_unstored", "Holder: batches of records that the store has not confirmed.", stats.m_unstoredBatches);
+    set("foxtailcross_steps_waiting", "Holder: steps with tasks that the last plan could not place.", stats.m_waitingSteps);
+    set("foxtailcross_steps_waiting_would_fit",
+        "Holder: of these, steps for which the free capacity was enough in their last report.",
+        stats.m_waitingStepsThatWouldFit);
     m_lastStats = stats;
 }
 
--- a/components/node/instance_stats.hpp
+++ b/components/node/instance_stats.hpp
@@ -29,6 +29,8 @@
     std::size_t m_workers = 0;
     std::size_t m_silentWorkers = 0;
     std::size_t m_unstoredBatches = 0;
+    std::size_t m_waitingSteps = 0;
+    std::size_t m_waitingStepsThatWouldFit = 0;
 
     bool operator==(const InstanceStats &) const = default;
 };
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -1,6 +1,7 @@
 #include "components/node/scheduling_duty.hpp"
 
 #include "components/dispatch/scheduler_events.hpp"
+#include "components/dispatch/waiting.hpp"
 #include "components/journal/snapshot.hpp"
 #include "components/node/instance_stats.hpp"
 #include "components/node/ports.hpp"
@@ -584,6 +585,8 @@
         return entry.second.m_unansweredCalls > 0;
     }));
     stats.m_unstoredBatches = m_state.m_pendingBatches.size();
+    stats.m_waitingSteps = m_state.m_waitingSteps.size();
+    stats.m_waitingStepsThatWouldFit = dispatch::countStepsThatWouldFit(m_state);
 }
 
 DutyPhase SchedulingDuty::phase() const
