Dispatch: a gang that prefers one rack gives that up when it has waited or no rack can hold it

Cause: addOccurrence turned the preference into a requirement, which only a step within its account's guarantee ever gave up. A gang wider than a rack, or one that found every rack partly used, waited without a bound.

The preference is now given up at once if no rack of the listed workers could hold the gang while empty, whatever its priority; evictions and reservations then follow, and a reservation made in one rack is dropped. Otherwise it is given up once the gang would have fit in several racks for 1.5 s in all. The wait counts from the turn of the step, and only while the gang would fit: on a full fleet, where scattered room is soon taken by others, it goes on as before, since the tasks take several times as long in several racks. Members that join a run which is in several racks already need no rack either.

Two tests keep the short wait for a rack that is free soon.

--- a/components/dispatch/available_workers.cpp
+++ b/components/dispatch/available_workers.cpp
@@ -107,19 +107,24 @@
     return availableWorkers;
 }
 
-std::uint32_t countSlots(const Candidate &candidate, const AvailableWorker &available, const fleet::Resources &free)
+std::uint32_t countSlots(const Candidate &candidate, const WorkerState &worker, const fleet::Resources &free)
 {
-    const WorkerState &worker = *available.m_state;
-    std::uint32_t slots = countFitting(free, candidate.m_perTask);
-    if (available.m_isOnProbation && !candidate.m_mayReclaim) {
-        const bool isAllowedOnProbation = !candidate.m_spec->m_isGang && !candidate.m_hasFailed && !available.m_hasProbationRun;
-        slots = std::min<std::uint32_t>(slots, isAllowedOnProbation ? 1 : 0);
+    const std::uint32_t slots = countFitting(free, candidate.m_perTask);
+    if (candidate.m_spec->m_maxPerRunner == 0) {
+        return slots;
     }
-    if (candidate.m_spec->m_maxPerRunner > 0) {
-        const std::uint32_t open = countOpenRuns(candidate, worker);
-        slots = std::min<std::uint32_t>(slots, candidate.m_spec->m_maxPerRunner > open ? candidate.m_spec->m_maxPerRunner - open : 0);
+    const std::uint32_t open = countOpenRuns(candidate, worker);
+    return std::min<std::uint32_t>(slots, candidate.m_spec->m_maxPerRunner > open ? candidate.m_spec->m_maxPerRunner - open : 0);
+}
+
+std::uint32_t countSlots(const Candidate &candidate, const AvailableWorker &available, const fleet::Resources &free)
+{
+    const std::uint32_t slots = countSlots(candidate, *available.m_state, free);
+    if (!available.m_isOnProbation || candidate.m_mayReclaim) {
+        return slots;
     }
-    return slots;
+    const bool isAllowedOnProbation = !candidate.m_spec->m_isGang && !candidate.m_hasFailed && !available.m_hasProbationRun;
+    return std::min<std::uint32_t>(slots, isAllowedOnProbation ? 1 : 0);
 }
 
 fleet::Resources freeResourcesFor(const Candidate &candidate, const AvailableWorker &available)
--- a/components/dispatch/available_workers.hpp
+++ b/components/dispatch/available_workers.hpp
@@ -29,6 +29,9 @@
 /// Returns how many tasks of the candidate fit into `free` on the worker, within the limits on probation and on tasks per worker.
 std::uint32_t countSlots(const Candidate &candidate, const AvailableWorker &available, const fleet::Resources &free);
 
+/// The same for any worker, without the limit on probation.
+std::uint32_t countSlots(const Candidate &candidate, const WorkerState &worker, const fleet::Resources &free);
+
 }
 
 #endif
--- a/components/dispatch/candidate.hpp
+++ b/components/dispatch/candidate.hpp
@@ -40,7 +40,7 @@
     bool m_mayReclaim = false;
     /// Longest work that a run of lower priority may lose if it is stopped for the candidate; empty if none may be stopped.
     std::optional<fleet::Duration> m_acceptableLoss;
-    /// All tasks have to be placed in one rack.
+    /// All tasks have to be placed in one rack. A preference of the step that is given up after some time.
     bool m_requiresOneRack = false;
     std::vector<std::uint16_t> m_tasks;
     /// The run that the tasks join if the rest of their gang has started already; otherwise 0.
--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -4,9 +4,11 @@
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/guarantees.hpp"
 #include "components/dispatch/objectives.hpp"
+#include "components/dispatch/rack_preference.hpp"
 #include "components/dispatch/runs.hpp"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace dispatch
@@ -40,15 +42,18 @@
     });
 }
 
-/// Sets the run of the gang that the missing members join, its rack, and the workers that refused it.
+/// Sets the run of the gang that the missing members join, its rack, and the workers that refused it. A run that is in several racks
+/// gains nothing from one rack for the rest.
 void joinGang(const Context &context, const journal::StepRecord &record, Candidate &candidate)
 {
     candidate.m_joinedRun = journal::joinableRun(record);
+    std::set<fleet::RackId> racks;
     for (const journal::TaskRecord &task : record.m_tasks) {
         if (!task.m_open.empty()) {
             const auto worker = context.m_state.m_workers.find(task.m_open.front().m_target.m_worker);
-            const bool isKnown = worker != context.m_state.m_workers.end() && candidate.m_requiresOneRack;
-            candidate.m_joinedRack = isKnown ? worker->second.m_registration.m_rack : candidate.m_joinedRack;
+            if (worker != context.m_state.m_workers.end()) {
+                racks.insert(worker->second.m_registration.m_rack);
+            }
         }
         for (const journal::OpenRun &refused : task.m_neverBegan) {
             if (refused.m_run == candidate.m_joinedRun) {
@@ -56,6 +61,11 @@
             }
         }
     }
+    if (racks.size() > 1) {
+        giveUpOneRack(candidate);
+    } else if (candidate.m_requiresOneRack && !racks.empty()) {
+        candidate.m_joinedRack = *racks.begin();
+    }
 }
 
 void addFailures(const Context &context, Candidate &candidate)
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -10,6 +10,7 @@
 #include "components/dispatch/guarantees.hpp"
 #include "components/dispatch/placement_requirements.hpp"
 #include "components/dispatch/placing.hpp"
+#include "components/dispatch/rack_preference.hpp"
 #include "components/dispatch/runs.hpp"
 #include "components/dispatch/waiting.hpp"
 
@@ -38,6 +39,8 @@
 constexpr int anyRackAfterDivisor = 2;
 /// Maximum share of the available workers that may be reserved.
 constexpr double maxReservedShare = 0.25;
+/// How often it is checked whether a rack could hold a gang at all; the list of workers is read about as often.
+constexpr fleet::Duration rackCheckInterval {500};
 
 std::uint32_t nextRunNumber(const journal::JobRecord &job, const Candidate &candidate)
 {
@@ -108,6 +111,7 @@
     reservation.m_until = context.m_now.m_boot + length;
     reservation.m_awaitsStops = awaitsStops;
     reservation.m_rank = rankOf(candidate);
+    reservation.m_isInOneRack = candidate.m_requiresOneRack;
     for (const auto &[available, count] : tasks) {
         const fleet::Resources resources = candidate.m_perTask * count;
         reservation.m_resources[available->m_state->m_registration.m_incarnation.m_worker] = resources;
@@ -179,6 +183,15 @@
 /// requirements and at least as many tasks cannot be placed either.
 using UnplaceableRequirements = std::vector<std::pair<PlacementRequirements, std::size_t>>;
 
+/// What was found out in this plan, to examine steps with the same requirements only once.
+struct PlanFindings
+{
+    /// Steps that could neither be placed nor have runs evicted for them.
+    UnplaceableRequirements m_unplaceable;
+    /// Steps that prefer one rack and did not fit in several. Evicting runs for them was not tried.
+    UnplaceableRequirements m_notInSeveralRacks;
+};
+
 UnplaceableRequirements::iterator findRequirements(UnplaceableRequirements &unplaceable, const PlacementRequirements &requirements)
 {
     return std::find_if(unplaceable.begin(), unplaceable.end(), [&](const auto &entry) {
@@ -217,14 +230,18 @@
     return context.m_now.m_boot - context.m_state.m_activeJobs.at(candidate.m_step.m_job);
 }
 
-/// Launches the tasks that fit, and evicts runs for the rest.
-void tryToPlace(Context &context, Candidate &candidate, AvailableWorkers &availableWorkers)
+/// Launches the tasks that fit.
+void placeWhatFits(Context &context, Candidate &candidate, AvailableWorkers &availableWorkers)
 {
     const Placement placement = choosePlacement(candidate, availableWorkers, context.m_now.m_boot);
     if (placement.m_tasks > 0) {
         start(context, candidate, placement, availableWorkers);
         candidate.m_tasks.erase(candidate.m_tasks.begin(), candidate.m_tasks.begin() + placement.m_tasks);
     }
+}
+
+void evictForTheRest(Context &context, const Candidate &candidate, AvailableWorkers &availableWorkers)
+{
     const auto reservation = context.m_state.m_reservations.find(candidate.m_step);
     const bool isAwaitingStops = reservation != context.m_state.m_reservations.end() && reservation->second.m_awaitsStops;
     if (!candidate.m_tasks.empty() && !isAwaitingStops && candidate.m_acceptableLoss) {
@@ -232,6 +249,37 @@
     }
 }
 
+/// Gives up the preference of a gang for one rack if no rack could ever hold it, or if it has waited for one while it would fit in
+/// several.
+void updateRackPreference(const Context &context, Candidate &candidate, WaitingStep &waiting, AvailableWorkers &availableWorkers, PlanFindings &findings)
+{
+    const fleet::BootTime now = context.m_now.m_boot;
+    if (!waiting.m_rackCheckedAt || now - *waiting.m_rackCheckedAt >= rackCheckInterval) {
+        waiting.m_rackCheckedAt = now;
+        waiting.m_canARackHold = canARackHold(candidate, context.m_state.m_workers);
+    }
+    Candidate inSeveral = candidate;
+    giveUpOneRack(inSeveral);
+    const bool isKnownNotToFit
+        = isKnownUnplaceable(context, inSeveral, findings.m_unplaceable) || isKnownUnplaceable(context, inSeveral, findings.m_notInSeveralRacks);
+    const bool fits = !isKnownNotToFit && choosePlacement(inSeveral, availableWorkers, now).m_tasks > 0;
+    recordFitInSeveralRacks(waiting, fits, now);
+    if (!waiting.m_canARackHold || (fits && hasWaitedForOneRack(waiting))) {
+        giveUpOneRack(candidate);
+    } else if (!fits) {
+        addUnplaceable(context, inSeveral, findings.m_notInSeveralRacks);
+    }
+}
+
+/// Drops capacity that was reserved in one rack for a step that has given that up, so that the step can choose from all racks.
+void dropReservationInOneRack(Context &context, const Candidate &candidate, AvailableWorkers &availableWorkers)
+{
+    const auto reservation = context.m_state.m_reservations.find(candidate.m_step);
+    if (reservation != context.m_state.m_reservations.end() && reservation->second.m_isInOneRack && !reservation->second.m_awaitsStops) {
+        dropReservation(context, candidate.m_step, availableWorkers);
+    }
+}
+
 /// A guaranteed step must start within the reclaim limit. After a part of it the step reclaims borrowed capacity, and after a
 /// larger part it accepts tasks in several racks.
 void applyGuaranteeDeadline(const Context &context, Candidate &candidate)
@@ -239,21 +287,35 @@
     const fleet::Duration waited = waitedFor(context, candidate);
     candidate.m_mayReclaim = candidate.m_isGuaranteed && waited >= context.m_state.m_settings.m_reclaimLimit / reclaimAfterDivisor;
     if (candidate.m_isGuaranteed && waited >= context.m_state.m_settings.m_reclaimLimit / anyRackAfterDivisor) {
-        candidate.m_requiresOneRack = false;
+        giveUpOneRack(candidate);
     }
 }
 
-void placeCandidate(Context &context, Candidate &candidate, AvailableWorkers &availableWorkers, UnplaceableRequirements &unplaceable)
+void placeCandidate(Context &context, Candidate &candidate, WaitingStep &waiting, AvailableWorkers &availableWorkers, PlanFindings &findings)
 {
     applyGuaranteeDeadline(context, candidate);
     candidate.m_acceptableLoss = acceptableLoss(candidate.m_queue->m_priority, waitedFor(context, candidate));
-    if (!isKnownUnplaceable(context, candidate, unplaceable)) {
-        tryToPlace(context, candidate, availableWorkers);
+    bool mayBePlaceable = !isKnownUnplaceable(context, candidate, findings.m_unplaceable);
+    if (mayBePlaceable) {
+        placeWhatFits(context, candidate, availableWorkers);
+    }
+    if (!candidate.m_tasks.empty() && candidate.m_requiresOneRack) {
+        updateRackPreference(context, candidate, waiting, availableWorkers, findings);
+        mayBePlaceable = !isKnownUnplaceable(context, candidate, findings.m_unplaceable);
+        if (!candidate.m_requiresOneRack && mayBePlaceable) {
+            placeWhatFits(context, candidate, availableWorkers);
+        }
+    }
+    if (!candidate.m_requiresOneRack) {
+        dropReservationInOneRack(context, candidate, availableWorkers);
+    }
+    if (mayBePlaceable) {
+        evictForTheRest(context, candidate, availableWorkers);
     }
     if (candidate.m_tasks.empty() || context.m_state.m_reservations.contains(candidate.m_step)) {
         return;
     }
-    addUnplaceable(context, candidate, unplaceable);
+    addUnplaceable(context, candidate, findings.m_unplaceable);
     if (candidate.m_tickets) {
         askAdvice(context, candidate, availableWorkers);
     }
@@ -269,13 +331,13 @@
 {
     dropExpiredReservations(context);
     AvailableWorkers availableWorkers = findAvailableWorkers(context);
-    UnplaceableRequirements unplaceable;
+    PlanFindings findings;
     bool isAnyLeft = false;
     std::vector<Candidate> candidates = findCandidates(context);
     for (Candidate &candidate : candidates) {
         WaitingStep &waiting = findWaitingStep(context, candidate);
         const std::size_t ready = candidate.m_tasks.size();
-        placeCandidate(context, candidate, availableWorkers, unplaceable);
+        placeCandidate(context, candidate, waiting, availableWorkers, findings);
         if (candidate.m_tasks.size() < ready) {
             recordPlaced(context, waiting);
         }
--- a/components/dispatch/reservation.hpp
+++ b/components/dispatch/reservation.hpp
@@ -19,6 +19,8 @@
     bool m_awaitsStops = false;
     /// Rank of the step. Steps with a lower rank may still take the capacity.
     int m_rank = 0;
+    /// All of it is in one rack, since the step required that.
+    bool m_isInOneRack = false;
 };
 
 }
--- a/components/dispatch/waiting.cpp
+++ b/components/dispatch/waiting.cpp
@@ -117,8 +117,7 @@
     for (auto &[id, worker] : context.m_state.m_workers) {
         if (isInService(context, worker) && isSuitable(candidate, worker)) {
             isAnySuitable = true;
-            const AvailableWorker whole {&worker, worker.m_registration.m_capacity - worker.m_allocated, {}};
-            add(free, worker, countSlots(candidate, whole, whole.m_free));
+            add(free, worker, countSlots(candidate, worker, worker.m_registration.m_capacity - worker.m_allocated));
         }
     }
     Slots usable;
--- a/components/dispatch/waiting_step.hpp
+++ b/components/dispatch/waiting_step.hpp
@@ -3,6 +3,8 @@
 
 #include "components/fleet/boot_time.hpp"
 
+#include <optional>
+
 namespace dispatch
 {
 
@@ -16,6 +18,12 @@
     fleet::BootTime m_reportDueAt;
     /// The last report said that the free capacity is enough for it.
     bool m_wouldFit = false;
+    /// For how long a gang that waits for one rack would have fit in several, and when it last would have if it still does.
+    fleet::Duration m_fitSeveralRacksFor {0};
+    std::optional<fleet::BootTime> m_fitsSeveralRacksAt;
+    /// When it was last checked that a rack could hold the gang at all.
+    std::optional<fleet::BootTime> m_rackCheckedAt;
+    bool m_canARackHold = true;
 };
 
 }
--- a/components/simulation/gangs_test.cpp
+++ b/components/simulation/gangs_test.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdlib>
+#include <set>
 #include <string>
 
 #include <criterion/criterion.h>
@@ -151,6 +152,30 @@
 /// A rack of the world holds two workers.
 struct OneRackFixture : WorldFixture
 {
+    /// A lasting task that takes one worker of each rack, or one that ends.
+    void occupyAWorkerOfEachRack(fleet::Duration length, bool isLongRunning)
+    {
+        for (int zone = 0; zone < 3; ++zone) {
+            for (int rack = 0; rack < 2; ++rack) {
+                jobs::StepSpec step = makeTasks(1, 8);
+                step.m_isLongRunning = isLongRunning;
+                step.m_dataRack = "r" + std::to_string(zone) + '-' + std::to_string(rack);
+                submit(step, {length}, 1);
+            }
+        }
+    }
+
+    std::set<fleet::RackId> racksOf(jobs::JobId job) const
+    {
+        std::set<fleet::RackId> racks;
+        for (const RunRecord &run : m_world.m_fleet.m_history) {
+            if (run.m_run.m_task.m_step.m_job == job) {
+                racks.insert(m_world.m_fleet.m_workers.at(run.m_incarnation.m_worker).m_registration.m_rack);
+            }
+        }
+        return racks;
+    }
+
     static jobs::StepSpec makeOneRackGang(std::uint16_t count)
     {
         jobs::StepSpec step = makeGang(count, 8);
@@ -159,39 +184,84 @@
     }
 };
 
-/// KNOWN-RED.txt, entry 16.
 Test(gang, preferringOneRackAndLargerThanAnyRack_runsOnSeveral)
 {
-    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
-        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
-    }
     OneRackFixture fixture;
     const jobs::JobId gang = fixture.submit(OneRackFixture::makeOneRackGang(3), {500ms}, 1);
     cr_assert(fixture.completes(gang, 4s));
     fixture.expectNoViolation();
 }
 
-/// KNOWN-RED.txt, entry 16.
 Test(gang, preferringOneRackWhileNoRackIsFree_runsOnSeveral)
 {
-    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
-        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
-    }
     OneRackFixture fixture;
-    for (int zone = 0; zone < 3; ++zone) {
-        for (int rack = 0; rack < 2; ++rack) {
-            jobs::StepSpec lasting = makeTasks(1, 8);
-            lasting.m_isLongRunning = true;
-            lasting.m_dataRack = "r" + std::to_string(zone) + '-' + std::to_string(rack);
-            fixture.submit(lasting, {60s}, 1);
-        }
-    }
+    fixture.occupyAWorkerOfEachRack(60s, true);
     fixture.m_world.run(1s);
     const jobs::JobId gang = fixture.submit(OneRackFixture::makeOneRackGang(2), {500ms}, 1);
     cr_assert(fixture.completes(gang, 4s));
     fixture.expectNoViolation();
 }
 
+Test(gang, preferringOneRackWhileOneIsFreeSoon_waitsForIt)
+{
+    OneRackFixture fixture;
+    fixture.occupyAWorkerOfEachRack(1500ms, false);
+    fixture.m_world.run(500ms);
+    const jobs::JobId gang = fixture.submit(OneRackFixture::makeOneRackGang(2), {500ms}, 1);
+    cr_assert(fixture.completes(gang, 4s));
+    cr_assert_eq(fixture.racksOf(gang).size(), 1);
+    fixture.expectNoViolation();
+}
+
+/// The wait of a step begins with its turn, not with its job.
+Test(gang, preferringOneRackInALaterStep_waitsForARackThatIsFreeSoon)
+{
+    OneRackFixture fixture;
+    jobs::JobSpec spec;
+    spec.m_id.m_value = 0x2000;
+    spec.m_queue = fleet::QueueId("q1");
+    spec.m_payload = "payload";
+    spec.m_steps = {makeTasks(1), OneRackFixture::makeOneRackGang(2)};
+    spec.m_steps[1].m_dependsOn = {0};
+    fixture.m_world.submit(fixture.nonHolder(), spec, {3s});
+    fixture.m_world.run(2s);
+    fixture.occupyAWorkerOfEachRack(1700ms, false);
+    cr_assert(fixture.completes(spec.m_id, 10s));
+    std::set<fleet::RackId> racks;
+    for (const RunRecord &run : fixture.m_world.m_fleet.m_history) {
+        if (run.m_run.m_task.m_step == jobs::StepId {spec.m_id, 0, 1}) {
+            racks.insert(fixture.m_world.m_fleet.m_workers.at(run.m_incarnation.m_worker).m_registration.m_rack);
+        }
+    }
+    cr_assert_eq(racks.size(), 1);
+}
+
+Test(gang, preferringOneRackAndLargerThanAnyRack_takesThePlaceOfOthers)
+{
+    OneRackFixture fixture;
+    fixture.submit(makeTasks(96), {20s}, 2);
+    fixture.m_world.run(500ms);
+    const jobs::JobId gang = fixture.submit(OneRackFixture::makeOneRackGang(3), {500ms}, 0);
+    cr_assert(fixture.completes(gang, 4s));
+    fixture.expectNoViolation();
+}
+
+/// Tasks of the same rank keep taking what is freed, so that the gang needs a reservation.
+Test(gang, preferringOneRackAndLargerThanAnyRack_getsAReservation)
+{
+    OneRackFixture fixture;
+    for (int i = 0; i < 12; ++i) {
+        fixture.submit(makeTasks(24), {400ms}, 1);
+    }
+    const jobs::JobId gang = fixture.submit(OneRackFixture::makeOneRackGang(3), {500ms}, 1);
+    fixture.m_world.run(1s);
+    for (int i = 0; i < 60; ++i) {
+        fixture.submit(makeTasks(24), {400ms}, 1);
+    }
+    cr_assert(fixture.completes(gang, 10s));
+    fixture.expectNoViolation();
+}
+
 /// One member is done and the job complete; the run of the other, whose worker cannot be reached, ends later. KNOWN-RED.txt, entry 17.
 Test(gang, completedBeforeTheEndOfAnotherMemberIsKnown_staysCompletedAtTheHolder)
 {
