Dispatch: a reservation counts on no lasting task to end

Cause: forecastCapacity takes each run as one that ends, a lasting task after its estimate, so that a gang reserved capacity behind it that is never freed. The reservation was renewed each 6 s, and other steps of the rank got none of what was idle there.

Lasting tasks are left out of the forecast unless they are being stopped.

Evidence: standingStill/gangHoldsAReservationBehindALastingTask_otherStepsStart fails before (reason=reserved in the line "waiting") and passes with the change; all tests of simulation_test pass.

--- a/components/dispatch/capacity_forecasts.cpp
+++ b/components/dispatch/capacity_forecasts.cpp
@@ -4,6 +4,7 @@
 #include "components/dispatch/candidate.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/progress.hpp"
+#include "components/dispatch/runs.hpp"
 
 #include <algorithm>
 #include <map>
@@ -21,12 +22,15 @@
     AvailableWorker *m_worker = nullptr;
 };
 
-/// Appends the times when each further task fits, as the runs on the worker end one after the other.
+/// Appends the times when each further task fits, as the runs on the worker end one after the other. Lasting tasks don't end.
 void addFreedSlots(const Context &context, const Candidate &candidate, AvailableWorker &available, std::vector<FreedSlot> &freedSlots)
 {
     std::multimap<fleet::Duration, fleet::Resources> ends;
     for (const jobs::RunId &id : available.m_state->m_runs) {
         const RunState &run = context.m_state.m_runs.at(id);
+        if (!run.m_isStopRequested && stepOf(context, id.m_task.m_step).m_isLongRunning) {
+            continue;
+        }
         ends.emplace(run.m_isStopRequested ? fleet::Duration(0) : remainingTime(context, id, run), run.m_allocated);
     }
     fleet::Resources free = freeResourcesFor(candidate, available);
