Dispatch: name serving tasks as the reason why a best-effort step waits

The line "waiting" said no-worker for a best-effort step whose room is all beside serving tasks, and the gauge left it out. It now says beside-serving, with the free places there. A unit test covers it.

--- a/components/dispatch/wait_reason.hpp
+++ b/components/dispatch/wait_reason.hpp
@@ -14,6 +14,8 @@
     NoRoom,
     /// Workers with free capacity get no new runs for now: they failed, did not answer, or are in a partitioned zone.
     WorkersAvoided,
+    /// The free capacity is beside serving tasks, which a best-effort task would slow down.
+    BesideServing,
     /// The free capacity is reserved for other steps.
     Reserved,
     /// The advice service has permitted too few of the workers.
--- a/components/dispatch/waiting.cpp
+++ b/components/dispatch/waiting.cpp
@@ -3,6 +3,7 @@
 #include "components/dispatch/available_workers.hpp"
 #include "components/dispatch/candidate.hpp"
 #include "components/dispatch/context.hpp"
+#include "components/jobs/step_spec.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -30,6 +31,8 @@
         return "no-room";
     case WaitReason::WorkersAvoided:
         return "workers-avoided";
+    case WaitReason::BesideServing:
+        return "beside-serving";
     case WaitReason::Reserved:
         return "reserved";
     case WaitReason::NoTicket:
@@ -112,23 +115,31 @@
 
 WaitReport explainWait(const Context &context, const Candidate &candidate, const AvailableWorkers &availableWorkers)
 {
+    jobs::StepSpec besideServing = *candidate.m_spec;
+    besideServing.m_usesIdleProcessor = false;
+    Candidate anywhere = candidate;
+    anywhere.m_spec = &besideServing;
     bool isAnySuitable = false;
     Slots free;
     for (auto &[id, worker] : context.m_state.m_workers) {
-        if (isInService(context, worker) && isSuitable(candidate, worker)) {
+        if (isInService(context, worker) && isSuitable(anywhere, worker)) {
             isAnySuitable = true;
             add(free, worker, countSlots(candidate, worker, worker.m_registration.m_capacity - worker.m_allocated));
         }
     }
     Slots usable;
+    Slots apart;
     Slots unreserved;
     Slots permitted;
     for (const AvailableWorker &available : availableWorkers) {
-        if (isSuitable(candidate, *available.m_state)) {
-            const std::uint32_t count = countSlots(candidate, available, freeResourcesFor(candidate, available));
-            add(usable, *available.m_state, countSlots(candidate, available, available.m_free));
-            add(unreserved, *available.m_state, count);
-            add(permitted, *available.m_state, mayRun(candidate, *available.m_state) ? count : 0);
+        const WorkerState &worker = *available.m_state;
+        const std::uint32_t slots = countSlots(candidate, available, available.m_free);
+        add(usable, worker, isSuitable(anywhere, worker) ? slots : 0);
+        if (isSuitable(candidate, worker)) {
+            const std::uint32_t left = countSlots(candidate, available, freeResourcesFor(candidate, available));
+            add(apart, worker, slots);
+            add(unreserved, worker, left);
+            add(permitted, worker, mayRun(candidate, worker) ? left : 0);
         }
     }
     const std::uint32_t needed = neededSlots(candidate);
@@ -142,6 +153,9 @@
         if (usable.m_total < needed) {
             return WaitReason::WorkersAvoided;
         }
+        if (apart.m_total < needed) {
+            return WaitReason::BesideServing;
+        }
         if (unreserved.m_total < needed) {
             return WaitReason::Reserved;
         }
--- a/components/dispatch/waiting_test.cpp
+++ b/components/dispatch/waiting_test.cpp
@@ -94,6 +94,16 @@
     cr_assert(fixture.explain() == (dispatch::WaitReport {WaitReason::WorkersAvoided, 4, 2, true}));
 }
 
+Test(waiting, servingTasksOnTheWorkers_areTheReasonForABestEffortStep)
+{
+    WaitingFixture fixture;
+    fixture.m_state.m_workers.at(WaitingFixture::idOf(0)).m_servingRuns = 1;
+    fixture.m_state.m_workers.at(WaitingFixture::idOf(3)).m_servingRuns = 1;
+    cr_assert(fixture.explain() == (dispatch::WaitReport {WaitReason::Unexplained, 4, 2, true}));
+    fixture.m_spec.m_usesIdleProcessor = true;
+    cr_assert(fixture.explain() == (dispatch::WaitReport {WaitReason::BesideServing, 4, 2, true}));
+}
+
 Test(waiting, reservationsOfOtherSteps_areTheReason)
 {
     WaitingFixture fixture;
