Tests: two more steps that stand still on an idle fleet

A best-effort step never starts if each worker has a serving task: keeping them apart is a preference of the scheduler that is made a requirement. A small step with a label waits behind the reservation of a gang that is met 20 s later.

--- a/components/simulation/standing_still_test.cpp
+++ b/components/simulation/standing_still_test.cpp
@@ -1,6 +1,7 @@
 #include "components/simulation/world_fixture_test.hpp"
 
 #include <chrono>
+#include <cstdlib>
 #include <string>
 
 #include <criterion/criterion.h>
@@ -22,6 +23,26 @@
     }
 };
 
+/// KNOWN-RED.txt, entry 16. A best-effort task is kept off workers with a serving task, which it slows down; that is a preference, not a requirement.
+Test(standingStill, servingTaskOnEachWorker_bestEffortTaskStarts)
+{
+    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
+        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
+    }
+    StandingStillFixture fixture;
+    jobs::StepSpec serving = makeTasks(12, 0);
+    serving.m_isLongRunning = true;
+    serving.m_tailLatencyObjective = 100ms;
+    serving.m_maxPerRunner = 1;
+    const jobs::JobId servingJob = fixture.submit(serving, {60s}, 1);
+    fixture.m_world.run(1s);
+    cr_assert_eq(fixture.runCount(servingJob), 12);
+    jobs::StepSpec bestEffort = makeTasks(1, 0);
+    bestEffort.m_usesIdleProcessor = true;
+    const jobs::JobId job = fixture.submit(bestEffort, {500ms}, 1);
+    cr_assert(fixture.starts(job, 3s), "%s", fixture.m_world.m_lastLogLines["dispatch/waiting"].c_str());
+}
+
 /// A reservation behind a task that lasts would never be met and always be renewed.
 Test(standingStill, gangHoldsAReservationBehindALastingTask_otherStepsStart)
 {
@@ -40,3 +61,25 @@
     const jobs::JobId job = fixture.submit(small, {500ms}, 1);
     cr_assert(fixture.starts(job, 3s), "%s", fixture.m_world.m_lastLogLines["dispatch/waiting"].c_str());
 }
+
+/// KNOWN-RED.txt, entry 17. The reservation is renewed until the long task ends.
+Test(standingStill, gangHoldsAReservationBehindALongTask_otherStepsStart)
+{
+    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
+        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
+    }
+    StandingStillFixture fixture;
+    jobs::StepSpec blocking = makeTasks(1, 1);
+    blocking.m_requiredLabel = "r0-0";
+    blocking.m_estimate = 20s;
+    fixture.submit(blocking, {20s}, 1);
+    fixture.m_world.run(500ms);
+    jobs::StepSpec gang = makeGang(2, 8);
+    gang.m_requiredLabel = "r0-0";
+    fixture.submit(gang, {1s}, 1);
+    fixture.m_world.run(3s);
+    jobs::StepSpec small = makeTasks(1, 1);
+    small.m_requiredLabel = "r0-0";
+    const jobs::JobId job = fixture.submit(small, {500ms}, 1);
+    cr_assert(fixture.starts(job, 3s), "%s", fixture.m_world.m_lastLogLines["dispatch/waiting"].c_str());
+}
