Dispatch: count no failures against workers of a job that fails on several of them

Cause: each failure within 150 ms of the start counted against the worker, which gets no new runs for 3 to 24 s then, whatever the job. The tasks went on to the next worker at once, until none was left.

Now a failure counts against the worker only if its job has not failed on two other workers within 8 s. A faulty worker also fails tasks of other jobs, each of which counts against it until that job has failed on two others. A long-running step of such a job starts once a second at most, since no pause of its workers slows it down any more.

--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -72,6 +72,12 @@
     }
 }
 
+bool isRestartDue(const Context &context, const jobs::StepId &step)
+{
+    const auto notBefore = context.m_state.m_restartNotBefore.find(step);
+    return notBefore == context.m_state.m_restartNotBefore.end() || context.m_now.m_boot >= notBefore->second;
+}
+
 void addOccurrence(
     const Context &context, const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence, std::vector<Candidate> &candidates)
 {
@@ -79,7 +85,7 @@
     for (std::uint16_t i = 0; i < steps; ++i) {
         const jobs::StepSpec &spec = job.m_spec.m_steps[i];
         const jobs::StepId id {job.m_spec.m_id, occurrence, i};
-        if (journal::isStepDone(job, occurrence, i) || !areDependenciesDone(job, occurrence, spec)) {
+        if (journal::isStepDone(job, occurrence, i) || !areDependenciesDone(job, occurrence, spec) || !isRestartDue(context, id)) {
             continue;
         }
         std::vector<std::uint16_t> tasks = startableTasks(spec, journal::findStep(job, id));
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -7,6 +7,7 @@
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/eviction_policy.hpp"
 #include "components/dispatch/evictions.hpp"
+#include "components/dispatch/failures.hpp"
 #include "components/dispatch/guarantees.hpp"
 #include "components/dispatch/placement_requirements.hpp"
 #include "components/dispatch/placing.hpp"
@@ -35,6 +36,8 @@
 /// several racks after half of it.
 constexpr int reclaimAfterDivisor = 4;
 constexpr int anyRackAfterDivisor = 2;
+/// Minimum time between starts of a long-running step whose job causes its failures.
+constexpr fleet::Duration restartPause {1000};
 /// Maximum share of the available workers that may be reserved.
 constexpr double maxReservedShare = 0.25;
 
@@ -78,6 +81,9 @@
     if (candidate.m_spec->m_isGang) {
         context.m_state.m_incompleteGangs.insert(candidate.m_step);
     }
+    if (candidate.m_spec->m_isLongRunning && isJobLikelyCause(context, candidate.m_step.m_job)) {
+        context.m_state.m_restartNotBefore[candidate.m_step] = context.m_now.m_boot + restartPause;
+    }
     context.m_out.m_log.push_back(logging::Line("dispatch", "launch")
                                       .add("job", toString(candidate.m_step.m_job))
                                       .add("occurrence", candidate.m_step.m_occurrence)
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -1,6 +1,7 @@
 #include "components/dispatch/runs.hpp"
 
 #include "components/dispatch/context.hpp"
+#include "components/dispatch/failures.hpp"
 #include "components/dispatch/objectives.hpp"
 #include "components/journal/changes.hpp"
 
@@ -33,8 +34,9 @@
     return queue == nullptr ? 0 : queue->m_priority;
 }
 
-/// Counts a failure against the worker unless the task has failed before, which makes the task the likely cause. A failure right
-/// after the start always counts. Each further consecutive failure doubles the time that the worker gets no new runs.
+/// Counts a failure against the worker unless the task has failed before, which makes the task the likely cause; a failure right after
+/// the start counts nevertheless. No failure counts of a job that fails on several other workers too, since it would keep all workers
+/// from the other jobs. Each further consecutive failure doubles the time that the worker gets no new runs.
 void updateWorkerHealth(Context &context, WorkerState &worker, const jobs::TaskId &task, const RunState &run, jobs::RunEnd end)
 {
     if (end == jobs::RunEnd::Done) {
@@ -43,7 +45,8 @@
     }
     const journal::TaskRecord *record = journal::findTask(context.m_journalState.m_jobs.at(task.m_step.m_job), task);
     const bool isStartupFailure = ranFor(run, context.m_now.m_boot) < startupFailureTime;
-    if (end != jobs::RunEnd::Failed || (record != nullptr && record->m_failures > 0 && !isStartupFailure)) {
+    if (end != jobs::RunEnd::Failed || (record != nullptr && record->m_failures > 0 && !isStartupFailure)
+        || isJobLikelyCause(context, task.m_step.m_job, worker.m_registration.m_incarnation.m_worker)) {
         return;
     }
     worker.m_failedAt = context.m_now.m_boot;
@@ -404,6 +407,7 @@
         };
         std::erase_if(context.m_state.m_advice, isOfJob);
         std::erase_if(context.m_state.m_failures, isOfJob);
+        std::erase_if(context.m_state.m_restartNotBefore, isOfJob);
         std::erase_if(context.m_state.m_stoppedGangRuns, isOfJob);
         logJobEnd(context, *job);
     }
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -41,6 +41,8 @@
     std::map<jobs::StepId, Reservation> m_reservations;
     /// Workers where steps of active jobs failed, and when.
     std::map<jobs::StepId, std::map<fleet::WorkerId, fleet::BootTime>> m_failures;
+    /// Long-running steps of jobs that cause their failures; their tasks would otherwise start again without pause.
+    std::map<jobs::StepId, fleet::BootTime> m_restartNotBefore;
     /// Gangs of which a member was stopped and wrote a checkpoint, with the number of that run.
     std::map<jobs::StepId, std::uint32_t> m_stoppedGangRuns;
     /// Advice for steps of queues that require the advice service.
