Dispatch: stop runs of unanswered start orders on workers that have restarted

Cause: that an order had no answer was kept with the open run only. A worker refuses the order while it knows how the run ended, which its next life does not, and an order names no life. The worker had no run, so it was neither stopped nor polled.

Now the holder keeps each such order for 30 s, also when the run has ended or the worker's entry is gone, and sends the next lives of the worker a stop of that run, after which they refuse the order. A worker that restarted is polled once, so that it sees the holder's token and refuses the orders of former holders. An order that arrives before the list shows the restart cannot be refused.

The model of the workers now starts a restarted worker's clock anew, as the protocol says; it had let it refuse late orders as expired.

--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -4,6 +4,7 @@
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/departures.hpp"
 #include "components/dispatch/runs.hpp"
+#include "components/dispatch/unanswered_starts.hpp"
 
 #include <algorithm>
 
@@ -64,6 +65,8 @@
 void moveToNewIncarnation(Context &context, WorkerState &worker, const workers::Registration &registration)
 {
     resetForNewIncarnation(worker, registration);
+    // Once it has seen this holder's token, it refuses the orders of former holders.
+    worker.m_isProbeDue = true;
     worker.m_predecessorLeaseUntil = context.m_now.m_boot + context.m_state.m_settings.longestLease();
     const std::set<jobs::RunId> runs = worker.m_runs;
     for (const jobs::RunId &id : runs) {
@@ -86,7 +89,7 @@
     const workers::WorkerIncarnation &known = worker.m_registration.m_incarnation;
     if (known.m_startedAtMs == 0) {
         worker.m_registration = registration;
-        // It may have ends to report of runs that were given up, and no new run that would cause a poll.
+        // It may have ends to report of runs that were given up, and may have restarted, but has no new run that would cause a poll.
         worker.m_isProbeDue = true;
         context.m_state.m_planIsDue = true;
     } else if (registration.m_incarnation.m_startedAtMs > known.m_startedAtMs) {
@@ -307,6 +310,9 @@
 
 void applyStartResult(Context &context, const workers::StartOrder &order, const workers::OrderResult &result)
 {
+    if (result.m_outcome == workers::OrderOutcome::Unknown) {
+        recordUnansweredStart(context, order);
+    }
     RunState *run = findRun(context, order.m_run);
     WorkerState *worker = findWorker(context, order.m_target);
     if (run == nullptr || worker == nullptr || run->m_incarnation != order.m_target) {
@@ -364,6 +370,7 @@
 
 void applyStopResult(Context &context, const workers::StopOrder &order, const workers::OrderResult &result)
 {
+    recordStopAnswer(context, order, result);
     RunState *run = findRun(context, order.m_run);
     WorkerState *worker = findWorker(context, order.m_target);
     if (run == nullptr || worker == nullptr || run->m_incarnation != order.m_target) {
--- a/components/dispatch/scheduler_events.cpp
+++ b/components/dispatch/scheduler_events.cpp
@@ -8,6 +8,7 @@
 #include "components/dispatch/plan.hpp"
 #include "components/dispatch/reports.hpp"
 #include "components/dispatch/runs.hpp"
+#include "components/dispatch/unanswered_starts.hpp"
 #include "components/dispatch/upkeep.hpp"
 #include "components/dispatch/zone_partitions.hpp"
 #include "components/journal/journal_state.hpp"
@@ -302,6 +303,7 @@
     }
     recordBatch(context);
     sendDueOrders(context);
+    sendStopsOfUnansweredStarts(context);
     sendDuePolls(context);
     return std::move(context.m_out);
 }
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -6,6 +6,7 @@
 #include "components/dispatch/run_state.hpp"
 #include "components/dispatch/settings.hpp"
 #include "components/dispatch/step_advice.hpp"
+#include "components/dispatch/unanswered_start.hpp"
 #include "components/dispatch/wave_state.hpp"
 #include "components/dispatch/worker_state.hpp"
 #include "components/fleet/fencing_token.hpp"
@@ -33,6 +34,8 @@
     std::map<fleet::ZoneId, fleet::BootTime> m_zoneProbedAt;
     /// When this holder first read the worker list.
     std::optional<fleet::BootTime> m_firstListAt;
+    /// Start orders of this holder without an answer that may still be carried out, also of runs that have ended since.
+    std::map<fleet::WorkerId, std::map<jobs::RunId, UnansweredStart>> m_unansweredStarts;
     /// Runs that have not started or are to be stopped, for which orders may be due.
     std::set<jobs::RunId> m_runsWithPendingOrders;
     /// Jobs that are not over, with the time when this holder first saw them. Their time of acceptance is from the clock of another
--- /dev/null
+++ b/components/dispatch/unanswered_starts.cpp
@@ -0,0 +1,78 @@
+#include "components/dispatch/unanswered_starts.hpp"
+
+#include "components/dispatch/context.hpp"
+#include "components/dispatch/runs.hpp"
+#include "components/workers/order_result.hpp"
+#include "components/workers/start_order.hpp"
+#include "components/workers/stop_order.hpp"
+
+namespace dispatch
+{
+
+namespace
+{
+
+/// How long an order without an answer may still be carried out. The protocol says seconds; the runs' leases end much earlier.
+constexpr fleet::Duration longestDelay {30'000};
+constexpr fleet::Duration stopRetryDelay {500};
+
+bool isOpenOn(Context &context, const jobs::RunId &id, const fleet::WorkerId &worker)
+{
+    const RunState *run = findRun(context, id);
+    return run != nullptr && run->m_incarnation.m_worker == worker;
+}
+
+bool isStopDue(Context &context, const WorkerState &worker, const jobs::RunId &run, const UnansweredStart &start)
+{
+    const workers::WorkerIncarnation &incarnation = worker.m_registration.m_incarnation;
+    const bool hasRestarted = incarnation.m_startedAtMs > start.m_target.m_startedAtMs;
+    return hasRestarted && start.m_stoppedOn != incarnation && context.m_now.m_boot >= start.m_nextStopAt && !isOpenOn(context, run, incarnation.m_worker);
+}
+
+}
+
+void recordUnansweredStart(Context &context, const workers::StartOrder &order)
+{
+    UnansweredStart &start = context.m_state.m_unansweredStarts[order.m_target.m_worker][order.m_run];
+    if (start.m_target != order.m_target) {
+        start = {order.m_target, {}, {}, {}};
+    }
+    start.m_unansweredAt = context.m_now.m_boot;
+}
+
+void recordStopAnswer(Context &context, const workers::StopOrder &order, const workers::OrderResult &result)
+{
+    const auto worker = context.m_state.m_unansweredStarts.find(order.m_target.m_worker);
+    const bool isStopped = result.m_outcome == workers::OrderOutcome::Done || result.m_outcome == workers::OrderOutcome::RunIsOver;
+    if (!isStopped || worker == context.m_state.m_unansweredStarts.end()) {
+        return;
+    }
+    if (const auto start = worker->second.find(order.m_run); start != worker->second.end()) {
+        start->second.m_stoppedOn = order.m_target;
+    }
+}
+
+void sendStopsOfUnansweredStarts(Context &context)
+{
+    for (auto &[id, starts] : context.m_state.m_unansweredStarts) {
+        std::erase_if(starts, [&](const auto &entry) {
+            return context.m_now.m_boot - entry.second.m_unansweredAt >= longestDelay;
+        });
+        const auto found = context.m_state.m_workers.find(id);
+        if (found == context.m_state.m_workers.end() || found->second.m_registration.m_address.empty() || !context.m_state.m_mayRenewLeases) {
+            continue;
+        }
+        const WorkerState &worker = found->second;
+        for (auto &[run, start] : starts) {
+            if (isStopDue(context, worker, run, start)) {
+                start.m_nextStopAt = context.m_now.m_boot + stopRetryDelay;
+                context.m_out.m_stops.push_back({worker.m_registration.m_incarnation, worker.m_registration.m_address, run, context.m_state.m_token});
+            }
+        }
+    }
+    std::erase_if(context.m_state.m_unansweredStarts, [](const auto &entry) {
+        return entry.second.empty();
+    });
+}
+
+}
--- a/components/simulation/fleet_model.cpp
+++ b/components/simulation/fleet_model.cpp
@@ -398,8 +398,9 @@
     ModelWorker restarted;
     restarted.m_registration = worker.m_registration;
     restarted.m_registration.m_incarnation.m_startedAtMs += 1 + now.time_since_epoch().count();
-    restarted.m_clockBase = worker.m_clockBase;
     restarted.m_clockRate = worker.m_clockRate;
+    // The clock starts anew.
+    restarted.m_clockBase = -(now.time_since_epoch().count() * worker.m_clockRate / clockRateUnit);
     restarted.m_isUp = restarts;
     worker = restarted;
 }
--- a/components/simulation/workers_test.cpp
+++ b/components/simulation/workers_test.cpp
@@ -26,6 +26,30 @@
     cr_assert_geq(fixture.endedRunCount(job, how), 1);
 }
 
+struct DoneJob
+{
+    jobs::JobId m_job;
+    fleet::WorkerId m_worker;
+};
+
+/// Runs a job of one task to its end, of which the first start order gets no answer and is still under way.
+DoneJob runWithALateOrder(WorldFixture &fixture)
+{
+    DoneJob done;
+    fixture.m_world.m_faults.m_delayedOrders = 1;
+    done.m_job = fixture.submit(makeTasks(1), {200ms});
+    fixture.m_world.run(40ms);
+    fixture.m_world.m_faults.m_delayedOrders = 0;
+    cr_assert(fixture.m_world.runUntil(
+        [&] {
+            return fixture.isRunning(done.m_job);
+        },
+        2s));
+    done.m_worker = fixture.runningWorker(done.m_job);
+    cr_assert(fixture.completes(done.m_job, 2s));
+    return done;
+}
+
 }
 
 Test(worker, removed_itsRunsBeginElsewhereAfterOneLease)
@@ -124,6 +148,58 @@
     }
 }
 
+/// The same after the run has ended, when the holder expects nothing of the worker any more.
+Test(worker, orderCarriedOutAfterItsRunEndedAndARestart_isRefused)
+{
+    for (unsigned seed = 1; seed <= 12; ++seed) {
+        WorldSettings settings;
+        settings.m_seed = seed;
+        WorldFixture fixture(settings);
+        const DoneJob done = runWithALateOrder(fixture);
+        fixture.m_world.crashWorker(done.m_worker, true);
+        fixture.m_world.run(15s);
+        cr_assert_eq(fixture.runCount(done.m_job), 1, "seed %u", seed);
+        fixture.expectNoViolation();
+    }
+}
+
+/// The worker's entry is gone for a while, so that the holder forgets the worker.
+Test(worker, orderCarriedOutAfterItsRunEndedAndTheWorkerWasForgotten_isRefused)
+{
+    for (unsigned seed = 1; seed <= 12; ++seed) {
+        WorldSettings settings;
+        settings.m_seed = seed;
+        WorldFixture fixture(settings);
+        const DoneJob done = runWithALateOrder(fixture);
+        fixture.m_world.unlist(done.m_worker);
+        fixture.m_world.run(300ms);
+        fixture.m_world.crashWorker(done.m_worker, true);
+        fixture.m_world.run(15s);
+        cr_assert_eq(fixture.runCount(done.m_job), 1, "seed %u", seed);
+        fixture.expectNoViolation();
+    }
+}
+
+/// The new holder does not know of the order, but its fencing token has the worker refuse it once the holder has read of the restart.
+Test(worker, orderOfAFormerHolderCarriedOutAfterARestart_isRefused)
+{
+    for (unsigned seed = 1; seed <= 12; ++seed) {
+        WorldSettings settings;
+        settings.m_seed = seed;
+        WorldFixture fixture(settings);
+        const DoneJob done = runWithALateOrder(fixture);
+        fixture.m_world.kill(fixture.m_world.holder());
+        cr_assert(fixture.waitForHolder(2s));
+        fixture.m_world.run(500ms);
+        fixture.m_world.crashWorker(done.m_worker, true);
+        // The list shows the restart after 0.3 s and is read twice a second.
+        fixture.m_world.run(850ms);
+        const int before = fixture.runCount(done.m_job);
+        fixture.m_world.run(15s);
+        cr_assert_eq(fixture.runCount(done.m_job), before, "seed %u", seed);
+    }
+}
+
 Test(worker, ordersCarriedOutLate_noTaskRunsTwice)
 {
     WorldFixture fixture;
