--- a/components/dispatch/scheduler_events.cpp
+++ b/components/dispatch/scheduler_events.cpp
@@ -75,6 +75,34 @@
     }
 }
 
+/// Adds the items in as few records as the store accepts; readers derive the same state from several records as from one.
+template<class Item, class MakeRecord>
+void addRecords(std::vector<journal::Record> &records, const std::vector<Item> &items, MakeRecord makeRecord)
+{
+    journal::Record record = makeRecord(items);
+    if (items.size() <= 1 || journal::encode(record).size() <= journal::maxRecordBytes) {
+        records.push_back(std::move(record));
+        return;
+    }
+    const auto middle = items.begin() + static_cast<std::ptrdiff_t>(items.size() / 2);
+    addRecords(records, std::vector<Item>(items.begin(), middle), makeRecord);
+    addRecords(records, std::vector<Item>(middle, items.end()), makeRecord);
+}
+
+void addLaunches(std::vector<journal::Record> &records, const std::vector<journal::Launch> &launches)
+{
+    addRecords(records, launches, [](const std::vector<journal::Launch> &part) {
+        return journal::RunsLaunched {part};
+    });
+}
+
+void addEnds(std::vector<journal::Record> &records, const std::vector<journal::EndedRun> &ended, fleet::TimePoint at)
+{
+    addRecords(records, ended, [at](const std::vector<journal::EndedRun> &part) {
+        return journal::RunsEnded {part, at};
+    });
+}
+
 /// Collects the recorded changes into one batch, and remembers which runs and ends wait for it to be stored.
 void recordBatch(Context &context)
 {
@@ -87,16 +115,16 @@
     batch.m_batch = context.m_state.m_nextBatch++;
     batch.m_ends = context.m_endNumbers;
     if (!context.m_reopened.empty()) {
-        context.m_out.m_records.emplace_back(journal::RunsLaunched {context.m_reopened});
+        addLaunches(context.m_out.m_records, context.m_reopened);
     }
     if (!context.m_ended.empty()) {
-        context.m_out.m_records.emplace_back(journal::RunsEnded {context.m_ended, context.m_now.m_wall});
+        addEnds(context.m_out.m_records, context.m_ended, context.m_now.m_wall);
     }
     if (!context.m_launched.empty()) {
         for (const journal::Launch &launched : context.m_launched) {
             batch.m_launched.push_back(launched.m_run);
         }
-        context.m_out.m_records.emplace_back(journal::RunsLaunched {context.m_launched});
+        addLaunches(context.m_out.m_records, context.m_launched);
     }
     context.m_out.m_batch = batch.m_batch;
     context.m_state.m_pendingBatches.push_back(std::move(batch));
--- a/components/journal/record.hpp
+++ b/components/journal/record.hpp
@@ -12,6 +12,7 @@
 #include "components/journal/snapshot_written.hpp"
 #include "components/journal/upkeep_begun.hpp"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -23,6 +24,9 @@
 using Record = std::
     variant<JobAccepted, JobCancelled, RunsLaunched, RunsEnded, InstanceStarted, HolderClaimed, HolderResigned, HolderHeartbeat, SnapshotWritten, UpkeepBegun>;
 
+/// Maximum bytes of an encoded record. The store accepts no longer ones, and an append of one would be repeated without end.
+constexpr std::size_t maxRecordBytes = 262'144;
+
 std::string encode(const Record &record);
 
 /// @throws wire::CodecError if the bytes are not a record of this format.
--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -229,8 +229,15 @@
     record.m_spec = {openCall.m_job, queue.m_id, account, content.m_submission->m_payload, content.m_submission->m_steps, content.m_submission->m_schedule};
     record.m_maxAttempts = queue.m_maxAttempts;
     record.m_at = now.m_wall;
+    std::string bytes = journal::encode(record);
+    if (bytes.size() > journal::maxRecordBytes) {
+        const std::string reason = "the job takes " + std::to_string(bytes.size()) + " bytes in the journal, of which a record holds "
+            + std::to_string(journal::maxRecordBytes) + "; split it into several jobs";
+        reply(call, openCall, {callers::ReplyKind::Malformed, {}, 0, {}, reason}, now);
+        return;
+    }
     m_pendingSubmissions.emplace(openCall.m_job, call);
-    append(call, openCall, journal::encode(record));
+    append(call, openCall, std::move(bytes));
 }
 
 void CallHandler::append(std::uint64_t call, OpenCall openCall, std::string record)
--- a/components/simulation/store_model.cpp
+++ b/components/simulation/store_model.cpp
@@ -10,6 +10,8 @@
 
 /// Number of latest appends of a producer whose retries get the original answer.
 constexpr std::size_t rememberedAppends = 5;
+/// Maximum bytes of a record.
+constexpr std::size_t recordBytes = 262'144;
 
 store::AppendResult refuse(store::AppendOutcome outcome, std::uint64_t end, std::uint64_t expected = 0)
 {
@@ -26,6 +28,13 @@
 {
     TopicState &topic = model.m_topics[call.m_topic];
     const std::uint64_t end = topic.m_records.size();
+    const bool isAnyTooLarge = std::any_of(call.m_records.begin(), call.m_records.end(), [](const std::string &record) {
+        return record.size() > recordBytes;
+    });
+    if (isAnyTooLarge) {
+        // The refusal names no reason that the protocol knows.
+        return refuse(store::AppendOutcome::Unknown, end);
+    }
     ProducerState *producer = nullptr;
     if (call.m_producer) {
         producer = &topic.m_producers[call.m_producer->m_name];
