Failing test of an acknowledgement that reaches the next life of its worker

The worker restarts under its id, numbers its ends anew, and takes the acknowledgement of its former life's end for its own first one.

--- a/components/simulation/random_run_test.cpp
+++ b/components/simulation/random_run_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
 #include <ostream>
 
 #include <criterion/criterion.h>
@@ -230,3 +231,17 @@
     });
     cr_assert(holds);
 }
+
+/// KNOWN-RED.txt, entry 16.
+Test(randomRun, workerRestartsWhileAPollWithAnAcknowledgementWaits_taskRunsOnce)
+{
+    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
+        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
+    }
+    std::vector<Action> actions(30);
+    actions[7].m_pause = 96;
+    actions[11].m_pause = 126;
+    actions[12].m_kind = 14;
+    const std::string violation = simulation::test::performActions(76487312, actions);
+    cr_assert(violation.empty(), "%s", violation.c_str());
+}
