--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -6,6 +6,7 @@
 #include "components/dispatch/run_state.hpp"
 #include "components/dispatch/settings.hpp"
 #include "components/dispatch/step_advice.hpp"
+#include "components/dispatch/unanswered_start.hpp"
 #include "components/dispatch/waiting_step.hpp"
 #include "components/dispatch/wave_state.hpp"
 #include "components/dispatch/worker_state.hpp"
@@ -34,6 +35,8 @@
     std::map<fleet::ZoneId, fleet::BootTime> m_zoneProbedAt;
     /// When this holder first read the worker list.
     std::optional<fleet::BootTime> m_firstListAt;
+    /// Start orders of this holder without an answer that may still be carried out, also of runs that have ended since.
+    std::map<fleet::WorkerId, std::map<jobs::RunId, UnansweredStart>> m_unansweredStarts;
     /// Runs that have not started or are to be stopped, for which orders may be due.
     std::set<jobs::RunId> m_runsWithPendingOrders;
     /// Jobs that are not over, with the time when this holder first saw them. Their time of acceptance is from the clock of another
@@ -45,6 +48,8 @@
     fleet::BootTime m_waitsReportedAt;
     /// Workers where steps of active jobs failed, and when.
     std::map<jobs::StepId, std::map<fleet::WorkerId, fleet::BootTime>> m_failures;
+    /// Long-running steps of jobs that cause their failures; their tasks would otherwise start again without pause.
+    std::map<jobs::StepId, fleet::BootTime> m_restartNotBefore;
     /// Gangs of which a member was stopped and wrote a checkpoint, with the number of that run.
     std::map<jobs::StepId, std::uint32_t> m_stoppedGangRuns;
     /// Advice for steps of queues that require the advice service.
