--- a/components/simulation/random_run_test.cpp
+++ b/components/simulation/random_run_test.cpp
@@ -232,7 +232,7 @@
     cr_assert(holds);
 }
 
-/// KNOWN-RED.txt, entry 16.
+/// KNOWN-RED.txt, entry 18.
 Test(randomRun, workerRestartsWhileAPollWithAnAcknowledgementWaits_taskRunsOnce)
 {
     if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
