Dispatch: a job that a late end completes is shown so only once it is stored

What callers would see: "completed", and "running" again if the holder dies before the end of the last task is stored. Cause: an end that is recorded after its run was given up did not name its job among those that its batch ends.

--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -357,6 +357,9 @@
     journal::Changes changes;
     journal::apply(context.m_journalState, journal::RunsLaunched {{{further, incarnation}}}, changes);
     journal::apply(context.m_journalState, journal::RunsEnded {{ended}, context.m_now.m_wall}, changes);
+    if (job->isOver()) {
+        context.m_out.m_endedJobs.insert(id.m_step.m_job);
+    }
     context.m_changedJobs.insert(id.m_step.m_job);
     context.m_state.m_planIsDue = true;
 }
--- a/components/simulation/workers_test.cpp
+++ b/components/simulation/workers_test.cpp
@@ -507,3 +507,33 @@
     }
     fixture.expectNoViolation();
 }
+
+/// The holder shows a job as completed by a late end whose record is not stored.
+Test(worker, runDoneWhileItsWorkerWasUnreachable_isShownAsCompletedOnlyOnceItIsStored)
+{
+    WorldFixture fixture;
+    World &world = fixture.m_world;
+    const jobs::JobId job = fixture.submit(makeTasks(1), {5s});
+    world.run(1s);
+    const fleet::WorkerId worker = fixture.runningWorker(job);
+    world.m_faults.m_unreachableWorkers.insert(worker);
+    cr_assert(world.runUntil(
+        [&] {
+            return fixture.runCount(job) > 1;
+        },
+        12s));
+    const int holder = world.holder();
+    world.m_faults.m_storeDelay = 100ms;
+    world.m_faults.m_unreachableWorkers.clear();
+    cr_assert(world.runUntil(
+        [&] {
+            return world.m_logCounts["dispatch/done-after-close"] > 0;
+        },
+        5s));
+    // The record of the end is not stored yet, and is not stored at all.
+    world.m_faults.m_store = StoreMode::Unresponsive;
+    const int call = world.show(holder, job);
+    world.run(10ms);
+    const auto &reply = world.outcome(call).m_reply;
+    cr_assert(!reply || reply->m_state != jobs::JobState::Completed, "the end is not stored");
+}
