A holder that lacks expired records steps down at once

What callers would see: an accepted job that never starts, and after that one that nobody knows. Now it steps down as it is told, so that an instance that has the records takes the duty.

--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -190,6 +190,9 @@
     if (outcome == store::ReadOutcome::Expired && isIncomplete(m_journal) && m_journal.m_nextOffset > from) {
         m_ports.log(logging::Line("journal", "records-missing", logging::Level::Warning).add("from", from).add("before", m_journal.m_nextOffset), now);
     }
+    if (outcome == store::ReadOutcome::Expired) {
+        m_duty.onRecordsExpired(now);
+    }
     if (isIncomplete(m_journal) && changes.m_snapshotWritten) {
         m_journal.m_needsSnapshot = true;
     }
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -265,6 +265,14 @@
     }
 }
 
+void SchedulingDuty::onRecordsExpired(fleet::Now now)
+{
+    const bool isOrBecomesHolder = m_phase != DutyPhase::Following && m_phase != DutyPhase::Resigning;
+    if (isOrBecomesHolder && m_journal.m_needsSnapshot) {
+        stepDown("the journal expired before it was read", now);
+    }
+}
+
 void SchedulingDuty::onSnapshotStored(const journal::WriteOutcome &outcome, fleet::Now now)
 {
     const bool isLast = !m_snapshotWriter.m_sent && m_snapshotWriter.m_queued.empty();
@@ -481,10 +489,6 @@
         writeSnapshotIfDue(now);
         handOverIfDue(now);
     }
-    if (m_phase == DutyPhase::Holding && m_journal.m_needsSnapshot) {
-        stepDown("the journal expired before it was read", now);
-        return;
-    }
     const bool isAnyPeerSilent = std::any_of(m_lastMessageAt.begin(), m_lastMessageAt.end(), [&](const auto &entry) {
         return now.m_boot - entry.second > answerTimeout && now.m_boot - entry.second < recentAnswerWindow;
     });
--- a/components/node/scheduling_duty.hpp
+++ b/components/node/scheduling_duty.hpp
@@ -48,6 +48,8 @@
 
     /// @param readBefore Everything stored before this time was read before; empty if the journal's end was not reached before.
     void onJournalRead(const journal::Changes &changes, std::optional<fleet::BootTime> readBefore, fleet::Now now);
+    /// A holder that lacks records gives the duty to an instance that has them.
+    void onRecordsExpired(fleet::Now now);
     void onAppendEnded(const AppendTag &tag, fleet::BootTime sentAt, const store::AppendResult &result, fleet::Now now);
     void onWorkerListRead(const WorkerListReadEnded &event, fleet::Now now);
     void onStartEnded(const StartEnded &event, fleet::Now now);
--- a/components/simulation/expiry_test.cpp
+++ b/components/simulation/expiry_test.cpp
@@ -310,3 +310,43 @@
     journal.run(90s);
     cr_assert_leq(snapshotCount(fixture.m_world) - before, 7);
 }
+
+/// No snapshot ever holds the job's record, so that only what the instance knows of its own gap keeps it from denying the job.
+Test(expiry, recordsExpiredAndNoSnapshotIsStored_startingInstanceDoesNotDenyTheJob)
+{
+    WorldFixture fixture;
+    const jobs::JobId job = fixture.submit(makeTasks(1), {60s});
+    fixture.m_world.run(1s);
+    expireJournal(fixture.m_world);
+    const int other = fixture.nonHolder();
+    fixture.m_world.kill(other);
+    fixture.m_world.restart(other);
+    runWithoutSnapshots(fixture.m_world, 2s);
+    const int call = fixture.m_world.show(other, job);
+    runWithoutSnapshots(fixture.m_world, 500ms);
+    const auto &reply = fixture.m_world.outcome(call).m_reply;
+    cr_assert(reply && reply->m_kind == callers::ReplyKind::Refused);
+}
+
+/// The answer to the read of the snapshots arrives before the holder's next tick, which would have made it step down.
+Test(expiry, recordsExpiredBeforeTheHolderReadThem_instanceThatHasThemTakesTheDuty)
+{
+    WorldFixture fixture;
+    World &world = fixture.m_world;
+    world.run(3s);
+    const int holder = world.holder();
+    const int other = fixture.nonHolder();
+    world.freeze(holder, 300ms);
+    jobs::JobId job;
+    const int call = fixture.submitThrough(other, makeTasks(1), {500ms}, 1, job);
+    cr_assert(world.runUntil(
+        [&] {
+            return world.wasAccepted(call);
+        },
+        200ms));
+    const int show = world.show(other, job);
+    world.run(50ms);
+    cr_assert(world.outcome(show).m_reply && world.outcome(show).m_reply->m_kind == callers::ReplyKind::State);
+    expireJournal(world);
+    cr_assert(fixture.completes(job, 30s));
+}
