--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -214,7 +214,7 @@
 
 void Control::process(const KeyedReadEnded &event, fleet::Now now)
 {
-    if (applySnapshotRead(m_journal, event.m_outcome, event.m_records, now.m_boot)) {
+    if (applySnapshotRead(m_journal, event.m_outcome, event.m_records, event.m_sentAt, now.m_boot)) {
         m_ports.log(logging::Line("journal", "snapshot-read").add("journal_end", m_journal.m_nextOffset).add("jobs", m_journal.m_journalState.m_jobs.size()),
                     now);
         readJournal(now);
--- a/components/node/journal_view.cpp
+++ b/components/node/journal_view.cpp
@@ -44,7 +44,8 @@
 
 }
 
-bool applySnapshotRead(JournalView &view, store::ReadOutcome outcome, const std::vector<store::KeyedRecord> &records, fleet::BootTime now)
+bool applySnapshotRead(
+    JournalView &view, store::ReadOutcome outcome, const std::vector<store::KeyedRecord> &records, fleet::BootTime sentAt, fleet::BootTime now)
 {
     view.m_isSnapshotReadOpen = false;
     if (outcome != store::ReadOutcome::Read) {
@@ -54,6 +55,7 @@
     }
     view.m_lastAnswerAt = now;
     view.m_needsSnapshot = false;
+    view.m_snapshotAsOf = sentAt;
     auto snapshot = journal::assembleSnapshot(records);
     const bool isNewer = snapshot && snapshot->m_next > view.m_nextOffset;
     const bool containsMissing = snapshot && view.m_missingBefore && snapshot->m_next >= *view.m_missingBefore;
--- a/components/node/journal_view.hpp
+++ b/components/node/journal_view.hpp
@@ -27,6 +27,8 @@
     /// The newest snapshot has to be read before the journal.
     bool m_needsSnapshot = true;
     bool m_isSnapshotReadOpen = false;
+    /// When the last read of the snapshots that the store answered was sent.
+    std::optional<fleet::BootTime> m_snapshotAsOf;
     fleet::BootTime m_nextSnapshotReadAt;
     /// The next records had expired when they were read, and no newer snapshot has been found since.
     bool m_hasGap = false;
@@ -63,7 +65,8 @@
 void resetJournalView(JournalView &view);
 
 /// Applies a read of the snapshots' topic. Returns true if the read succeeded, and the journal can be read from m_nextOffset.
-bool applySnapshotRead(JournalView &view, store::ReadOutcome outcome, const std::vector<store::KeyedRecord> &records, fleet::BootTime now);
+bool applySnapshotRead(
+    JournalView &view, store::ReadOutcome outcome, const std::vector<store::KeyedRecord> &records, fleet::BootTime sentAt, fleet::BootTime now);
 
 /// Applies a read of the journal. Returns true if there is more to read at once.
 bool applyJournalRead(JournalView &view, const store::ReadResult &result, fleet::BootTime sentAt, fleet::BootTime now, journal::Changes &changes);
--- a/components/node/journal_view_test.cpp
+++ b/components/node/journal_view_test.cpp
@@ -33,7 +33,7 @@
 
     void readSnapshot(std::uint64_t next)
     {
-        node::applySnapshotRead(m_view, store::ReadOutcome::Read, journal::encodeSnapshot({}, next, 0), m_now);
+        node::applySnapshotRead(m_view, store::ReadOutcome::Read, journal::encodeSnapshot({}, next, 0), m_now, m_now);
     }
 
     node::JournalView m_view;
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -453,10 +453,17 @@
 void SchedulingDuty::claimIfDue(fleet::Now now)
 {
     updateDutyFree(m_holderMonitor, m_journal, m_operatorConfig.hasCatalog(), now);
-    // An instance with the whole journal state claims sooner.
-    const fleet::Duration holderSilence = now.m_boot - std::max(m_holderHeardAt, m_journal.m_incompleteSince);
-    if (isIncomplete(m_journal) && holderSilence < m_settings.m_dispatch.m_holderAuthority) {
-        return;
+    if (isIncomplete(m_journal)) {
+        // An instance with the whole journal state claims sooner.
+        const fleet::BootTime notBefore = std::max(m_holderHeardAt, m_journal.m_incompleteSince) + m_settings.m_dispatch.m_holderAuthority;
+        if (now.m_boot < notBefore) {
+            return;
+        }
+        // The last holder may have stored a snapshot without the record that announces it.
+        if (m_journal.m_snapshotAsOf.value_or(fleet::BootTime()) < notBefore) {
+            m_journal.m_needsSnapshot = true;
+            return;
+        }
     }
     const bool mayClaim = m_hasReadJournal && !m_isStopping && now.m_boot >= m_claimNotBefore && m_operatorConfig.hasCatalog();
     if (mayClaim && m_knownJournalEnd <= m_journal.m_nextOffset && shouldClaim(m_holderMonitor, m_settings, m_journal, now)) {
--- a/components/simulation/expiry_test.cpp
+++ b/components/simulation/expiry_test.cpp
@@ -69,6 +69,12 @@
     std::map<fleet::BootTime, std::uint64_t> m_ends;
 };
 
+std::uint64_t snapshotEnd(World &world)
+{
+    const auto snapshot = journal::assembleSnapshot(newest(world.m_store, snapshotTopic));
+    return snapshot ? snapshot->m_next : 0;
+}
+
 int snapshotCount(World &world)
 {
     return world.m_logCounts["journal/snapshot-stored"];
@@ -350,3 +356,33 @@
     expireJournal(world);
     cr_assert(fixture.completes(job, 30s));
 }
+
+/// The holder ends between its snapshot and the record of it; the instance that is left lacks the records before.
+Test(expiry, holderEndsBeforeTheRecordOfItsSnapshot_incompleteInstanceReadsTheSnapshotBeforeItTakesTheDuty)
+{
+    WorldFixture fixture;
+    World &world = fixture.m_world;
+    const jobs::JobId job = fixture.submit(makeTasks(1), {60s});
+    world.run(1s);
+    const std::uint64_t oldest = world.m_store.m_topics[journalTopic].m_records.size();
+    expire(world.m_store, journalTopic, oldest);
+    world.m_store.m_topics.erase(snapshotTopic);
+    const int left = fixture.nonHolder();
+    world.kill(left);
+    world.restart(left);
+    bool isStored = false;
+    for (int i = 0; i < 40000 && !isStored; ++i) {
+        world.run(1ms);
+        isStored = snapshotEnd(world) >= oldest;
+    }
+    cr_assert(isStored);
+    for (int i = 0; i < world.instanceCount(); ++i) {
+        if (i != left) {
+            world.kill(i);
+        }
+    }
+    cr_assert(fixture.waitForHolder(20s));
+    cr_assert_eq(world.holder(), left);
+    world.run(500ms);
+    cr_assert(world.stateOf(left, job) == jobs::JobState::Running, "the stored snapshot contains the job");
+}
