Dispatch: only a worker that has answered replaces another one of its machine

What callers would see: work done twice. Cause: an unlisted worker's runs end as lost once its machine has a newer worker. An entry of another writer that names the machine under another id, with a later start, counted as that worker; so the runs of a live worker whose own entry had expired were started again without regard to the lease. Also the last worker by id counted as the newest, not the one that started last.

--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -108,14 +108,19 @@
     }
 }
 
-/// Ends the runs of workers that are no longer listed and whose machine has a newer worker, since the old worker is gone.
+/// Ends the runs of workers that are no longer listed and whose machine has a newer worker, since the old worker is gone. The newer
+/// one must have answered under its own id: an entry of another writer may name the machine too.
 void endRunsOfReplaced(Context &context)
 {
     std::map<fleet::MachineId, const WorkerState *> newest;
     for (const auto &[id, worker] : context.m_state.m_workers) {
         const fleet::MachineId &machine = worker.m_registration.m_machine;
-        if (worker.m_isListed && !machine.empty()) {
-            newest[machine] = &worker;
+        if (!worker.m_isListed || machine.empty() || !worker.m_hasAcceptedToken) {
+            continue;
+        }
+        const WorkerState *&known = newest[machine];
+        if (known == nullptr || worker.m_registration.m_incarnation.m_startedAtMs > known->m_registration.m_incarnation.m_startedAtMs) {
+            known = &worker;
         }
     }
     std::vector<jobs::RunId> lost;
--- a/components/simulation/odd_entries_test.cpp
+++ b/components/simulation/odd_entries_test.cpp
@@ -88,3 +88,22 @@
     cr_assert_eq(fixture.m_world.m_logCounts["worker-list/entry-refused"], 11);
     cr_assert(fixture.m_world.m_lastLogLines["worker-list/entries-refused"].ends_with("more=2990"));
 }
+
+/// Another writer's copy of an entry, with a later start, stands in the list while the entry of the worker has expired.
+Test(worker, unlistedBesideACopyOfItsEntry_itsRunsAreNotGivenUpWhileTheyRun)
+{
+    WorldFixture fixture;
+    World &world = fixture.m_world;
+    for (const fleet::WorkerId &worker : world.workers()) {
+        workers::Registration copy = world.m_fleet.m_workers.at(worker).m_registration;
+        copy.m_incarnation.m_worker = fleet::WorkerId("z-" + worker.value());
+        copy.m_incarnation.m_startedAtMs += 1;
+        world.writeEntry({copy.m_incarnation.m_worker, copy});
+    }
+    const jobs::JobId job = fixture.submit(makeTasks(1), {4s});
+    world.run(2s);
+    world.unlist(fixture.runningWorker(job));
+    world.run(6s);
+    cr_assert_eq(fixture.runCount(job), 1);
+    fixture.expectNoViolation();
+}
