A cancel is confirmed only once it or the job's end is stored

What callers would see: a cancelled job whose task runs again after its cancel was confirmed. Cause: the holder confirmed the cancel of a job whose end it had only in memory, and recorded nothing. If the worker and the holder were then lost, the end was lost with them. Such a cancel is now recorded like any other; if the end is stored before it, it has no effect.

--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -289,7 +289,8 @@
         waitForJournalRead(call, openCall);
         return;
     }
-    if (job->isOver()) {
+    // An end that is not stored yet may still be lost, and the tasks with it would run again.
+    if (job->isOver() && !m_unconfirmedEnds.contains(openCall.m_job)) {
         reply(call, openCall, replyOf(callers::ReplyKind::Cancelled), now);
         return;
     }
--- a/components/simulation/callers_test.cpp
+++ b/components/simulation/callers_test.cpp
@@ -466,3 +466,30 @@
     cr_assert(fixture.m_world.outcome(call).m_reply->m_kind == callers::ReplyKind::State);
     cr_assert(fixture.m_world.outcome(call).m_reply->m_state == jobs::JobState::Completed);
 }
+
+/// The holder ends while the job's end and the cancel are on their way to the store.
+Test(callers, cancelWhileTheEndIsBeingStored_isConfirmedOnlyOnceItIsStored)
+{
+    WorldFixture fixture;
+    World &world = fixture.m_world;
+    const jobs::JobId job = fixture.submit(makeTasks(1), {500ms});
+    const int holder = world.holder();
+    world.m_faults.m_storeDelay = 100ms;
+    cr_assert(world.runUntil(
+        [&] {
+            return world.m_logCounts["dispatch/job-end"] > 0;
+        },
+        5s));
+    world.m_faults.m_store = StoreMode::Unresponsive;
+    const int call = world.cancel(holder, job);
+    world.run(10ms);
+    const auto &reply = world.outcome(call).m_reply;
+    cr_assert(!reply || reply->m_kind != callers::ReplyKind::Cancelled, "neither the end nor the cancel is stored");
+    world.m_faults.m_store = StoreMode::Available;
+    world.m_faults.m_storeDelay = 4ms;
+    cr_assert(world.runUntil(
+        [&] {
+            return world.outcome(call).m_reply.has_value();
+        },
+        3s));
+}
