Test: the other run of a gang that turned out to be done is stopped

The test of a gang that was done while its workers could not be reached now checks that both members of the second run are stopped. It fails with that part taken out and passes with it; no code changed.

--- a/components/simulation/workers_test.cpp
+++ b/components/simulation/workers_test.cpp
@@ -301,6 +301,7 @@
     cr_assert(fixture.completes(job, 3s), "the gang is done, and the scheduler waits for another run of it");
     fixture.m_world.run(2s);
     cr_assert_eq(fixture.runCount(job), 4);
+    cr_assert_eq(fixture.endedRunCount(job, "stopped"), 2, "the members of the other run work in vain");
     fixture.expectNoViolation();
 }
 
