--- a/tests/process/early_signals.py
+++ b/tests/process/early_signals.py
@@ -13,7 +13,7 @@
 import tempfile
 import time
 
-from platform_site import HOST, call, free_ports, wait_for
+from platform_site import HOST, PORTS_PER_INSTANCE, call, free_ports, instance_settings, wait_for
 
 # Grace period of a planned stop, from the settings of the deployment.
 GRACE_S = 6
@@ -25,13 +25,9 @@
     """A process that has opened its settings and not yet read them."""
 
     def __init__(self, program, folder):
-        callers, readiness, peers, metrics, store = free_ports(5)
-        self.metrics = f"{HOST}:{metrics}"
-        self.text = (
-            f'instance = "kochi"\nzone = "kochi"\nregion = "kerala"\n[listen]\ncallers = "{HOST}:{callers}"\n'
-            f'readiness = "{HOST}:{readiness}"\npeers = "{HOST}:{peers}"\nmetrics = "{self.metrics}"\n'
-            f'[platform]\nstore = "{HOST}:{store}"\n'
-        )
+        *ports, store = free_ports(PORTS_PER_INSTANCE + 1)
+        self.metrics = f"{HOST}:{ports[-1]}"
+        self.text = instance_settings("kochi", ports, f"{HOST}:{store}")
         self.file = folder / "node.toml"
         self.file.unlink(missing_ok=True)
         os.mkfifo(self.file)
--- a/tests/process/platform_site.py
+++ b/tests/process/platform_site.py
@@ -42,6 +42,16 @@
     return {name: ports[i * PORTS_PER_INSTANCE : (i + 1) * PORTS_PER_INSTANCE] for i, name in enumerate(names)}
 
 
+def instance_settings(name, ports, store):
+    """The text of an instance's settings file. The name begins with the zone."""
+    callers, readiness, peers, metrics = ports
+    return (
+        f'instance = "{name}"\nzone = "{name.split("-")[0]}"\nregion = "kerala"\n[listen]\ncallers = "{HOST}:{callers}"\n'
+        f'readiness = "{HOST}:{readiness}"\npeers = "{HOST}:{peers}"\nmetrics = "{HOST}:{metrics}"\n'
+        f'[platform]\nstore = "{store}"\n'
+    )
+
+
 def call(address, method, path, body=None, headers=None):
     """One HTTP call. Returns (status, body); status 0 if there was no answer."""
     host, port = address.split(":")
@@ -96,13 +106,8 @@
         return subprocess.Popen([program, "--settings", settings], stdout=subprocess.PIPE, text=True)
 
     def start_instance(self, name):
-        callers, readiness, peers, metrics = self.ports[name]
         settings = self.folder / f"{name}.toml"
-        settings.write_text(
-            f'instance = "{name}"\nzone = "{name.split("-")[0]}"\nregion = "kerala"\n[listen]\ncallers = "{HOST}:{callers}"\n'
-            f'readiness = "{HOST}:{readiness}"\npeers = "{HOST}:{peers}"\nmetrics = "{HOST}:{metrics}"\n'
-            f'[platform]\nstore = "{self.stores[name]}"\n'
-        )
+        settings.write_text(instance_settings(name, self.ports[name], self.stores[name]))
         program = self.build / "apps" / "foxtailcross-node" / "foxtailcross-node"
         self.instances[name] = subprocess.Popen([program, settings], stdout=self.log_for(name), stderr=subprocess.STDOUT)
 
