--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -36,14 +36,31 @@
     const fleet::BootTime now = context.m_now.m_boot;
     worker.m_lastAnswerAt = now;
     context.m_state.m_zoneAnsweredAt[worker.m_registration.m_zone] = now;
+    if (worker.m_unansweredCalls > 0) {
+        context.m_out.m_log.push_back(logging::Line("dispatch", "worker-regained")
+                                          .add("worker", worker.m_registration.m_incarnation.m_worker.value())
+                                          .add("silent_ms", now - worker.m_silentSince)
+                                          .add("unanswered", worker.m_unansweredCalls)
+                                          .add("listed", worker.m_isListed)
+                                          .add("runs", worker.m_runs.size()));
+    }
     worker.m_unansweredCalls = 0;
     if (clockMs) {
         recordClock(worker, *clockMs, now);
     }
 }
 
-void recordNoAnswer(WorkerState &worker, fleet::BootTime now)
+void recordNoAnswer(Context &context, WorkerState &worker)
 {
+    const fleet::BootTime now = context.m_now.m_boot;
+    if (worker.m_unansweredCalls == 0) {
+        worker.m_silentSince = now;
+        context.m_out.m_log.push_back(logging::Line("dispatch", "worker-silent", logging::Level::Warning)
+                                          .add("worker", worker.m_registration.m_incarnation.m_worker.value())
+                                          .add("answered_ms", now - worker.m_lastAnswerAt)
+                                          .add("listed", worker.m_isListed)
+                                          .add("runs", worker.m_runs.size()));
+    }
     ++worker.m_unansweredCalls;
     avoid(worker, now + unavailablePause);
 }
@@ -284,7 +301,7 @@
     case workers::PollOutcome::NoAnswer:
     case workers::PollOutcome::OtherIncarnation:
     case workers::PollOutcome::Unhealthy:
-        recordNoAnswer(*worker, now);
+        recordNoAnswer(context, *worker);
         worker->m_nextPollAt = now + (worker->m_runs.empty() ? probeInterval : pollRetryDelay);
         return;
     case workers::PollOutcome::Answered:
@@ -328,7 +345,7 @@
     if (result.m_outcome == workers::OrderOutcome::Unknown || result.m_outcome == workers::OrderOutcome::NotSent) {
         run->m_isStartUncertain = run->m_isStartUncertain || result.m_outcome == workers::OrderOutcome::Unknown;
         run->m_hasUnansweredStart = run->m_hasUnansweredStart || result.m_outcome == workers::OrderOutcome::Unknown;
-        recordNoAnswer(*worker, now);
+        recordNoAnswer(context, *worker);
         if (result.m_outcome == workers::OrderOutcome::NotSent && !run->m_isStartUncertain && run->m_phase == RunPhase::Starting) {
             giveUpStart(context, order.m_run, *run, "unreachable");
         }
@@ -383,7 +400,7 @@
     }
     run->m_stopInFlight = false;
     if (result.m_outcome == workers::OrderOutcome::Unknown || result.m_outcome == workers::OrderOutcome::NotSent) {
-        recordNoAnswer(*worker, context.m_now.m_boot);
+        recordNoAnswer(context, *worker);
         return;
     }
     recordAnswer(context, *worker, result.m_clockMs);
--- a/components/dispatch/worker_state.hpp
+++ b/components/dispatch/worker_state.hpp
@@ -36,8 +36,9 @@
     fleet::BootTime m_lastAnswerAt;
     /// The worker is to be polled although it has no runs: to find out whether its zone is reachable, or whether it has ends to report.
     bool m_isProbeDue = false;
-    /// Orders and polls without an answer since the last answer.
+    /// Orders and polls without an answer since the last answer, and when the first of them ended.
     int m_unansweredCalls = 0;
+    fleet::BootTime m_silentSince;
     /// The worker has answered a poll with this holder's fencing token, and refuses orders with lower ones.
     bool m_hasAcceptedToken = false;
 
