Dispatch: a worker that does not answer is polled without a wait

Callers saw a job stand still with most of the fleet free after workers had been cut off (rule LOST). Cause: a poll asks the worker to wait 1.5 s for an end and times out 0.6 s later, also while the worker does not answer, so that one that can be reached again was found out up to 2.3 s later.

worker/cutOffForAWhile_nextStepOfWhatItDidBeginsSoonAfterTheCut failed before (at a cut of 1,500 ms).

--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -98,8 +98,9 @@
     order.m_acknowledgedUpTo = worker.m_endsStored > worker.m_endsAcknowledged ? worker.m_endsStored : 0;
     if (!worker.m_runs.empty()) {
         order.m_leaseUntilMs = leaseEnd(context, worker, context.m_state.m_settings.m_leaseLimit);
-        // An end that is listed but may not be forgotten yet would end the wait at once.
-        const bool mayWait = !hasUnstoredEnds && worker.m_hasAcceptedToken && !hasRunOverSincePoll;
+        // An end that is listed but may not be forgotten yet would end the wait at once. A worker that does not answer is polled without a
+        // wait, so that the call times out sooner and the next one shows that the worker can be reached again.
+        const bool mayWait = !hasUnstoredEnds && worker.m_hasAcceptedToken && !hasRunOverSincePoll && worker.m_unansweredCalls == 0;
         order.m_wait = mayWait ? context.m_state.m_settings.pollWait() : fleet::Duration(0);
     }
     if (order.m_leaseUntilMs) {
--- a/components/simulation/workers_test.cpp
+++ b/components/simulation/workers_test.cpp
@@ -26,6 +26,50 @@
     cr_assert_geq(fixture.endedRunCount(job, how), 1);
 }
 
+/// Submits a job of two steps, of which the second depends on the first, and waits until the first one runs.
+jobs::JobId submitTwoSteps(WorldFixture &fixture, const Behaviour &behaviour, std::uint16_t tasks = 1)
+{
+    jobs::JobSpec spec;
+    spec.m_id.m_value = 1;
+    spec.m_queue = fleet::QueueId("q1");
+    spec.m_steps = {makeTasks(tasks), makeTasks(2)};
+    spec.m_steps.back().m_dependsOn = {0};
+    fixture.m_world.submit(fixture.nonHolder(), spec, behaviour);
+    fixture.m_world.run(1s);
+    cr_assert(fixture.isRunning(spec.m_id));
+    return spec.m_id;
+}
+
+/// Cuts off the worker that runs the job's only task, which is done there before the cut is over.
+void cutOffUntilDone(WorldFixture &fixture, jobs::JobId job, fleet::Duration length)
+{
+    fixture.m_world.m_faults.m_unreachableWorkers.insert(fixture.runningWorker(job));
+    const fleet::BootTime end = fixture.m_world.now() + length;
+    fixture.m_world.runUntil(
+        [&] {
+            return fixture.m_world.now() >= end;
+        },
+        length);
+    cr_assert_eq(fixture.endedRunCount(job, "done"), 1, "after a cut of %d ms", static_cast<int>(length.count()));
+    fixture.m_world.m_faults.m_unreachableWorkers.clear();
+}
+
+/// Runs until a task of the second step runs; returns false if that takes longer than the limit.
+bool secondStepBegins(WorldFixture &fixture, fleet::Duration limit)
+{
+    return fixture.m_world.runUntil(
+        [&] {
+            const std::vector<RunRecord> &history = fixture.m_world.m_fleet.m_history;
+            return std::any_of(history.begin(), history.end(), [](const RunRecord &run) {
+                return run.m_run.m_task.m_step.m_step == 1;
+            });
+        },
+        limit);
+}
+
+/// A job is lost if it has stood still for 3 s when it is asked for 4.5 s after a partition. So it has to go on within this time.
+constexpr fleet::Duration timeToGoOn {1500};
+
 struct DoneJob
 {
     jobs::JobId m_job;
@@ -236,20 +280,10 @@
 Test(worker, runDoneWhileItsWorkerWasUnreachable_nextStepBegins)
 {
     WorldFixture fixture;
-    jobs::JobSpec spec;
-    spec.m_id.m_value = 1;
-    spec.m_queue = fleet::QueueId("q1");
-    spec.m_steps = {makeTasks(3), makeTasks(2)};
-    spec.m_steps.back().m_dependsOn = {0};
-    fixture.m_world.submit(fixture.nonHolder(), spec, {5s});
-    fixture.m_world.run(1s);
-    runUntilGivenUp(fixture, spec.m_id, fixture.runningWorker(spec.m_id));
+    const jobs::JobId job = submitTwoSteps(fixture, {5s}, 3);
+    runUntilGivenUp(fixture, job, fixture.runningWorker(job));
     fixture.m_world.m_faults.m_unreachableWorkers.clear();
-    fixture.m_world.run(2s);
-    const bool hasBegun = std::any_of(fixture.m_world.m_fleet.m_history.begin(), fixture.m_world.m_fleet.m_history.end(), [](const RunRecord &run) {
-        return run.m_run.m_task.m_step.m_step == 1;
-    });
-    cr_assert(hasBegun, "the first step is done, and the second does not begin");
+    cr_assert(secondStepBegins(fixture, 2s), "the first step is done, and the second does not begin");
     fixture.expectNoViolation();
 }
 
@@ -268,6 +302,18 @@
     fixture.expectNoViolation();
 }
 
+/// Guards against a job that stands still because the next poll of a worker that was cut off comes late.
+Test(worker, cutOffForAWhile_nextStepOfWhatItDidBeginsSoonAfterTheCut)
+{
+    for (fleet::Duration length {1500}; length <= fleet::Duration {4000}; length += fleet::Duration {100}) {
+        WorldFixture fixture;
+        const jobs::JobId job = submitTwoSteps(fixture, {2s});
+        cutOffUntilDone(fixture, job, length);
+        cr_assert(secondStepBegins(fixture, timeToGoOn), "after a cut of %d ms", static_cast<int>(length.count()));
+        fixture.expectNoViolation();
+    }
+}
+
 Test(worker, runDoneWhileItsWorkerWasUnreachable_countsForTheNextHolder)
 {
     WorldFixture fixture;
