Dispatch: a worker whose runs were given up is polled although its entry has expired

Callers saw a job stand still after a worker had been cut off from the instances and from the store. Cause: once the lease was over its runs were given up, and at the next read of the worker list without its entry the holder forgot the worker and its address. The end of a task that it had done was learnt only after the entry was written again (up to 2 s), the list was read (0.5 s) and a poll was answered; until then the next step waited for a second run.

The holder keeps such a worker and polls it each 0.8 s until it answers, another worker answers at its address, or 60 s have passed. For longer cuts the new entry starts the polls, as before.

worker/runDoneWhileItsWorkerWasUnlisted_nextStepBeginsBeforeItIsListedAgain failed before (at a cut of 4,600 ms).

--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -17,6 +17,9 @@
 /// Time after the first read of the worker list until a missing worker counts as gone. Workers that the list dropped while the
 /// store was unreachable are listed again within two seconds.
 constexpr fleet::Duration relistTime {2500};
+/// How long a worker is polled for the ends of runs that were given up, although it is not listed. Once it is listed again it is polled in
+/// any case.
+constexpr fleet::Duration unreportedEndsTime {60'000};
 /// A worker with this many consecutive unanswered calls counts as lost once its lease has expired.
 constexpr int unansweredCallsToGiveUp = 3;
 
@@ -72,7 +75,7 @@
     const bool isUnresponsive = worker.m_unansweredCalls > 0 && worker.m_isListed;
     // No start can be sent before the worker's clock is known, which an answer shows.
     const bool isClockNeeded = !worker.m_clockMs && !worker.m_runs.empty();
-    if (hasEndsToAcknowledge || isUnresponsive || worker.m_isProbeDue || isClockNeeded) {
+    if (hasEndsToAcknowledge || isUnresponsive || worker.m_isProbeDue || isClockNeeded || mayReportEnds(worker, context.m_now.m_boot)) {
         return true;
     }
     return std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
@@ -115,6 +118,11 @@
 
 }
 
+bool mayReportEnds(const WorkerState &worker, fleet::BootTime now)
+{
+    return worker.m_gaveUpRunsAt && now - *worker.m_gaveUpRunsAt < unreportedEndsTime;
+}
+
 std::optional<std::int64_t> leaseEnd(const Context &context, const WorkerState &worker, fleet::Duration length)
 {
     const std::optional<std::int64_t> clock = estimatedWorkerClock(worker, context.m_now.m_boot);
@@ -204,6 +212,7 @@
         }
     }
     for (const jobs::RunId &run : expired) {
+        context.m_state.m_workers.at(context.m_state.m_runs.at(run).m_incarnation.m_worker).m_gaveUpRunsAt = context.m_now.m_boot;
         endRun(context, run, jobs::RunEnd::LeaseExpired, {});
     }
 }
--- a/components/dispatch/orders.hpp
+++ b/components/dispatch/orders.hpp
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_DISPATCH_ORDERS_HPP
 #define COMPONENTS_DISPATCH_ORDERS_HPP
 
+#include "components/fleet/boot_time.hpp"
 #include "components/fleet/time.hpp"
 
 #include <cstdint>
@@ -19,6 +20,10 @@
 /// that did not answer or are to be probed.
 void sendDuePolls(Context &context);
 
+/// True if the worker may still report how runs ended that were given up because it did not answer. It is then polled although it may
+/// not be listed: its entry in the worker list is back only some time after it can be reached again.
+bool mayReportEnds(const WorkerState &worker, fleet::BootTime now);
+
 /// Ends the runs of workers whose leases have certainly expired, and those that cannot be started since their worker is silent.
 void endExpiredRuns(Context &context);
 
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -3,6 +3,7 @@
 #include "components/dispatch/advice.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/departures.hpp"
+#include "components/dispatch/orders.hpp"
 #include "components/dispatch/runs.hpp"
 #include "components/dispatch/unanswered_starts.hpp"
 
@@ -280,7 +281,7 @@
     for (auto entry = context.m_state.m_workers.begin(); entry != context.m_state.m_workers.end();) {
         WorkerState &worker = entry->second;
         worker.m_isListed = listed.contains(entry->first);
-        const bool isForgotten = !worker.m_isListed && worker.m_runs.empty() && !worker.m_pollInFlight;
+        const bool isForgotten = !worker.m_isListed && worker.m_runs.empty() && !worker.m_pollInFlight && !mayReportEnds(worker, context.m_now.m_boot);
         entry = isForgotten ? context.m_state.m_workers.erase(entry) : std::next(entry);
     }
     endRunsOfReplaced(context);
@@ -302,7 +303,10 @@
     case workers::PollOutcome::OtherIncarnation:
     case workers::PollOutcome::Unhealthy:
         recordNoAnswer(context, *worker);
-        worker->m_nextPollAt = now + (worker->m_runs.empty() ? probeInterval : pollRetryDelay);
+        if (result.m_outcome == workers::PollOutcome::OtherIncarnation) {
+            worker->m_gaveUpRunsAt.reset();
+        }
+        worker->m_nextPollAt = now + (worker->m_runs.empty() && !mayReportEnds(*worker, now) ? probeInterval : pollRetryDelay);
         return;
     case workers::PollOutcome::Answered:
         break;
@@ -313,6 +317,7 @@
         moveToNewIncarnation(context, *worker, registration);
     }
     recordAnswer(context, *worker, result.m_clockMs);
+    worker->m_gaveUpRunsAt.reset();
     if (!worker->m_hasAcceptedToken) {
         // Leases granted by earlier holders end at most one lease length from now.
         worker->m_grantedLeaseEndMs = std::max(worker->m_grantedLeaseEndMs, result.m_clockMs + context.m_state.m_settings.m_leaseLimit.count());
--- a/components/dispatch/worker_state.hpp
+++ b/components/dispatch/worker_state.hpp
@@ -39,6 +39,8 @@
     /// Orders and polls without an answer since the last answer, and when the first of them ended.
     int m_unansweredCalls = 0;
     fleet::BootTime m_silentSince;
+    /// When runs were last given up because the worker did not answer. Empty once it has answered a poll, which reports how they ended.
+    std::optional<fleet::BootTime> m_gaveUpRunsAt;
     /// The worker has answered a poll with this holder's fencing token, and refuses orders with lower ones.
     bool m_hasAcceptedToken = false;
 
--- a/components/simulation/workers_test.cpp
+++ b/components/simulation/workers_test.cpp
@@ -305,7 +305,7 @@
 /// Guards against a job that stands still because the next poll of a worker that was cut off comes late.
 Test(worker, cutOffForAWhile_nextStepOfWhatItDidBeginsSoonAfterTheCut)
 {
-    for (fleet::Duration length {1500}; length <= fleet::Duration {4000}; length += fleet::Duration {100}) {
+    for (fleet::Duration length {1500}; length <= fleet::Duration {6500}; length += fleet::Duration {100}) {
         WorldFixture fixture;
         const jobs::JobId job = submitTwoSteps(fixture, {2s});
         cutOffUntilDone(fixture, job, length);
@@ -314,6 +314,19 @@
     }
 }
 
+/// Guards against a job that stands still because a worker that was cut off is not polled until its entry is written again.
+Test(worker, runDoneWhileItsWorkerWasUnlisted_nextStepBeginsBeforeItIsListedAgain)
+{
+    for (fleet::Duration length {3500}; length <= fleet::Duration {9000}; length += fleet::Duration {100}) {
+        WorldFixture fixture;
+        const jobs::JobId job = submitTwoSteps(fixture, {4s});
+        fixture.m_world.unlist(fixture.runningWorker(job));
+        cutOffUntilDone(fixture, job, length);
+        cr_assert(secondStepBegins(fixture, timeToGoOn), "after a cut of %d ms", static_cast<int>(length.count()));
+        fixture.expectNoViolation();
+    }
+}
+
 Test(worker, runDoneWhileItsWorkerWasUnreachable_countsForTheNextHolder)
 {
     WorldFixture fixture;
