HTTP client: after a timeout the other idle connections to the address are closed

A partition or a router can silence open connections without a reset, while new ones work. A call that times out now closes the idle connections to its address, and the next one opens a new one.

http_client/severalIdleConnectionsAreSilent_oneTimeoutIsEnoughToUseANewOne failed before (no answer within 2 s).

--- a/components/http/client_core.cpp
+++ b/components/http/client_core.cpp
@@ -114,6 +114,11 @@
     auto &pool = m_pools[exchange->address()];
     --pool.m_busy;
     m_running.erase(exchange);
+    if (exchange->hasTimedOut()) {
+        // What silenced this connection may have silenced the others too, without a reset that would show it. Each of them would cost
+        // one more timeout.
+        pool.m_idle.clear();
+    }
     if (connection && !m_stopped) {
         connection->m_idleSince = std::chrono::steady_clock::now();
         pool.m_idle.push_back(std::move(connection));
--- a/components/http/client_exchange.cpp
+++ b/components/http/client_exchange.cpp
@@ -60,6 +60,7 @@
     m_timer.expires_after(timeout);
     m_timer.async_wait([self = shared_from_this()](const Error &cancelled) {
         if (!cancelled) {
+            self->m_hasTimedOut = true;
             self->abort("no complete response from " + toString(self->m_address) + " within the timeout");
         }
     });
@@ -90,6 +91,11 @@
     return m_ended;
 }
 
+bool ClientExchange::hasTimedOut() const
+{
+    return m_hasTimedOut;
+}
+
 bool ClientExchange::isPost() const
 {
     return m_request.method() == beasthttp::verb::post;
--- a/components/http/client_exchange.hpp
+++ b/components/http/client_exchange.hpp
@@ -38,6 +38,8 @@
     void abort(const std::string &reason);
 
     bool ended() const;
+    /// True if the exchange ended because no complete response arrived in time.
+    bool hasTimedOut() const;
     bool isPost() const;
     const Address &address() const;
 
@@ -62,6 +64,7 @@
     std::unique_ptr<ClientConnection> m_connection;
     bool m_isWriteStarted = false;
     bool m_ended = false;
+    bool m_hasTimedOut = false;
 };
 
 }
--- a/components/http/client_test.cpp
+++ b/components/http/client_test.cpp
@@ -133,6 +133,43 @@
     cr_assert_eq(second.get().m_response.m_body, "two");
 }
 
+/// Connections that a partition or a router has silenced, without a reset. With each of them used in turn, a worker that can be reached
+/// again stayed unknown for several timeouts, and its jobs stood still.
+Test(http_client, severalIdleConnectionsAreSilent_oneTimeoutIsEnoughToUseANewOne)
+{
+    auto listener = http::RawSocket::listen();
+    http::Client client;
+    std::vector<http::RawSocket> silent;
+    std::vector<std::future<http::Result>> answered;
+    for (int i = 0; i < 3; ++i) {
+        answered.push_back(start(client, listener.port(), post("x")));
+        silent.push_back(listener.accept());
+    }
+    for (int i = 0; i < 3; ++i) {
+        silent[i].readUntil("\r\n\r\nx");
+        silent[i].send(okAnswer("before"));
+    }
+    for (auto &result : answered) {
+        cr_assert_eq(result.get().m_response.m_body, "before");
+    }
+    cr_assert(exchange(client, listener.port(), post("y"), 50ms).m_kind == http::ResultKind::Unknown);
+    auto next = start(client, listener.port(), post("z"), 2000ms);
+    auto accepted = std::async(std::launch::async, [&] {
+        auto peer = listener.accept();
+        peer.readUntil("\r\n\r\nz");
+        peer.send(okAnswer("after"));
+        return peer;
+    });
+    const http::Result result = next.get();
+    if (result.m_kind != http::ResultKind::Answered) {
+        // Lets the accepting thread end.
+        start(client, listener.port(), post("z"));
+        start(client, listener.port(), post("z"));
+        start(client, listener.port(), post("z"));
+    }
+    cr_assert_eq(result.m_response.m_body, "after", "%s", result.m_reason.c_str());
+}
+
 Test(http_client, extraAnswerOnIdleConnection_isNotUsedForTheNextRequest)
 {
     auto listener = http::RawSocket::listen();
