Upkeep: a machine whose worker's entry has expired does not count as empty

Workers with runs now count although they are not listed, and while runs of an earlier holder are on machines that nobody knows yet no machine without a worker is ordered down.

upkeep/entriesOfItsWorkersExpire_theRunsOnTheMachinesKeepTheirLimits failed before.

--- a/components/dispatch/upkeep.cpp
+++ b/components/dispatch/upkeep.cpp
@@ -34,7 +34,8 @@
 }
 
 /// Returns the worker of the machine. An entry of another writer may name the machine as well, under another id: the worker that has
-/// runs comes first, then one that answers, so that a machine with runs never counts as empty.
+/// runs comes first, then one that answers, so that a machine with runs never counts as empty. Neither does one whose worker has runs
+/// although its entry has expired, as after an outage of the store.
 WorkerState *workerOf(Context &context, const fleet::MachineId &machine)
 {
     const auto rank = [](const WorkerState &worker) {
@@ -42,7 +43,7 @@
     };
     WorkerState *found = nullptr;
     for (auto &[id, worker] : context.m_state.m_workers) {
-        const bool isOfMachine = worker.m_isListed && worker.m_registration.m_machine == machine;
+        const bool isOfMachine = (worker.m_isListed || !worker.m_runs.empty()) && worker.m_registration.m_machine == machine;
         if (isOfMachine && (found == nullptr || rank(worker) > rank(*found))) {
             found = &worker;
         }
@@ -70,6 +71,14 @@
     return isDown(upkeep) || upkeep.m_phase == UpkeepPhase::Draining;
 }
 
+/// True if runs were taken over from another holder whose worker has not been listed since, so that nobody knows on which machine they are.
+bool hasRunsOnUnknownMachines(const Context &context)
+{
+    return std::any_of(context.m_state.m_workers.begin(), context.m_state.m_workers.end(), [](const auto &entry) {
+        return !entry.second.m_isListed && !entry.second.m_runs.empty() && entry.second.m_registration.m_address.empty();
+    });
+}
+
 template<class Condition>
 std::uint32_t countMachines(const WaveState &wave, Condition condition)
 {
@@ -145,7 +154,10 @@
 /// Stops runs on the machine once its drain time is over, within the disruption budgets. Returns true if no run is left.
 bool drain(Context &context, const MachineUpkeep &upkeep, WorkerState *worker, UnavailableTasks &unavailable)
 {
-    if (worker == nullptr || worker->m_runs.empty()) {
+    if (worker == nullptr) {
+        return !hasRunsOnUnknownMachines(context);
+    }
+    if (worker->m_runs.empty()) {
         return true;
     }
     if (context.m_now.m_boot >= upkeep.m_stopAt) {
--- a/components/simulation/upkeep_test.cpp
+++ b/components/simulation/upkeep_test.cpp
@@ -1,5 +1,6 @@
 #include "components/simulation/world_fixture_test.hpp"
 
+#include <algorithm>
 #include <chrono>
 
 #include <criterion/criterion.h>
@@ -117,3 +118,36 @@
     cr_assert_eq(fixture.runCount(job), 96);
     cr_assert_eq(fixture.m_world.m_machines.m_falseReports, 0);
 }
+
+/// After an outage of the store in which the entries expire, machines counted as empty and two were taken down with a task at work on each.
+Test(upkeep, entriesOfItsWorkersExpire_theRunsOnTheMachinesKeepTheirLimits)
+{
+    UpkeepFixture fixture;
+    jobs::StepSpec longRunning = makeTasks(12, 8);
+    longRunning.m_isLongRunning = true;
+    longRunning.m_maxUnavailable = 1;
+    const jobs::JobId serving = fixture.submit(longRunning, {1s});
+    fixture.m_world.run(2s);
+    cr_assert_eq(fixture.runCount(serving), 12);
+    for (const fleet::WorkerId &worker : fixture.m_world.workers()) {
+        fixture.m_world.unlist(worker);
+    }
+    fixture.m_world.run(1s);
+    fixture.requestUpkeep(2, 2, 60s);
+    fixture.m_world.run(1500ms);
+    cr_assert_eq(fixture.m_world.m_machines.m_maxMachinesDown, 0U, "no run was stopped before its machine was taken down");
+    for (const fleet::WorkerId &worker : fixture.m_world.workers()) {
+        fixture.m_world.relist(worker);
+    }
+    int mostAway = 0;
+    for (int i = 0; i < 200; ++i) {
+        fixture.m_world.run(100ms);
+        int running = 0;
+        for (const RunRecord &run : fixture.m_world.m_fleet.m_history) {
+            running += run.m_endedAt == fleet::BootTime::max() && run.m_run.m_task.m_step.m_job == serving ? 1 : 0;
+        }
+        mostAway = std::max(mostAway, 12 - running);
+    }
+    cr_assert_leq(mostAway, 1);
+    cr_assert_eq(fixture.endedRunCount(serving, "crashed"), 0);
+}
