Upkeep: a worker's restart before the order is accepted does not end the upkeep

Two machines of a wave of one were down at once (rule LIMIT) after a worker had restarted while its machine's order was refused. The latest order counts, and no machine is back before the upkeep can have taken its time. After an order without an answer the start does not show whether the machine is back; the time does.

upkeep/workerRestartsBeforeTheOrderIsAccepted_machineCountsAsDownUntilItIsBack failed before.

--- a/components/dispatch/machine_upkeep.hpp
+++ b/components/dispatch/machine_upkeep.hpp
@@ -29,8 +29,11 @@
     fleet::BootTime m_stopAt;
     bool m_isOrderOpen = false;
     fleet::BootTime m_nextOrderAt;
-    /// Start time of the worker that the machine had when the order was sent, in milliseconds since 1970.
+    /// Start time of the worker that the machine had when the latest order was sent, in milliseconds since 1970.
     std::int64_t m_previousStartMs = 0;
+    /// An order without an answer may have begun the upkeep. The worker's start time then does not show whether
+    /// the machine is back.
+    bool m_mayHaveBegun = false;
 };
 
 }
--- a/components/dispatch/upkeep.cpp
+++ b/components/dispatch/upkeep.cpp
@@ -176,12 +176,26 @@
     const WorkerState *worker = workerOf(context, machine);
     if (upkeep.m_phase == UpkeepPhase::Draining) {
         upkeep.m_phase = UpkeepPhase::Ordered;
-        upkeep.m_previousStartMs = worker == nullptr ? 0 : worker->m_registration.m_incarnation.m_startedAtMs;
     }
+    // A worker may restart before an order is accepted, so only the latest order counts.
+    upkeep.m_previousStartMs = worker == nullptr ? 0 : worker->m_registration.m_incarnation.m_startedAtMs;
     upkeep.m_isOrderOpen = true;
     context.m_out.m_upkeeps.push_back({wave, machine, {}, context.m_state.m_token});
 }
 
+/// True if the upkeep is over. It takes its full time, so a newer worker that is listed before has restarted shortly before the upkeep.
+bool isBack(const Context &context, const MachineUpkeep &upkeep, const WorkerState *worker)
+{
+    const fleet::Duration down = context.m_now.m_boot - upkeep.m_since;
+    if (down >= expectedDowntime(context) + maxDelayAfterUpkeep) {
+        return true;
+    }
+    if (worker == nullptr || down < context.m_state.m_settings.m_upkeepTime) {
+        return false;
+    }
+    return worker->m_registration.m_incarnation.m_startedAtMs > upkeep.m_previousStartMs || (upkeep.m_mayHaveBegun && down >= expectedDowntime(context));
+}
+
 void advanceMachine(Context &context, std::uint64_t wave, const fleet::MachineId &machine, MachineUpkeep &upkeep, UnavailableTasks &unavailable)
 {
     WorkerState *worker = workerOf(context, machine);
@@ -191,8 +205,7 @@
     if ((isDrained || upkeep.m_phase == UpkeepPhase::Ordered) && isDue) {
         sendUpkeepOrder(context, wave, machine, upkeep);
     } else if (upkeep.m_phase == UpkeepPhase::Down) {
-        const bool isBack = worker != nullptr && worker->m_registration.m_incarnation.m_startedAtMs > upkeep.m_previousStartMs;
-        if (isBack || context.m_now.m_boot - upkeep.m_since >= expectedDowntime(context) + maxDelayAfterUpkeep) {
+        if (isBack(context, upkeep, worker)) {
             upkeep.m_phase = UpkeepPhase::Over;
             context.m_state.m_planIsDue = true;
             setCordoned(context, machine, false);
@@ -266,9 +279,11 @@
     case machines::UpkeepOutcome::NotInWave:
         upkeep.m_phase = UpkeepPhase::Over;
         break;
+    case machines::UpkeepOutcome::Unknown:
+        upkeep.m_mayHaveBegun = true;
+        break;
     case machines::UpkeepOutcome::Busy:
     case machines::UpkeepOutcome::Refused:
-    case machines::UpkeepOutcome::Unknown:
         // The order is sent again; until then the machine counts as down.
         break;
     }
--- a/components/simulation/faults.hpp
+++ b/components/simulation/faults.hpp
@@ -41,6 +41,10 @@
     bool m_isAdviceUnavailable = false;
     /// Share (0 to 1) of upkeep orders that are carried out but not answered.
     double m_unansweredUpkeeps = 0;
+    /// How much later these are carried out.
+    fleet::Duration m_upkeepDelay {0};
+    /// The machine service refuses upkeep orders.
+    bool m_areUpkeepsRefused = false;
     /// How far the time of day of instances is ahead of the others'.
     std::map<int, fleet::Duration> m_clockOffsets;
     /// Share (0 to 1) of datagrams that are lost.
--- a/components/simulation/upkeep_test.cpp
+++ b/components/simulation/upkeep_test.cpp
@@ -119,6 +119,27 @@
     cr_assert_eq(fixture.m_world.m_machines.m_falseReports, 0);
 }
 
+/// The start of the worker was noted at the first order, so the machine counted as back at once and the next one was taken down beside it.
+Test(upkeep, workerRestartsBeforeTheOrderIsAccepted_machineCountsAsDownUntilItIsBack)
+{
+    UpkeepFixture fixture;
+    fixture.m_world.m_faults.m_areUpkeepsRefused = true;
+    fixture.requestUpkeep(3, 1, 60s);
+    const bool isRefused = fixture.m_world.runUntil(
+        [&] {
+            return fixture.m_world.m_logCounts["upkeep/ordered"] > 0;
+        },
+        8s);
+    cr_assert(isRefused);
+    for (std::size_t i = 0; i < 3; ++i) {
+        fixture.m_world.crashWorker(fixture.m_world.workers()[i], true);
+    }
+    fixture.m_world.run(1s);
+    fixture.m_world.m_faults.m_areUpkeepsRefused = false;
+    cr_assert(fixture.isCompleted(60s));
+    cr_assert_eq(fixture.m_world.m_machines.m_maxMachinesDown, 1U);
+}
+
 /// After an outage of the store in which the entries expire, machines counted as empty and two were taken down with a task at work on each.
 Test(upkeep, entriesOfItsWorkersExpire_theRunsOnTheMachinesKeepTheirLimits)
 {
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -181,17 +181,30 @@
             return;
         }
         m_world.schedule(m_world.oneWayLatency(), [world = &m_world, instance = m_instance, incarnation = m_incarnation, order, now] {
-            answerPoll(*world, instance, incarnation, order, now, order.m_wait);
+            const auto worker = world->m_fleet.m_workers.find(order.m_target.m_worker);
+            if (worker != world->m_fleet.m_workers.end()) {
+                answerPoll(*world, instance, incarnation, order, now, order.m_wait, worker->second.m_registration.m_incarnation);
+            }
         });
     }
 
     void orderUpkeep(const machines::UpkeepOrder &order) override
     {
         const bool isLost = m_world.randomFraction() < m_world.m_faults.m_unansweredUpkeeps;
-        m_world.schedule(m_world.oneWayLatency(), [world = &m_world, order, isLost, instance = m_instance, incarnation = m_incarnation] {
-            const machines::UpkeepOutcome outcome = world->beginUpkeep(order);
-            const node::UpkeepEnded ended {order, isLost ? machines::UpkeepOutcome::Unknown : outcome};
-            world->schedule(isLost ? orderTimeout : world->oneWayLatency(), [world, instance, incarnation, ended] {
+        if (isLost) {
+            m_world.schedule(m_world.oneWayLatency() + m_world.m_faults.m_upkeepDelay, [world = &m_world, order] {
+                world->beginUpkeep(order);
+            });
+            deliverAfter(orderTimeout, node::UpkeepEnded {order, machines::UpkeepOutcome::Unknown});
+            return;
+        }
+        if (m_world.m_faults.m_areUpkeepsRefused) {
+            deliverAfter(m_world.oneWayLatency() * 2, node::UpkeepEnded {order, machines::UpkeepOutcome::Refused});
+            return;
+        }
+        m_world.schedule(m_world.oneWayLatency(), [world = &m_world, order, instance = m_instance, incarnation = m_incarnation] {
+            const node::UpkeepEnded ended {order, world->beginUpkeep(order)};
+            world->schedule(world->oneWayLatency(), [world, instance, incarnation, ended] {
                 world->deliver(instance, incarnation, ended);
             });
         });
@@ -279,9 +292,24 @@
         }
     }
 
-    static void answerPoll(World &world, int instance, std::uint64_t incarnation, workers::PollOrder order, fleet::BootTime sentAt, fleet::Duration wait)
+    /// Answers a poll that the given incarnation of the worker has received, or lets it wait.
+    static void answerPoll(World &world,
+                           int instance,
+                           std::uint64_t incarnation,
+                           workers::PollOrder order,
+                           fleet::BootTime sentAt,
+                           fleet::Duration wait,
+                           const workers::WorkerIncarnation &receiver)
     {
-        if (!world.m_fleet.m_workers.at(order.m_target.m_worker).m_isUp) {
+        const ModelWorker &worker = world.m_fleet.m_workers.at(order.m_target.m_worker);
+        if (!worker.m_isUp) {
+            return;
+        }
+        if (worker.m_registration.m_incarnation != receiver) {
+            // The connection ended with the process that had received the poll.
+            world.schedule(world.oneWayLatency(), [&world, instance, incarnation, order, sentAt] {
+                world.deliver(instance, incarnation, node::PollEnded {order, sentAt, {}});
+            });
             return;
         }
         advance(world.m_fleet, world.m_now);
@@ -289,9 +317,11 @@
         const bool isAnswered = !result.m_ended.empty() || wait.count() <= 0 || result.m_outcome != workers::PollOutcome::Answered;
         if (!isAnswered) {
             const fleet::Duration step = std::min(wait, fleet::Duration(20));
+            // The poll has had its effects as it arrived.
             order.m_leaseUntilMs.reset();
-            world.schedule(step, [&world, instance, incarnation, order, sentAt, wait, step] {
-                answerPoll(world, instance, incarnation, order, sentAt, wait - step);
+            order.m_acknowledgedUpTo = 0;
+            world.schedule(step, [&world, instance, incarnation, order, sentAt, wait, step, receiver] {
+                answerPoll(world, instance, incarnation, order, sentAt, wait - step, receiver);
             });
             return;
         }
