Upkeep: a machine is recorded before it is ordered down

The record is now stored before the order is sent. A successor gives such machines no new runs from its first read of the worker list on, and orders them down again: that does nothing if the upkeep has begun, and has the platform refuse the earlier order by its token. The stored format is unchanged; an older process that takes the duty over counts such a machine as done.

--- a/components/dispatch/context.hpp
+++ b/components/dispatch/context.hpp
@@ -9,6 +9,7 @@
 #include "components/journal/ended_run.hpp"
 #include "components/journal/journal_state.hpp"
 #include "components/journal/launch.hpp"
+#include "components/journal/upkeep_ordered.hpp"
 
 #include <map>
 #include <set>
@@ -32,6 +33,7 @@
     std::vector<journal::Launch> m_reopened;
     std::map<workers::WorkerIncarnation, std::uint64_t> m_endNumbers;
     std::vector<journal::Launch> m_launched;
+    std::vector<journal::UpkeepOrdered> m_orderedUpkeeps;
     /// Jobs to reconcile: a run ended, the job itself changed, or one of its gangs is incomplete.
     std::set<jobs::JobId> m_changedJobs;
     Outbox m_out;
--- a/components/dispatch/pending_batch.hpp
+++ b/components/dispatch/pending_batch.hpp
@@ -3,6 +3,7 @@
 
 #include "components/fleet/identifiers.hpp"
 #include "components/jobs/run_id.hpp"
+#include "components/journal/upkeep_ordered.hpp"
 #include "components/workers/worker_incarnation.hpp"
 
 #include <cstdint>
@@ -12,11 +13,12 @@
 namespace dispatch
 {
 
-/// Runs and ends that wait for a batch of records to be stored.
+/// Runs, ends and upkeep orders that wait for a batch of records to be stored.
 struct PendingBatch
 {
     std::uint64_t m_batch = 0;
     std::vector<jobs::RunId> m_launched;
+    std::vector<journal::UpkeepOrdered> m_upkeeps;
     /// Highest number of an end in the batch, by the worker that reported it.
     std::map<workers::WorkerIncarnation, std::uint64_t> m_ends;
 };
--- a/components/dispatch/scheduler_events.cpp
+++ b/components/dispatch/scheduler_events.cpp
@@ -31,7 +31,7 @@
 
 Context makeContext(State &state, const Environment &environment, fleet::Now now)
 {
-    return {state, environment.m_journalState, environment.m_catalog, environment.m_zonesOut, environment.m_waves, now, {}, {}, {}, {}, {}, {}};
+    return {state, environment.m_journalState, environment.m_catalog, environment.m_zonesOut, environment.m_waves, now, {}, {}, {}, {}, {}, {}, {}};
 }
 
 void reconcileChangedJobs(Context &context)
@@ -53,6 +53,9 @@
             run->second.m_nextStartAt = now;
         }
     }
+    for (const journal::UpkeepOrdered &upkeep : batch.m_upkeeps) {
+        recordUpkeepStored(state, upkeep);
+    }
     for (const auto &[incarnation, number] : batch.m_ends) {
         const auto worker = state.m_workers.find(incarnation.m_worker);
         if (worker != state.m_workers.end() && worker->second.m_registration.m_incarnation == incarnation) {
@@ -67,7 +70,7 @@
 {
     std::deque<PendingBatch> &pending = context.m_state.m_pendingBatches;
     if (pending.empty()) {
-        applyStored(context.m_state, {0, {}, context.m_endNumbers}, context.m_now.m_boot);
+        applyStored(context.m_state, {0, {}, {}, context.m_endNumbers}, context.m_now.m_boot);
         return;
     }
     for (const auto &[incarnation, number] : context.m_endNumbers) {
@@ -106,8 +109,7 @@
 /// Collects the recorded changes into one batch, and remembers which runs and ends wait for it to be stored.
 void recordBatch(Context &context)
 {
-    const bool hasUpkeep = !context.m_out.m_records.empty();
-    if (context.m_ended.empty() && context.m_launched.empty() && !hasUpkeep) {
+    if (context.m_ended.empty() && context.m_launched.empty() && context.m_orderedUpkeeps.empty()) {
         releaseRecordedEnds(context);
         return;
     }
@@ -126,6 +128,8 @@
         }
         addLaunches(context.m_out.m_records, context.m_launched);
     }
+    context.m_out.m_records.insert(context.m_out.m_records.end(), context.m_orderedUpkeeps.begin(), context.m_orderedUpkeeps.end());
+    batch.m_upkeeps = context.m_orderedUpkeeps;
     context.m_out.m_batch = batch.m_batch;
     context.m_state.m_pendingBatches.push_back(std::move(batch));
 }
@@ -222,6 +226,7 @@
 {
     Context context = makeContext(state, environment, now);
     applyWorkerList(context, registrations);
+    cordonMachines(context);
     state.m_firstListAt = state.m_firstListAt.value_or(now.m_boot);
     return finish(context);
 }
--- a/components/dispatch/upkeep.cpp
+++ b/components/dispatch/upkeep.cpp
@@ -61,14 +61,9 @@
     }
 }
 
-bool isDown(const MachineUpkeep &upkeep)
-{
-    return upkeep.m_phase == UpkeepPhase::Ordered || upkeep.m_phase == UpkeepPhase::Down;
-}
-
 bool isInProgress(const MachineUpkeep &upkeep)
 {
-    return isDown(upkeep) || upkeep.m_phase == UpkeepPhase::Draining;
+    return upkeep.m_phase != UpkeepPhase::Waiting && upkeep.m_phase != UpkeepPhase::Over;
 }
 
 /// True if runs were taken over from another holder whose worker has not been listed since, so that nobody knows on which machine they are.
@@ -87,16 +82,16 @@
     }));
 }
 
-/// Adds the machines of a wave that are not known yet. Machines whose upkeep has begun according to the journal may still be down.
+/// Adds the machines of a wave that are not known yet. An earlier holder may have ordered some of them down, and its orders may still be
+/// under way. They are ordered again: that does nothing if the upkeep has begun, and has the platform refuse the earlier orders.
 void addMachines(Context &context, const catalog::UpkeepWave &wave, WaveState &state)
 {
-    const auto begun = context.m_journalState.m_upkeeps.find(wave.m_number);
+    const auto ordered = context.m_journalState.m_upkeeps.find(wave.m_number);
     for (const fleet::MachineId &machine : wave.m_machines) {
         const auto [entry, isNew] = state.m_machines.try_emplace(machine);
-        if (isNew && begun != context.m_journalState.m_upkeeps.end() && begun->second.contains(machine)) {
-            entry->second.m_phase = UpkeepPhase::Down;
-            entry->second.m_since = context.m_now.m_boot;
-            entry->second.m_previousStartMs = 0;
+        if (isNew && ordered != context.m_journalState.m_upkeeps.end() && ordered->second.contains(machine)) {
+            entry->second.m_phase = UpkeepPhase::Ordered;
+            entry->second.m_mayHaveBegun = true;
         }
     }
 }
@@ -171,12 +166,16 @@
     return worker->m_runs.empty();
 }
 
+void recordUpkeep(Context &context, std::uint64_t wave, const fleet::MachineId &machine, MachineUpkeep &upkeep)
+{
+    upkeep.m_phase = UpkeepPhase::Recording;
+    context.m_journalState.m_upkeeps[wave].insert(machine);
+    context.m_orderedUpkeeps.push_back({wave, machine});
+}
+
 void sendUpkeepOrder(Context &context, std::uint64_t wave, const fleet::MachineId &machine, MachineUpkeep &upkeep)
 {
     const WorkerState *worker = workerOf(context, machine);
-    if (upkeep.m_phase == UpkeepPhase::Draining) {
-        upkeep.m_phase = UpkeepPhase::Ordered;
-    }
     // A worker may restart before an order is accepted, so only the latest order counts.
     upkeep.m_previousStartMs = worker == nullptr ? 0 : worker->m_registration.m_incarnation.m_startedAtMs;
     upkeep.m_isOrderOpen = true;
@@ -202,14 +201,14 @@
     setCordoned(context, machine, isInProgress(upkeep));
     const bool isDue = !upkeep.m_isOrderOpen && context.m_now.m_boot >= upkeep.m_nextOrderAt;
     const bool isDrained = upkeep.m_phase == UpkeepPhase::Draining && drain(context, upkeep, worker, unavailable);
-    if ((isDrained || upkeep.m_phase == UpkeepPhase::Ordered) && isDue) {
+    if (isDrained) {
+        recordUpkeep(context, wave, machine, upkeep);
+    } else if (upkeep.m_phase == UpkeepPhase::Ordered && isDue) {
         sendUpkeepOrder(context, wave, machine, upkeep);
-    } else if (upkeep.m_phase == UpkeepPhase::Down) {
-        if (isBack(context, upkeep, worker)) {
-            upkeep.m_phase = UpkeepPhase::Over;
-            context.m_state.m_planIsDue = true;
-            setCordoned(context, machine, false);
-        }
+    } else if (upkeep.m_phase == UpkeepPhase::Down && isBack(context, upkeep, worker)) {
+        upkeep.m_phase = UpkeepPhase::Over;
+        context.m_state.m_planIsDue = true;
+        setCordoned(context, machine, false);
     }
 }
 
@@ -228,6 +227,17 @@
 
 }
 
+void cordonMachines(Context &context)
+{
+    for (const auto &[key, wave] : context.m_waves) {
+        WaveState &state = context.m_state.m_waves[wave.m_number];
+        addMachines(context, wave, state);
+        for (const auto &[machine, upkeep] : state.m_machines) {
+            setCordoned(context, machine, isInProgress(upkeep));
+        }
+    }
+}
+
 void advanceWaves(Context &context)
 {
     // An order of the previous holder may still be on its way to a machine.
@@ -270,8 +280,6 @@
     case machines::UpkeepOutcome::Begun:
         upkeep.m_phase = UpkeepPhase::Down;
         upkeep.m_since = context.m_now.m_boot;
-        context.m_journalState.m_upkeeps[order.m_wave].insert(order.m_machine);
-        context.m_out.m_records.emplace_back(journal::UpkeepBegun {order.m_wave, order.m_machine});
         break;
     case machines::UpkeepOutcome::Fenced:
         context.m_out.m_isFenced = true;
@@ -289,6 +297,18 @@
     }
 }
 
+void recordUpkeepStored(State &state, const journal::UpkeepOrdered &stored)
+{
+    const auto wave = state.m_waves.find(stored.m_wave);
+    if (wave == state.m_waves.end()) {
+        return;
+    }
+    const auto machine = wave->second.m_machines.find(stored.m_machine);
+    if (machine != wave->second.m_machines.end() && machine->second.m_phase == UpkeepPhase::Recording) {
+        machine->second.m_phase = UpkeepPhase::Ordered;
+    }
+}
+
 void applyReportResult(Context &context, const machines::WaveReport &report, bool isStored)
 {
     const auto wave = context.m_state.m_waves.find(report.m_wave);
--- a/components/journal/journal_state.cpp
+++ b/components/journal/journal_state.cpp
@@ -246,7 +246,7 @@
 {
 }
 
-void applyBody(JournalState &state, const UpkeepBegun &record, Changes &)
+void applyBody(JournalState &state, const UpkeepOrdered &record, Changes &)
 {
     state.m_upkeeps[record.m_wave].insert(record.m_machine);
 }
--- a/components/journal/journal_state.hpp
+++ b/components/journal/journal_state.hpp
@@ -28,7 +28,7 @@
     std::map<fleet::InstanceId, InstanceRecord> m_instances;
     HolderRecord m_holder;
     std::vector<FormerHolder> m_formerHolders;
-    /// Machines that were taken down for their upkeep, by wave.
+    /// Machines that were or may have been taken down for their upkeep, by wave.
     std::map<std::uint64_t, std::set<fleet::MachineId>> m_upkeeps;
     /// Jobs that ended since the last call of forgetEnded().
     std::vector<jobs::JobId> m_newlyEnded;
--- a/components/journal/record.hpp
+++ b/components/journal/record.hpp
@@ -10,7 +10,7 @@
 #include "components/journal/runs_ended.hpp"
 #include "components/journal/runs_launched.hpp"
 #include "components/journal/snapshot_written.hpp"
-#include "components/journal/upkeep_begun.hpp"
+#include "components/journal/upkeep_ordered.hpp"
 
 #include <cstddef>
 #include <string>
@@ -22,7 +22,7 @@
 
 /// One record of the journal. The order of the alternatives is part of the stored format.
 using Record = std::
-    variant<JobAccepted, JobCancelled, RunsLaunched, RunsEnded, InstanceStarted, HolderClaimed, HolderResigned, HolderHeartbeat, SnapshotWritten, UpkeepBegun>;
+    variant<JobAccepted, JobCancelled, RunsLaunched, RunsEnded, InstanceStarted, HolderClaimed, HolderResigned, HolderHeartbeat, SnapshotWritten, UpkeepOrdered>;
 
 /// Maximum bytes of an encoded record. The store accepts no longer ones, and an append of one would be repeated without end.
 constexpr std::size_t maxRecordBytes = 262'144;
--- a/components/simulation/upkeep_test.cpp
+++ b/components/simulation/upkeep_test.cpp
@@ -119,6 +119,33 @@
     cr_assert_eq(fixture.m_world.m_machines.m_falseReports, 0);
 }
 
+/// The successor did not know of the order: it gave the machine new runs, took another one down, and then the order was carried out.
+Test(upkeep, orderCarriedOutAfterItsHolderHasStopped_limitIsKeptAndNoRunIsCutOff)
+{
+    for (int delay = 3500; delay <= 12'000; delay += 500) {
+        UpkeepFixture fixture;
+        fixture.m_world.m_faults.m_unansweredUpkeeps = 1;
+        fixture.m_world.m_faults.m_upkeepDelay = fleet::Duration(delay);
+        fixture.requestUpkeep(12, 1, 120s);
+        const bool isOrdered = fixture.m_world.runUntil(
+            [&] {
+                return fixture.m_world.m_logCounts["upkeep/ordered"] > 0;
+            },
+            8s);
+        cr_assert(isOrdered);
+        fixture.m_world.requestStop(fixture.m_world.holder());
+        fixture.m_world.m_faults.m_unansweredUpkeeps = 0;
+        cr_assert(fixture.waitForHolder(2s));
+        // The rack of the machine that is ordered down is the one whose machines have runs.
+        jobs::StepSpec inItsRack = makeTasks(12, 8);
+        inItsRack.m_requiredLabel = fixture.m_world.m_fleet.m_workers.at(fixture.m_world.workers().front()).m_registration.m_rack.value();
+        const jobs::JobId job = fixture.submit(inItsRack, {30s});
+        fixture.m_world.run(fleet::Duration(delay));
+        cr_assert_eq(fixture.m_world.m_machines.m_maxMachinesDown, 1U, "after a delay of %d ms", delay);
+        cr_assert_eq(fixture.endedRunCount(job, "crashed"), 0, "after a delay of %d ms", delay);
+    }
+}
+
 /// The start of the worker was noted at the first order, so the machine counted as back at once and the next one was taken down beside it.
 Test(upkeep, workerRestartsBeforeTheOrderIsAccepted_machineCountsAsDownUntilItIsBack)
 {
