--- a/components/journal/job_record.cpp
+++ b/components/journal/job_record.cpp
@@ -16,7 +16,12 @@
     if (job.m_isCancelled) {
         return jobs::JobState::Cancelled;
     }
-    return job.m_hasBegun ? jobs::JobState::Running : jobs::JobState::Queued;
+    return hasBegun(job) ? jobs::JobState::Running : jobs::JobState::Queued;
+}
+
+bool hasBegun(const JobRecord &job)
+{
+    return job.m_hasBegun || job.m_openRuns > 0;
 }
 
 const StepRecord *findStep(const JobRecord &job, const jobs::StepId &step)
--- a/components/journal/job_record.hpp
+++ b/components/journal/job_record.hpp
@@ -22,7 +22,7 @@
     fleet::TimePoint m_acceptedAt;
     bool m_isCancelled = false;
     bool m_hasFailed = false;
-    /// True once a run of the job was launched.
+    /// A run of the job that had begun has ended. A launch alone does not count, since its worker may refuse it.
     bool m_hasBegun = false;
     /// When the job completed, failed or was cancelled, by the clock of the instance that recorded it.
     fleet::TimePoint m_endedAt;
@@ -63,6 +63,9 @@
 
 jobs::JobState stateOf(const JobRecord &job);
 
+/// True if a run of the job has begun or is about to, as far as the journal shows.
+bool hasBegun(const JobRecord &job);
+
 /// Returns the record of a task, or nullptr if its occurrence has no record because it has not begun or is done.
 const TaskRecord *findTask(const JobRecord &job, const jobs::TaskId &task);
 const StepRecord *findStep(const JobRecord &job, const jobs::StepId &step);
--- a/components/journal/journal_state.cpp
+++ b/components/journal/journal_state.cpp
@@ -73,7 +73,6 @@
     });
     record.m_lastRun = launch.m_run.m_run;
     record.m_open.push_back(open);
-    job.m_hasBegun = true;
     ++job.m_openRuns;
     changes.m_changed.push_back(task.m_step.m_job);
 }
@@ -177,6 +176,7 @@
     const OpenRun launched = *open;
     task.m_open.erase(open);
     --job.m_openRuns;
+    job.m_hasBegun = job.m_hasBegun || ended.m_end != jobs::RunEnd::NeverBegan;
     updateCheckpoint(job, step, task, ended);
     const bool isGang = job.m_spec.m_steps[id.m_step.m_step].m_isGang;
     if (isGang && ended.m_end == jobs::RunEnd::NeverBegan && task.m_lastRun == ended.m_run.m_run) {
--- a/components/journal/journal_state_test.cpp
+++ b/components/journal/journal_state_test.cpp
@@ -114,6 +114,27 @@
     cr_assert(fixture.task(0).m_open.empty());
 }
 
+/// The start was refused: the job was missing from the jobs that wait, and shown as running.
+Test(JournalState, launchThatNeverBegan_jobHasNotBegun)
+{
+    JournalStateFixture fixture(false);
+    fixture.launch(0, 1, firstWorker);
+    cr_assert(hasBegun(*findJob(fixture.state(), job)));
+    fixture.end(0, 1, firstWorker, jobs::RunEnd::NeverBegan);
+    cr_assert_not(hasBegun(*findJob(fixture.state(), job)));
+    cr_assert(stateOf(*findJob(fixture.state(), job)) == jobs::JobState::Queued);
+}
+
+Test(JournalState, launchThatNeverBeganAfterARunThatDid_jobHasBegun)
+{
+    JournalStateFixture fixture(false);
+    fixture.launch(0, 1, firstWorker);
+    fixture.end(0, 1, firstWorker, jobs::RunEnd::Stopped);
+    fixture.launch(0, 2, firstWorker);
+    fixture.end(0, 2, firstWorker, jobs::RunEnd::NeverBegan);
+    cr_assert(hasBegun(*findJob(fixture.state(), job)));
+}
+
 Test(JournalState, endReportedAfterWorkerRestart_runLaunchedBeforeRestart_endsRun)
 {
     JournalStateFixture fixture;
--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -360,7 +360,7 @@
     reply.m_waitingJobs
         = static_cast<std::size_t>(std::count_if(m_journal.m_journalState.m_jobs.begin(), m_journal.m_journalState.m_jobs.end(), [&](const auto &entry) {
               const journal::JobRecord &job = entry.second;
-              return job.m_spec.m_queue == queue && !job.m_hasBegun && !job.isOver();
+              return job.m_spec.m_queue == queue && !journal::hasBegun(job) && !job.isOver();
           }));
     return reply;
 }
