Dispatch: steps that are done before a reservation is met may use its capacity

A reservation now says when it should be met, and a step whose estimate ends before then may use the capacity. Steps that would take longer still wait, so that the gang does not starve.

standingStill/gangHoldsAReservationBehindALongTask_otherStepsStart is no longer skipped; it failed before. A step that takes longer than its estimate delays the gang by the rest.

--- a/components/dispatch/available_workers.cpp
+++ b/components/dispatch/available_workers.cpp
@@ -45,7 +45,7 @@
     for (const auto &[step, reservation] : context.m_state.m_reservations) {
         const auto reserved = reservation.m_resources.find(worker);
         if (reserved != reservation.m_resources.end()) {
-            reservations.push_back({step, reservation.m_rank, reserved->second});
+            reservations.push_back({step, reservation.m_rank, reserved->second, reservation.m_expectedAt - context.m_now.m_boot});
         }
     }
     return reservations;
@@ -65,6 +65,12 @@
     });
 }
 
+/// True if the tasks of the candidate should be done within the given time.
+bool isDoneWithin(const Candidate &candidate, fleet::Duration time)
+{
+    return !candidate.m_spec->m_isLongRunning && candidate.m_spec->m_estimate.count() > 0 && candidate.m_spec->m_estimate <= time;
+}
+
 std::uint32_t countOpenRuns(const Candidate &candidate, const WorkerState &worker)
 {
     return static_cast<std::uint32_t>(std::count_if(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
@@ -134,13 +140,21 @@
 {
     fleet::Resources free = available.m_free;
     for (const WorkerReservation &reservation : available.m_reservations) {
-        if (reservation.m_step != candidate.m_step && reservation.m_rank <= rankOf(candidate)) {
+        if (reservation.m_step != candidate.m_step && reservation.m_rank <= rankOf(candidate) && !isDoneWithin(candidate, reservation.m_expectedWait)) {
             free = free - reservation.m_resources;
         }
     }
     return free;
 }
 
+std::size_t countUsableReservations(const Context &context, const Candidate &candidate)
+{
+    const std::map<jobs::StepId, Reservation> &reservations = context.m_state.m_reservations;
+    return static_cast<std::size_t>(std::count_if(reservations.begin(), reservations.end(), [&](const auto &entry) {
+        return isDoneWithin(candidate, entry.second.m_expectedAt - context.m_now.m_boot);
+    }));
+}
+
 std::size_t countReservedWorkers(const AvailableWorkers &availableWorkers)
 {
     return static_cast<std::size_t>(std::count_if(availableWorkers.begin(), availableWorkers.end(), [](const AvailableWorker &available) {
--- a/components/dispatch/available_workers.hpp
+++ b/components/dispatch/available_workers.hpp
@@ -23,9 +23,13 @@
 /// True if the worker is suitable and, if the queue requires advice, has a ticket for the step.
 bool mayRun(const Candidate &candidate, const WorkerState &worker);
 
-/// Returns the free capacity of the worker without what is reserved for other steps of the same or a lower rank.
+/// Returns the free capacity of the worker without what is reserved for other steps of the same or a lower rank. A candidate that should be
+/// done before a reservation is met may use that too.
 fleet::Resources freeResourcesFor(const Candidate &candidate, const AvailableWorker &available);
 
+/// Number of reservations whose capacity the candidate may use.
+std::size_t countUsableReservations(const Context &context, const Candidate &candidate);
+
 /// Number of workers with a reservation.
 std::size_t countReservedWorkers(const AvailableWorkers &availableWorkers);
 
--- a/components/dispatch/placement_requirements.hpp
+++ b/components/dispatch/placement_requirements.hpp
@@ -4,6 +4,7 @@
 #include "components/fleet/identifiers.hpp"
 #include "components/fleet/resources.hpp"
 
+#include <cstddef>
 #include <string>
 
 namespace dispatch
@@ -18,6 +19,8 @@
     int m_rank = 0;
     bool m_isGang = false;
     bool m_requiresOneRack = false;
+    /// Number of reservations whose capacity the step may use, since it should be done before they are met.
+    std::size_t m_usableReservations = 0;
 
     bool operator==(const PlacementRequirements &) const = default;
 };
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -102,17 +102,23 @@
 }
 
 /// Reserves the resources of the given number of tasks on each worker for the candidate.
-void reserve(Context &context, const Candidate &candidate, const std::map<AvailableWorker *, std::uint32_t> &tasks, fleet::Duration length, bool awaitsStops)
+void reserve(Context &context,
+             const Candidate &candidate,
+             const std::map<AvailableWorker *, std::uint32_t> &tasks,
+             fleet::Duration length,
+             fleet::Duration expectedWait,
+             bool awaitsStops)
 {
     Reservation reservation;
     reservation.m_until = context.m_now.m_boot + length;
+    reservation.m_expectedAt = context.m_now.m_boot + expectedWait;
     reservation.m_awaitsStops = awaitsStops;
     reservation.m_rank = rankOf(candidate);
     reservation.m_isInOneRack = candidate.m_requiresOneRack;
     for (const auto &[available, count] : tasks) {
         const fleet::Resources resources = candidate.m_perTask * count;
         reservation.m_resources[available->m_state->m_registration.m_incarnation.m_worker] = resources;
-        available->m_reservations.push_back({candidate.m_step, reservation.m_rank, resources});
+        available->m_reservations.push_back({candidate.m_step, reservation.m_rank, resources, expectedWait});
     }
     context.m_state.m_reservations[candidate.m_step] = std::move(reservation);
 }
@@ -129,7 +135,7 @@
         tasks[eviction.m_worker] = eviction.m_slots;
     }
     dropReservation(context, candidate.m_step, availableWorkers);
-    reserve(context, candidate, tasks, context.m_state.m_settings.m_stopGrace + evictionOverhead, true);
+    reserve(context, candidate, tasks, context.m_state.m_settings.m_stopGrace + evictionOverhead, fleet::Duration(0), true);
     for (const Eviction &eviction : chosen) {
         for (const jobs::RunId &victim : eviction.m_victims) {
             requestStop(context, victim, "room-for-" + toString(candidate.m_step.m_job));
@@ -150,7 +156,7 @@
     if (!expected || reserved + expected->m_tasksPerWorker.size() > maxReserved) {
         return;
     }
-    reserve(context, candidate, expected->m_tasksPerWorker, gangReservationTime, false);
+    reserve(context, candidate, expected->m_tasksPerWorker, gangReservationTime, expected->m_wait, false);
     context.m_out.m_log.push_back(logging::Line("dispatch", "hold")
                                       .add("job", toString(candidate.m_step.m_job))
                                       .add("step", candidate.m_step.m_step)
@@ -166,14 +172,15 @@
     });
 }
 
-PlacementRequirements requirementsOf(const Candidate &candidate)
+PlacementRequirements requirementsOf(const Context &context, const Candidate &candidate)
 {
     return {candidate.m_queue->m_service,
             candidate.m_spec->m_requiredLabel,
             candidate.m_perTask,
             rankOf(candidate),
             candidate.m_spec->m_isGang,
-            candidate.m_requiresOneRack};
+            candidate.m_requiresOneRack,
+            countUsableReservations(context, candidate)};
 }
 
 /// Requirements of steps that could not be placed in this plan, with the smallest number of tasks. A step with the same
@@ -204,7 +211,7 @@
 
 bool isKnownUnplaceable(const Context &context, const Candidate &candidate, UnplaceableRequirements &unplaceable)
 {
-    const auto found = findRequirements(unplaceable, requirementsOf(candidate));
+    const auto found = findRequirements(unplaceable, requirementsOf(context, candidate));
     return found != unplaceable.end() && candidate.m_tasks.size() >= found->second && isComparable(context, candidate);
 }
 
@@ -214,9 +221,10 @@
         return;
     }
     const std::size_t tasks = candidate.m_spec->m_isGang ? candidate.m_tasks.size() : 1;
-    const auto found = findRequirements(unplaceable, requirementsOf(candidate));
+    const PlacementRequirements requirements = requirementsOf(context, candidate);
+    const auto found = findRequirements(unplaceable, requirements);
     if (found == unplaceable.end()) {
-        unplaceable.emplace_back(requirementsOf(candidate), tasks);
+        unplaceable.emplace_back(requirements, tasks);
     } else {
         found->second = std::min(found->second, tasks);
     }
--- a/components/dispatch/reservation.hpp
+++ b/components/dispatch/reservation.hpp
@@ -15,6 +15,8 @@
 {
     std::map<fleet::WorkerId, fleet::Resources> m_resources;
     fleet::BootTime m_until;
+    /// When the runs in its place should have ended. Until then, other steps may use the capacity if they are done by then.
+    fleet::BootTime m_expectedAt;
     /// Runs are being stopped for the step. Otherwise the step waits for runs to end by themselves.
     bool m_awaitsStops = false;
     /// Rank of the step. Steps with a lower rank may still take the capacity.
--- a/components/simulation/standing_still_test.cpp
+++ b/components/simulation/standing_still_test.cpp
@@ -62,12 +62,9 @@
     cr_assert(fixture.starts(job, 3s), "%s", fixture.m_world.m_lastLogLines["dispatch/waiting"].c_str());
 }
 
-/// KNOWN-RED.txt, entry 17. The reservation is renewed until the long task ends.
+/// The reservation is renewed until the long task ends. Steps that are done before then may use its capacity.
 Test(standingStill, gangHoldsAReservationBehindALongTask_otherStepsStart)
 {
-    if (std::getenv("FOXTAILCROSS_KNOWN_RED") == nullptr) {
-        cr_skip_test("a known fault; set FOXTAILCROSS_KNOWN_RED to run it");
-    }
     StandingStillFixture fixture;
     jobs::StepSpec blocking = makeTasks(1, 1);
     blocking.m_requiredLabel = "r0-0";
@@ -83,3 +80,23 @@
     const jobs::JobId job = fixture.submit(small, {500ms}, 1);
     cr_assert(fixture.starts(job, 3s), "%s", fixture.m_world.m_lastLogLines["dispatch/waiting"].c_str());
 }
+
+/// The other side of it: a step that would not be done in time leaves the reservation alone, so that the gang does not starve.
+Test(standingStill, gangHoldsAReservationBehindALongTask_longStepsWaitForTheGang)
+{
+    StandingStillFixture fixture;
+    jobs::StepSpec blocking = makeTasks(1, 1);
+    blocking.m_requiredLabel = "r0-0";
+    blocking.m_estimate = 6s;
+    fixture.submit(blocking, {6s}, 1);
+    fixture.m_world.run(500ms);
+    jobs::StepSpec gang = makeGang(2, 8);
+    gang.m_requiredLabel = "r0-0";
+    const jobs::JobId waiting = fixture.submit(gang, {1s}, 1);
+    fixture.m_world.run(3s);
+    jobs::StepSpec lengthy = makeTasks(1, 1);
+    lengthy.m_requiredLabel = "r0-0";
+    lengthy.m_estimate = 20s;
+    fixture.submit(lengthy, {20s}, 1);
+    cr_assert(fixture.completes(waiting, 6s));
+}
