--- a/components/dispatch/upkeep.cpp
+++ b/components/dispatch/upkeep.cpp
@@ -34,7 +34,8 @@
 }
 
 /// Returns the worker of the machine. An entry of another writer may name the machine as well, under another id: the worker that has
-/// runs comes first, then one that answers, so that a machine with runs never counts as empty.
+/// runs comes first, then one that answers, so that a machine with runs never counts as empty. Neither does one whose worker has runs
+/// although its entry has expired, as after an outage of the store.
 WorkerState *workerOf(Context &context, const fleet::MachineId &machine)
 {
     const auto rank = [](const WorkerState &worker) {
@@ -42,7 +43,7 @@
     };
     WorkerState *found = nullptr;
     for (auto &[id, worker] : context.m_state.m_workers) {
-        const bool isOfMachine = worker.m_isListed && worker.m_registration.m_machine == machine;
+        const bool isOfMachine = (worker.m_isListed || !worker.m_runs.empty()) && worker.m_registration.m_machine == machine;
         if (isOfMachine && (found == nullptr || rank(worker) > rank(*found))) {
             found = &worker;
         }
@@ -60,14 +61,17 @@
     }
 }
 
-bool isDown(const MachineUpkeep &upkeep)
+bool isInProgress(const MachineUpkeep &upkeep)
 {
-    return upkeep.m_phase == UpkeepPhase::Ordered || upkeep.m_phase == UpkeepPhase::Down;
+    return upkeep.m_phase != UpkeepPhase::Waiting && upkeep.m_phase != UpkeepPhase::Over;
 }
 
-bool isInProgress(const MachineUpkeep &upkeep)
+/// True if runs were taken over from another holder whose worker has not been listed since, so that nobody knows on which machine they are.
+bool hasRunsOnUnknownMachines(const Context &context)
 {
-    return isDown(upkeep) || upkeep.m_phase == UpkeepPhase::Draining;
+    return std::any_of(context.m_state.m_workers.begin(), context.m_state.m_workers.end(), [](const auto &entry) {
+        return !entry.second.m_isListed && !entry.second.m_runs.empty() && entry.second.m_registration.m_address.empty();
+    });
 }
 
 template<class Condition>
@@ -78,16 +82,16 @@
     }));
 }
 
-/// Adds the machines of a wave that are not known yet. Machines whose upkeep has begun according to the journal may still be down.
+/// Adds the machines of a wave that are not known yet. An earlier holder may have ordered some of them down, and its orders may still be
+/// under way. They are ordered again: that does nothing if the upkeep has begun, and has the platform refuse the earlier orders.
 void addMachines(Context &context, const catalog::UpkeepWave &wave, WaveState &state)
 {
-    const auto begun = context.m_journalState.m_upkeeps.find(wave.m_number);
+    const auto ordered = context.m_journalState.m_upkeeps.find(wave.m_number);
     for (const fleet::MachineId &machine : wave.m_machines) {
         const auto [entry, isNew] = state.m_machines.try_emplace(machine);
-        if (isNew && begun != context.m_journalState.m_upkeeps.end() && begun->second.contains(machine)) {
-            entry->second.m_phase = UpkeepPhase::Down;
-            entry->second.m_since = context.m_now.m_boot;
-            entry->second.m_previousStartMs = 0;
+        if (isNew && ordered != context.m_journalState.m_upkeeps.end() && ordered->second.contains(machine)) {
+            entry->second.m_phase = UpkeepPhase::Ordered;
+            entry->second.m_mayHaveBegun = true;
         }
     }
 }
@@ -145,7 +149,10 @@
 /// Stops runs on the machine once its drain time is over, within the disruption budgets. Returns true if no run is left.
 bool drain(Context &context, const MachineUpkeep &upkeep, WorkerState *worker, UnavailableTasks &unavailable)
 {
-    if (worker == nullptr || worker->m_runs.empty()) {
+    if (worker == nullptr) {
+        return !hasRunsOnUnknownMachines(context);
+    }
+    if (worker->m_runs.empty()) {
         return true;
     }
     if (context.m_now.m_boot >= upkeep.m_stopAt) {
@@ -159,32 +166,49 @@
     return worker->m_runs.empty();
 }
 
+void recordUpkeep(Context &context, std::uint64_t wave, const fleet::MachineId &machine, MachineUpkeep &upkeep)
+{
+    upkeep.m_phase = UpkeepPhase::Recording;
+    context.m_journalState.m_upkeeps[wave].insert(machine);
+    context.m_orderedUpkeeps.push_back({wave, machine});
+}
+
 void sendUpkeepOrder(Context &context, std::uint64_t wave, const fleet::MachineId &machine, MachineUpkeep &upkeep)
 {
     const WorkerState *worker = workerOf(context, machine);
-    if (upkeep.m_phase == UpkeepPhase::Draining) {
-        upkeep.m_phase = UpkeepPhase::Ordered;
-        upkeep.m_previousStartMs = worker == nullptr ? 0 : worker->m_registration.m_incarnation.m_startedAtMs;
-    }
+    // A worker may restart before an order is accepted, so only the latest order counts.
+    upkeep.m_previousStartMs = worker == nullptr ? 0 : worker->m_registration.m_incarnation.m_startedAtMs;
     upkeep.m_isOrderOpen = true;
     context.m_out.m_upkeeps.push_back({wave, machine, {}, context.m_state.m_token});
 }
 
+/// True if the upkeep is over. It takes its full time, so a newer worker that is listed before has restarted shortly before the upkeep.
+bool isBack(const Context &context, const MachineUpkeep &upkeep, const WorkerState *worker)
+{
+    const fleet::Duration down = context.m_now.m_boot - upkeep.m_since;
+    if (down >= expectedDowntime(context) + maxDelayAfterUpkeep) {
+        return true;
+    }
+    if (worker == nullptr || down < context.m_state.m_settings.m_upkeepTime) {
+        return false;
+    }
+    return worker->m_registration.m_incarnation.m_startedAtMs > upkeep.m_previousStartMs || (upkeep.m_mayHaveBegun && down >= expectedDowntime(context));
+}
+
 void advanceMachine(Context &context, std::uint64_t wave, const fleet::MachineId &machine, MachineUpkeep &upkeep, UnavailableTasks &unavailable)
 {
     WorkerState *worker = workerOf(context, machine);
     setCordoned(context, machine, isInProgress(upkeep));
     const bool isDue = !upkeep.m_isOrderOpen && context.m_now.m_boot >= upkeep.m_nextOrderAt;
     const bool isDrained = upkeep.m_phase == UpkeepPhase::Draining && drain(context, upkeep, worker, unavailable);
-    if ((isDrained || upkeep.m_phase == UpkeepPhase::Ordered) && isDue) {
+    if (isDrained) {
+        recordUpkeep(context, wave, machine, upkeep);
+    } else if (upkeep.m_phase == UpkeepPhase::Ordered && isDue) {
         sendUpkeepOrder(context, wave, machine, upkeep);
-    } else if (upkeep.m_phase == UpkeepPhase::Down) {
-        const bool isBack = worker != nullptr && worker->m_registration.m_incarnation.m_startedAtMs > upkeep.m_previousStartMs;
-        if (isBack || context.m_now.m_boot - upkeep.m_since >= expectedDowntime(context) + maxDelayAfterUpkeep) {
-            upkeep.m_phase = UpkeepPhase::Over;
-            context.m_state.m_planIsDue = true;
-            setCordoned(context, machine, false);
-        }
+    } else if (upkeep.m_phase == UpkeepPhase::Down && isBack(context, upkeep, worker)) {
+        upkeep.m_phase = UpkeepPhase::Over;
+        context.m_state.m_planIsDue = true;
+        setCordoned(context, machine, false);
     }
 }
 
@@ -203,6 +227,17 @@
 
 }
 
+void cordonMachines(Context &context)
+{
+    for (const auto &[key, wave] : context.m_waves) {
+        WaveState &state = context.m_state.m_waves[wave.m_number];
+        addMachines(context, wave, state);
+        for (const auto &[machine, upkeep] : state.m_machines) {
+            setCordoned(context, machine, isInProgress(upkeep));
+        }
+    }
+}
+
 void advanceWaves(Context &context)
 {
     // An order of the previous holder may still be on its way to a machine.
@@ -245,8 +280,6 @@
     case machines::UpkeepOutcome::Begun:
         upkeep.m_phase = UpkeepPhase::Down;
         upkeep.m_since = context.m_now.m_boot;
-        context.m_journalState.m_upkeeps[order.m_wave].insert(order.m_machine);
-        context.m_out.m_records.emplace_back(journal::UpkeepBegun {order.m_wave, order.m_machine});
         break;
     case machines::UpkeepOutcome::Fenced:
         context.m_out.m_isFenced = true;
@@ -254,14 +287,28 @@
     case machines::UpkeepOutcome::NotInWave:
         upkeep.m_phase = UpkeepPhase::Over;
         break;
+    case machines::UpkeepOutcome::Unknown:
+        upkeep.m_mayHaveBegun = true;
+        break;
     case machines::UpkeepOutcome::Busy:
     case machines::UpkeepOutcome::Refused:
-    case machines::UpkeepOutcome::Unknown:
         // The order is sent again; until then the machine counts as down.
         break;
     }
 }
 
+void recordUpkeepStored(State &state, const journal::UpkeepOrdered &stored)
+{
+    const auto wave = state.m_waves.find(stored.m_wave);
+    if (wave == state.m_waves.end()) {
+        return;
+    }
+    const auto machine = wave->second.m_machines.find(stored.m_machine);
+    if (machine != wave->second.m_machines.end() && machine->second.m_phase == UpkeepPhase::Recording) {
+        machine->second.m_phase = UpkeepPhase::Ordered;
+    }
+}
+
 void applyReportResult(Context &context, const machines::WaveReport &report, bool isStored)
 {
     const auto wave = context.m_state.m_waves.find(report.m_wave);
--- a/components/simulation/upkeep_test.cpp
+++ b/components/simulation/upkeep_test.cpp
@@ -1,5 +1,6 @@
 #include "components/simulation/world_fixture_test.hpp"
 
+#include <algorithm>
 #include <chrono>
 
 #include <criterion/criterion.h>
@@ -117,3 +118,84 @@
     cr_assert_eq(fixture.runCount(job), 96);
     cr_assert_eq(fixture.m_world.m_machines.m_falseReports, 0);
 }
+
+/// The successor did not know of the order: it gave the machine new runs, took another one down, and then the order was carried out.
+Test(upkeep, orderCarriedOutAfterItsHolderHasStopped_limitIsKeptAndNoRunIsCutOff)
+{
+    for (int delay = 3500; delay <= 12'000; delay += 500) {
+        UpkeepFixture fixture;
+        fixture.m_world.m_faults.m_unansweredUpkeeps = 1;
+        fixture.m_world.m_faults.m_upkeepDelay = fleet::Duration(delay);
+        fixture.requestUpkeep(12, 1, 120s);
+        const bool isOrdered = fixture.m_world.runUntil(
+            [&] {
+                return fixture.m_world.m_logCounts["upkeep/ordered"] > 0;
+            },
+            8s);
+        cr_assert(isOrdered);
+        fixture.m_world.requestStop(fixture.m_world.holder());
+        fixture.m_world.m_faults.m_unansweredUpkeeps = 0;
+        cr_assert(fixture.waitForHolder(2s));
+        // The rack of the machine that is ordered down is the one whose machines have runs.
+        jobs::StepSpec inItsRack = makeTasks(12, 8);
+        inItsRack.m_requiredLabel = fixture.m_world.m_fleet.m_workers.at(fixture.m_world.workers().front()).m_registration.m_rack.value();
+        const jobs::JobId job = fixture.submit(inItsRack, {30s});
+        fixture.m_world.run(fleet::Duration(delay));
+        cr_assert_eq(fixture.m_world.m_machines.m_maxMachinesDown, 1U, "after a delay of %d ms", delay);
+        cr_assert_eq(fixture.endedRunCount(job, "crashed"), 0, "after a delay of %d ms", delay);
+    }
+}
+
+/// The start of the worker was noted at the first order, so the machine counted as back at once and the next one was taken down beside it.
+Test(upkeep, workerRestartsBeforeTheOrderIsAccepted_machineCountsAsDownUntilItIsBack)
+{
+    UpkeepFixture fixture;
+    fixture.m_world.m_faults.m_areUpkeepsRefused = true;
+    fixture.requestUpkeep(3, 1, 60s);
+    const bool isRefused = fixture.m_world.runUntil(
+        [&] {
+            return fixture.m_world.m_logCounts["upkeep/ordered"] > 0;
+        },
+        8s);
+    cr_assert(isRefused);
+    for (std::size_t i = 0; i < 3; ++i) {
+        fixture.m_world.crashWorker(fixture.m_world.workers()[i], true);
+    }
+    fixture.m_world.run(1s);
+    fixture.m_world.m_faults.m_areUpkeepsRefused = false;
+    cr_assert(fixture.isCompleted(60s));
+    cr_assert_eq(fixture.m_world.m_machines.m_maxMachinesDown, 1U);
+}
+
+/// After an outage of the store in which the entries expire, machines counted as empty and two were taken down with a task at work on each.
+Test(upkeep, entriesOfItsWorkersExpire_theRunsOnTheMachinesKeepTheirLimits)
+{
+    UpkeepFixture fixture;
+    jobs::StepSpec longRunning = makeTasks(12, 8);
+    longRunning.m_isLongRunning = true;
+    longRunning.m_maxUnavailable = 1;
+    const jobs::JobId serving = fixture.submit(longRunning, {1s});
+    fixture.m_world.run(2s);
+    cr_assert_eq(fixture.runCount(serving), 12);
+    for (const fleet::WorkerId &worker : fixture.m_world.workers()) {
+        fixture.m_world.unlist(worker);
+    }
+    fixture.m_world.run(1s);
+    fixture.requestUpkeep(2, 2, 60s);
+    fixture.m_world.run(1500ms);
+    cr_assert_eq(fixture.m_world.m_machines.m_maxMachinesDown, 0U, "no run was stopped before its machine was taken down");
+    for (const fleet::WorkerId &worker : fixture.m_world.workers()) {
+        fixture.m_world.relist(worker);
+    }
+    int mostAway = 0;
+    for (int i = 0; i < 200; ++i) {
+        fixture.m_world.run(100ms);
+        int running = 0;
+        for (const RunRecord &run : fixture.m_world.m_fleet.m_history) {
+            running += run.m_endedAt == fleet::BootTime::max() && run.m_run.m_task.m_step.m_job == serving ? 1 : 0;
+        }
+        mostAway = std::max(mostAway, 12 - running);
+    }
+    cr_assert_leq(mostAway, 1);
+    cr_assert_eq(fixture.endedRunCount(serving, "crashed"), 0);
+}
