Upkeep: machines that answer after a change of the holder do not delay the wave

A machine whose worker answers a poll that was sent after the order was accepted is not down.

upkeep/holderChangesWithinAWave_machinesThatAreBackDoNotDelayIt failed before.

--- a/components/dispatch/upkeep.cpp
+++ b/components/dispatch/upkeep.cpp
@@ -182,6 +182,12 @@
     context.m_out.m_upkeeps.push_back({wave, machine, {}, context.m_state.m_token});
 }
 
+/// True if the worker has answered a poll that was sent after the order was accepted, so that the machine is not down.
+bool hasAnsweredSince(const WorkerState &worker, fleet::BootTime accepted)
+{
+    return worker.m_pollSentAt >= accepted && worker.m_lastAnswerAt > worker.m_pollSentAt;
+}
+
 /// True if the upkeep is over. It takes its full time, so a newer worker that is listed before has restarted shortly before the upkeep.
 bool isBack(const Context &context, const MachineUpkeep &upkeep, const WorkerState *worker)
 {
@@ -189,10 +195,13 @@
     if (down >= expectedDowntime(context) + maxDelayAfterUpkeep) {
         return true;
     }
-    if (worker == nullptr || down < context.m_state.m_settings.m_upkeepTime) {
+    if (worker == nullptr) {
         return false;
     }
-    return worker->m_registration.m_incarnation.m_startedAtMs > upkeep.m_previousStartMs || (upkeep.m_mayHaveBegun && down >= expectedDowntime(context));
+    if (upkeep.m_mayHaveBegun) {
+        return hasAnsweredSince(*worker, upkeep.m_since) || down >= expectedDowntime(context);
+    }
+    return down >= context.m_state.m_settings.m_upkeepTime && worker->m_registration.m_incarnation.m_startedAtMs > upkeep.m_previousStartMs;
 }
 
 void advanceMachine(Context &context, std::uint64_t wave, const fleet::MachineId &machine, MachineUpkeep &upkeep, UnavailableTasks &unavailable)
@@ -280,6 +289,10 @@
     case machines::UpkeepOutcome::Begun:
         upkeep.m_phase = UpkeepPhase::Down;
         upkeep.m_since = context.m_now.m_boot;
+        if (WorkerState *worker = workerOf(context, order.m_machine)) {
+            // If an earlier order has begun the upkeep, the machine may be back already, which its answer shows.
+            worker->m_isProbeDue = upkeep.m_mayHaveBegun;
+        }
         break;
     case machines::UpkeepOutcome::Fenced:
         context.m_out.m_isFenced = true;
--- a/components/simulation/upkeep_test.cpp
+++ b/components/simulation/upkeep_test.cpp
@@ -146,6 +146,30 @@
     }
 }
 
+/// The next holder orders the machines again that the earlier one had ordered, and they answer: nothing is waited for.
+Test(upkeep, holderChangesWithinAWave_machinesThatAreBackDoNotDelayIt)
+{
+    UpkeepFixture fixture;
+    fixture.requestUpkeep(12, 2, 120s);
+    const bool areFourBack = fixture.m_world.runUntil(
+        [&] {
+            return fixture.m_world.m_machines.m_startedUpkeeps[number].size() == 4U && fixture.m_world.m_machines.m_machinesDown.empty();
+        },
+        30s);
+    cr_assert(areFourBack);
+    fixture.m_world.kill(fixture.m_world.holder());
+    cr_assert(fixture.waitForHolder(2s));
+    // A holder sends no upkeep order in its first 3 s.
+    const bool goesOn = fixture.m_world.runUntil(
+        [&] {
+            return fixture.m_world.m_machines.m_startedUpkeeps[number].size() > 4U;
+        },
+        4500ms);
+    cr_assert(goesOn);
+    cr_assert(fixture.isCompleted(60s));
+    cr_assert_eq(fixture.m_world.m_machines.m_maxMachinesDown, 2U);
+}
+
 /// The start of the worker was noted at the first order, so the machine counted as back at once and the next one was taken down beside it.
 Test(upkeep, workerRestartsBeforeTheOrderIsAccepted_machineCountsAsDownUntilItIsBack)
 {
