--- a/components/journal/record.hpp
+++ b/components/journal/record.hpp
@@ -21,8 +21,16 @@
 {
 
 /// One record of the journal. The order of the alternatives is part of the stored format.
-using Record = std::
-    variant<JobAccepted, JobCancelled, RunsLaunched, RunsEnded, InstanceStarted, HolderClaimed, HolderResigned, HolderHeartbeat, SnapshotWritten, UpkeepOrdered>;
+using Record = std::variant<JobAccepted,
+                            JobCancelled,
+                            RunsLaunched,
+                            RunsEnded,
+                            InstanceStarted,
+                            HolderClaimed,
+                            HolderResigned,
+                            HolderHeartbeat,
+                            SnapshotWritten,
+                            UpkeepOrdered>;
 
 /// Maximum bytes of an encoded record. The store accepts no longer ones, and an append of one would be repeated without end.
 constexpr std::size_t maxRecordBytes = 262'144;
