--- a/components/dispatch/worker_state.hpp
+++ b/components/dispatch/worker_state.hpp
@@ -59,7 +59,7 @@
     /// A serving run is or was over its target for response times, so no best-effort run may work beside it until the given time.
     bool m_isServingDisturbed = false;
     fleet::BootTime m_disturbedUntil;
-    /// Number of such times in a row; each one doubles the next.
+    /// Number of such times; each one doubles the next, up to a maximum.
     int m_disturbances = 0;
 
     /// Earliest time at which the worker shuts down; empty if it isn't draining.
