--- a/components/simulation/standing_still_test.cpp
+++ b/components/simulation/standing_still_test.cpp
@@ -20,6 +20,24 @@
             },
             limit);
     }
+
+    /// Submits a gang that needs both workers of a rack, of which a task uses one for the given time, and waits until the gang holds a
+    /// reservation. Returns the gang.
+    jobs::JobId submitGangBehindATask(fleet::Duration length)
+    {
+        jobs::StepSpec blocking = makeTasks(1, 1);
+        blocking.m_requiredLabel = rack;
+        blocking.m_estimate = length;
+        submit(blocking, {length}, 1);
+        m_world.run(500ms);
+        jobs::StepSpec gang = makeGang(2, 8);
+        gang.m_requiredLabel = rack;
+        const jobs::JobId job = submit(gang, {1s}, 1);
+        m_world.run(3s);
+        return job;
+    }
+
+    static constexpr const char *rack = "r0-0";
 };
 
 /// A best-effort task is kept off workers with a serving task, which it slows down; that is a preference, not a requirement.
@@ -62,17 +80,9 @@
 Test(standingStill, gangHoldsAReservationBehindALongTask_otherStepsStart)
 {
     StandingStillFixture fixture;
-    jobs::StepSpec blocking = makeTasks(1, 1);
-    blocking.m_requiredLabel = "r0-0";
-    blocking.m_estimate = 20s;
-    fixture.submit(blocking, {20s}, 1);
-    fixture.m_world.run(500ms);
-    jobs::StepSpec gang = makeGang(2, 8);
-    gang.m_requiredLabel = "r0-0";
-    fixture.submit(gang, {1s}, 1);
-    fixture.m_world.run(3s);
+    fixture.submitGangBehindATask(20s);
     jobs::StepSpec small = makeTasks(1, 1);
-    small.m_requiredLabel = "r0-0";
+    small.m_requiredLabel = StandingStillFixture::rack;
     const jobs::JobId job = fixture.submit(small, {500ms}, 1);
     cr_assert(fixture.starts(job, 3s), "%s", fixture.m_world.m_lastLogLines["dispatch/waiting"].c_str());
 }
@@ -81,17 +91,9 @@
 Test(standingStill, gangHoldsAReservationBehindALongTask_longStepsWaitForTheGang)
 {
     StandingStillFixture fixture;
-    jobs::StepSpec blocking = makeTasks(1, 1);
-    blocking.m_requiredLabel = "r0-0";
-    blocking.m_estimate = 6s;
-    fixture.submit(blocking, {6s}, 1);
-    fixture.m_world.run(500ms);
-    jobs::StepSpec gang = makeGang(2, 8);
-    gang.m_requiredLabel = "r0-0";
-    const jobs::JobId waiting = fixture.submit(gang, {1s}, 1);
-    fixture.m_world.run(3s);
+    const jobs::JobId waiting = fixture.submitGangBehindATask(6s);
     jobs::StepSpec lengthy = makeTasks(1, 1);
-    lengthy.m_requiredLabel = "r0-0";
+    lengthy.m_requiredLabel = StandingStillFixture::rack;
     lengthy.m_estimate = 20s;
     fixture.submit(lengthy, {20s}, 1);
     cr_assert(fixture.completes(waiting, 6s));
--- a/tests/process/worker_cuts.py
+++ b/tests/process/worker_cuts.py
@@ -142,6 +142,8 @@
         # Number of cuts that separate a worker now.
         self.cuts = {}
         self.last_healed = None
+        self.known_completed = set()
+        # Since when a job stands still, and the longest such time.
         self.standing_since = {}
         self.longest = 0
         # The same while all workers that ran a task of the job can be reached, so that nothing is left to find out.
@@ -259,7 +261,6 @@
         return True
 
     async def play(self):
-        self.known_completed = set()
         self.add_workers()
         await self.start(INSTANCES)
         if not all(node.is_running() for node in self.nodes):
