Upkeep: the start of an upkeep keeps a probe that is due

Cause: the answer to an upkeep order set WorkerState::m_isProbeDue to whether the upkeep may have begun before, which cleared a probe that was due for another reason: a new listing of the worker, or its zone being probed.

Change: the answer only sets the flag.

Result: upkeep/upkeepBegins_probeThatWasDueIsKept of dispatch_test failed before and passes; the two tests of the other cases pass before and after.

--- a/components/dispatch/upkeep.cpp
+++ b/components/dispatch/upkeep.cpp
@@ -291,7 +291,7 @@
         upkeep.m_since = context.m_now.m_boot;
         if (WorkerState *worker = workerOf(context, order.m_machine)) {
             // If an earlier order has begun the upkeep, the machine may be back already, which its answer shows.
-            worker->m_isProbeDue = upkeep.m_mayHaveBegun;
+            worker->m_isProbeDue = worker->m_isProbeDue || upkeep.m_mayHaveBegun;
         }
         break;
     case machines::UpkeepOutcome::Fenced:
