Simulation: a poll that has waited ends with the order as it was sent

Cause: answerPoll() cleared the acknowledgement in the order that it later handed back to the holder, so the holder took each acknowledgement whose poll had waited for unsent and repeated it with every further poll. The adapter hands back the order as it was sent.

Change: only the further looks of a waiting poll at the worker are without its effects. The model counts acknowledgements that the same incarnation of a worker has received before.

--- a/components/simulation/fleet_model.cpp
+++ b/components/simulation/fleet_model.cpp
@@ -362,6 +362,10 @@
         return result;
     }
     worker.m_fencingToken = order.m_token;
+    if (order.m_acknowledgedUpTo > 0) {
+        fleet.m_repeatedAcknowledgements += order.m_acknowledgedUpTo <= worker.m_endsAcknowledged ? 1 : 0;
+        worker.m_endsAcknowledged = std::max(worker.m_endsAcknowledged, order.m_acknowledgedUpTo);
+    }
     for (const workers::EndedTask &ended : worker.m_ended) {
         if (ended.m_number <= order.m_acknowledgedUpTo) {
             recordAcknowledgedEnd(fleet, worker, ended);
--- a/components/simulation/fleet_model.hpp
+++ b/components/simulation/fleet_model.hpp
@@ -63,6 +63,7 @@
     std::uint64_t m_lastEndNumber = 0;
     /// Number of the last end before the latest expiry of the lease. Ends up to it do not count if they are acknowledged later.
     std::uint64_t m_lastExpiredEnd = 0;
+    std::uint64_t m_endsAcknowledged = 0;
     /// Highest run number of each task that was stopped or ended on this worker.
     std::map<jobs::TaskId, std::uint32_t> m_highestClosedRuns;
 };
@@ -98,6 +99,8 @@
     std::vector<RunRecord> m_history;
     /// Tasks of which an end as done was acknowledged before the lease of its worker expired.
     std::set<jobs::TaskId> m_acknowledgedDone;
+    /// Number of polls with an acknowledgement that the same incarnation had received before.
+    int m_repeatedAcknowledgements = 0;
     /// Violated guarantees, in the order in which they were detected.
     std::vector<std::string> m_violations;
 };
--- a/components/simulation/workers_test.cpp
+++ b/components/simulation/workers_test.cpp
@@ -597,3 +597,22 @@
     const auto &reply = world.outcome(call).m_reply;
     cr_assert(!reply || reply->m_state != jobs::JobState::Completed, "the end is not stored");
 }
+
+/// Guards against acknowledgements that are repeated although each poll is answered: the next incarnation of the worker could take one for an end of
+/// its own. The model made the holder repeat each one whose poll had waited.
+Test(worker, pollWithAnAcknowledgementWaits_acknowledgementIsNotRepeated)
+{
+    WorldSettings settings;
+    settings.m_zones = 1;
+    settings.m_workersPerZone = 1;
+    WorldFixture fixture(settings);
+    const jobs::JobId longer = fixture.submit(makeTasks(1), {20s});
+    const jobs::JobId shorter = fixture.submit(makeTasks(1), {300ms});
+    cr_assert(fixture.completes(shorter, 3s));
+    // Several polls, each of which waits.
+    fixture.m_world.run(8s);
+    cr_assert(fixture.isRunning(longer));
+    const FleetModel &fleet = fixture.m_world.m_fleet;
+    cr_assert_eq(fleet.m_workers.begin()->second.m_endsAcknowledged, 1U);
+    cr_assert_eq(fleet.m_repeatedAcknowledgements, 0);
+}
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -292,14 +292,23 @@
         }
     }
 
+    /// Returns the order as it counts while the poll waits: it has had its effects as it arrived.
+    static workers::PollOrder withoutEffects(workers::PollOrder order)
+    {
+        order.m_leaseUntilMs.reset();
+        order.m_acknowledgedUpTo = 0;
+        return order;
+    }
+
     /// Answers a poll that the given incarnation of the worker has received, or lets it wait.
     static void answerPoll(World &world,
                            int instance,
                            std::uint64_t incarnation,
-                           workers::PollOrder order,
+                           const workers::PollOrder &order,
                            fleet::BootTime sentAt,
                            fleet::Duration wait,
-                           const workers::WorkerIncarnation &receiver)
+                           const workers::WorkerIncarnation &receiver,
+                           bool isWaiting = false)
     {
         const ModelWorker &worker = world.m_fleet.m_workers.at(order.m_target.m_worker);
         if (!worker.m_isUp) {
@@ -313,15 +322,12 @@
             return;
         }
         advance(world.m_fleet, world.m_now);
-        const workers::PollResult result = simulation::poll(world.m_fleet, order, world.m_now);
+        const workers::PollResult result = simulation::poll(world.m_fleet, isWaiting ? withoutEffects(order) : order, world.m_now);
         const bool isAnswered = !result.m_ended.empty() || wait.count() <= 0 || result.m_outcome != workers::PollOutcome::Answered;
         if (!isAnswered) {
             const fleet::Duration step = std::min(wait, fleet::Duration(20));
-            // The poll has had its effects as it arrived.
-            order.m_leaseUntilMs.reset();
-            order.m_acknowledgedUpTo = 0;
             world.schedule(step, [&world, instance, incarnation, order, sentAt, wait, step, receiver] {
-                answerPoll(world, instance, incarnation, order, sentAt, wait - step, receiver);
+                answerPoll(world, instance, incarnation, order, sentAt, wait - step, receiver, true);
             });
             return;
         }
