Dispatch: the time of a disturbance alone decides whether serving tasks are disturbed

Cause: WorkerState::m_isServingDisturbed repeated what m_disturbedUntil says, and only a tick cleared it, so that the two could differ for up to a tick.

Change: the flag is gone. isSuitable(), mayRun() and canARackHold() take the time, and isServingDisturbed() compares it with m_disturbedUntil.

--- a/components/dispatch/advice.cpp
+++ b/components/dispatch/advice.cpp
@@ -62,7 +62,7 @@
     std::vector<std::pair<std::uint32_t, fleet::WorkerId>> asked;
     for (const AvailableWorker &available : availableWorkers) {
         const workers::WorkerIncarnation &incarnation = available.m_state->m_registration.m_incarnation;
-        if (isSuitable(candidate, *available.m_state) && isWorthAsking(advice, incarnation, context.m_now.m_boot)) {
+        if (isSuitable(candidate, *available.m_state, context.m_now.m_boot) && isWorthAsking(advice, incarnation, context.m_now.m_boot)) {
             asked.emplace_back(countSlots(candidate, available, freeResourcesFor(candidate, available)), incarnation.m_worker);
         }
     }
--- a/components/dispatch/available_workers.cpp
+++ b/components/dispatch/available_workers.cpp
@@ -1,5 +1,6 @@
 #include "components/dispatch/available_workers.hpp"
 
+#include "components/dispatch/best_effort.hpp"
 #include "components/dispatch/candidate.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/guarantees.hpp"
@@ -85,22 +86,22 @@
     return worker.m_isListed && !worker.m_isCordoned && !worker.m_registration.m_isDraining && !context.m_zonesOut.contains(worker.m_registration.m_zone);
 }
 
-bool isSuitable(const Candidate &candidate, const WorkerState &worker)
+bool isSuitable(const Candidate &candidate, const WorkerState &worker, fleet::BootTime now)
 {
     const std::string &label = candidate.m_spec->m_requiredLabel;
     const workers::Registration &registration = worker.m_registration;
     const bool isInRack = candidate.m_joinedRack.empty() || candidate.m_joinedRack == registration.m_rack;
     // Best-effort tasks slow down serving tasks on the same worker by unpredictable amounts.
-    const bool mayRunBeside = candidate.m_mayRunBesideServing && !worker.m_isServingDisturbed;
+    const bool mayRunBeside = candidate.m_mayRunBesideServing && !isServingDisturbed(worker, now);
     const bool isFree = !candidate.m_spec->m_usesIdleProcessor || worker.m_servingRuns == 0 || mayRunBeside;
     return isFree && isInRack && !candidate.m_refusedBy.contains(registration.m_incarnation) && registration.m_service == candidate.m_queue->m_service
         && (label.empty() || label == registration.m_kind || label == registration.m_rack.value());
 }
 
-bool mayRun(const Candidate &candidate, const WorkerState &worker)
+bool mayRun(const Candidate &candidate, const WorkerState &worker, fleet::BootTime now)
 {
     const bool isPermitted = !candidate.m_tickets || candidate.m_tickets->contains(worker.m_registration.m_incarnation.m_worker);
-    return isPermitted && isSuitable(candidate, worker);
+    return isPermitted && isSuitable(candidate, worker, now);
 }
 
 AvailableWorkers findAvailableWorkers(Context &context)
--- a/components/dispatch/available_workers.hpp
+++ b/components/dispatch/available_workers.hpp
@@ -3,6 +3,8 @@
 
 #include "components/dispatch/available_worker.hpp"
 
+#include "components/fleet/boot_time.hpp"
+
 #include <cstdint>
 
 namespace dispatch
@@ -18,10 +20,10 @@
 bool isInService(const Context &context, const WorkerState &worker);
 
 /// True if the worker meets the requirements of the step, apart from free capacity and advice.
-bool isSuitable(const Candidate &candidate, const WorkerState &worker);
+bool isSuitable(const Candidate &candidate, const WorkerState &worker, fleet::BootTime now);
 
 /// True if the worker is suitable and, if the queue requires advice, has a ticket for the step.
-bool mayRun(const Candidate &candidate, const WorkerState &worker);
+bool mayRun(const Candidate &candidate, const WorkerState &worker, fleet::BootTime now);
 
 /// Returns the free capacity of the worker without what is reserved for other steps of the same or a lower rank. A candidate that should be
 /// done before a reservation is met may use that too.
--- a/components/dispatch/best_effort.cpp
+++ b/components/dispatch/best_effort.cpp
@@ -34,21 +34,25 @@
     }
     return std::any_of(context.m_state.m_workers.begin(), context.m_state.m_workers.end(), [&](const auto &entry) {
         const WorkerState &worker = entry.second;
-        return isInService(context, worker) && worker.m_unansweredCalls == 0 && isSuitable(candidate, worker)
+        return isInService(context, worker) && worker.m_unansweredCalls == 0 && isSuitable(candidate, worker, context.m_now.m_boot)
             && countSlots(candidate, worker, worker.m_registration.m_capacity - worker.m_allocated) > 0;
     });
 }
 
 }
 
+bool isServingDisturbed(const WorkerState &worker, fleet::BootTime now)
+{
+    return now < worker.m_disturbedUntil;
+}
+
 void recordResponseTimes(Context &context, WorkerState &worker, const jobs::RunId &id, const workers::RunningTask &task)
 {
     const fleet::Duration objective = stepOf(context, id.m_task.m_step).m_tailLatencyObjective;
     const fleet::BootTime now = context.m_now.m_boot;
-    if (objective.count() <= 0 || task.m_usage <= objective.count() || now < worker.m_disturbedUntil) {
+    if (objective.count() <= 0 || task.m_usage <= objective.count() || isServingDisturbed(worker, now)) {
         return;
     }
-    worker.m_isServingDisturbed = true;
     worker.m_disturbedUntil = now + minDisturbedTime * (1 << std::min(worker.m_disturbances, maxDisturbedDoublings));
     ++worker.m_disturbances;
     context.m_out.m_log.push_back(logging::Line("dispatch", "serving-disturbed")
@@ -63,7 +67,6 @@
 {
     UnavailableTasks unavailable;
     for (auto &[id, worker] : context.m_state.m_workers) {
-        worker.m_isServingDisturbed = context.m_now.m_boot < worker.m_disturbedUntil;
         if (worker.m_servingRuns == 0 || worker.m_bestEffortRuns == 0) {
             continue;
         }
@@ -74,7 +77,7 @@
                 continue;
             }
             state.m_staysBesideServing = state.m_staysBesideServing || !hasRoomApart(context, run, state);
-            if ((worker.m_isServingDisturbed || !state.m_staysBesideServing) && useDisruptionBudget(context, run, unavailable)) {
+            if ((isServingDisturbed(worker, context.m_now.m_boot) || !state.m_staysBesideServing) && useDisruptionBudget(context, run, unavailable)) {
                 requestStop(context, run, "serving-beside");
             }
         }
--- a/components/dispatch/best_effort.hpp
+++ b/components/dispatch/best_effort.hpp
@@ -1,6 +1,8 @@
 #ifndef COMPONENTS_DISPATCH_BEST_EFFORT_HPP
 #define COMPONENTS_DISPATCH_BEST_EFFORT_HPP
 
+#include "components/fleet/boot_time.hpp"
+
 namespace jobs
 {
 struct RunId;
@@ -17,6 +19,9 @@
 struct Context;
 struct WorkerState;
 
+/// True if no best-effort task may work beside the serving tasks of the worker, since one of them is or was over its target.
+bool isServingDisturbed(const WorkerState &worker, fleet::BootTime now);
+
 /// Notes if a serving task reports response times over its target, so that no best-effort task works beside it for a while.
 void recordResponseTimes(Context &context, WorkerState &worker, const jobs::RunId &id, const workers::RunningTask &task);
 
--- a/components/dispatch/capacity_forecasts.cpp
+++ b/components/dispatch/capacity_forecasts.cpp
@@ -70,7 +70,7 @@
     const bool requiresOneRack = candidate.m_requiresOneRack;
     std::map<fleet::RackId, std::vector<FreedSlot>> freedSlots;
     for (AvailableWorker &available : availableWorkers) {
-        if (mayRun(candidate, *available.m_state)) {
+        if (mayRun(candidate, *available.m_state, context.m_now.m_boot)) {
             addFreedSlots(context, candidate, available, freedSlots[requiresOneRack ? available.m_state->m_registration.m_rack : fleet::RackId()]);
         }
     }
--- a/components/dispatch/evictions.cpp
+++ b/components/dispatch/evictions.cpp
@@ -183,7 +183,7 @@
     const auto wanted = static_cast<std::uint32_t>(candidate.m_tasks.size());
     std::vector<Eviction> evictions;
     for (AvailableWorker &available : availableWorkers) {
-        if (mayRun(candidate, *available.m_state)) {
+        if (mayRun(candidate, *available.m_state, context.m_now.m_boot)) {
             Eviction eviction = replan(available, wanted);
             if (eviction.m_slots > 0) {
                 evictions.push_back(std::move(eviction));
--- a/components/dispatch/placing.cpp
+++ b/components/dispatch/placing.cpp
@@ -39,11 +39,11 @@
     std::tuple<std::int64_t, std::int64_t, std::int64_t> m_order;
 };
 
-std::vector<Option> findOptions(const Candidate &candidate, AvailableWorkers &availableWorkers)
+std::vector<Option> findOptions(const Candidate &candidate, AvailableWorkers &availableWorkers, fleet::BootTime now)
 {
     std::vector<Option> options;
     for (AvailableWorker &available : availableWorkers) {
-        if (!mayRun(candidate, *available.m_state)) {
+        if (!mayRun(candidate, *available.m_state, now)) {
             continue;
         }
         const fleet::Resources free = freeResourcesFor(candidate, available);
@@ -132,7 +132,7 @@
 
 Placement choosePlacement(const Candidate &candidate, AvailableWorkers &availableWorkers, fleet::BootTime now)
 {
-    const std::vector<Option> options = findOptions(candidate, availableWorkers);
+    const std::vector<Option> options = findOptions(candidate, availableWorkers, now);
     if (candidate.m_hasFailed) {
         Placement placement = assignAfterFailure(candidate, options, now);
         if (placement.m_tasks > 0) {
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -283,7 +283,7 @@
     const fleet::BootTime now = context.m_now.m_boot;
     if (!waiting.m_rackCheckedAt || now - *waiting.m_rackCheckedAt >= rackCheckInterval) {
         waiting.m_rackCheckedAt = now;
-        waiting.m_canARackHold = canARackHold(candidate, context.m_state.m_workers);
+        waiting.m_canARackHold = canARackHold(candidate, context.m_state.m_workers, now);
     }
     Candidate inSeveral = candidate;
     giveUpOneRack(inSeveral);
--- a/components/dispatch/rack_preference.cpp
+++ b/components/dispatch/rack_preference.cpp
@@ -24,11 +24,11 @@
     candidate.m_joinedRack = fleet::RackId();
 }
 
-bool canARackHold(const Candidate &candidate, const std::map<fleet::WorkerId, WorkerState> &workers)
+bool canARackHold(const Candidate &candidate, const std::map<fleet::WorkerId, WorkerState> &workers, fleet::BootTime now)
 {
     std::map<fleet::RackId, std::uint32_t> slots;
     for (const auto &[id, worker] : workers) {
-        if (!worker.m_isListed || !isSuitable(candidate, worker)) {
+        if (!worker.m_isListed || !isSuitable(candidate, worker, now)) {
             continue;
         }
         std::uint32_t &inRack = slots[worker.m_registration.m_rack];
--- a/components/dispatch/rack_preference.hpp
+++ b/components/dispatch/rack_preference.hpp
@@ -17,7 +17,7 @@
 void giveUpOneRack(Candidate &candidate);
 
 /// True if a rack of the listed workers has room for all tasks of the candidate while nothing else runs there.
-bool canARackHold(const Candidate &candidate, const std::map<fleet::WorkerId, WorkerState> &workers);
+bool canARackHold(const Candidate &candidate, const std::map<fleet::WorkerId, WorkerState> &workers, fleet::BootTime now);
 
 /// Adds the time since the last call to the time for which the gang would have fit in several racks, if it did then and does now.
 void recordFitInSeveralRacks(WaitingStep &waiting, bool fits, fleet::BootTime now);
--- a/components/dispatch/rack_preference_test.cpp
+++ b/components/dispatch/rack_preference_test.cpp
@@ -39,7 +39,7 @@
     bool canARackHold(std::size_t tasks)
     {
         m_candidate.m_tasks.resize(tasks);
-        return dispatch::canARackHold(m_candidate, m_workers);
+        return dispatch::canARackHold(m_candidate, m_workers, begin);
     }
 
     std::map<fleet::WorkerId, dispatch::WorkerState> m_workers;
--- a/components/dispatch/waiting.cpp
+++ b/components/dispatch/waiting.cpp
@@ -109,6 +109,7 @@
 
 WaitReport explainWait(const Context &context, const Candidate &candidate, const AvailableWorkers &availableWorkers)
 {
+    const fleet::BootTime now = context.m_now.m_boot;
     jobs::StepSpec besideServing = *candidate.m_spec;
     besideServing.m_usesIdleProcessor = false;
     Candidate anywhere = candidate;
@@ -116,7 +117,7 @@
     bool isAnySuitable = false;
     Slots free;
     for (auto &[id, worker] : context.m_state.m_workers) {
-        if (isInService(context, worker) && isSuitable(anywhere, worker)) {
+        if (isInService(context, worker) && isSuitable(anywhere, worker, now)) {
             isAnySuitable = true;
             add(free, worker, countSlots(candidate, worker, worker.m_registration.m_capacity - worker.m_allocated));
         }
@@ -128,12 +129,12 @@
     for (const AvailableWorker &available : availableWorkers) {
         const WorkerState &worker = *available.m_state;
         const std::uint32_t slots = countSlots(candidate, available, available.m_free);
-        add(usable, worker, isSuitable(anywhere, worker) ? slots : 0);
-        if (isSuitable(candidate, worker)) {
+        add(usable, worker, isSuitable(anywhere, worker, now) ? slots : 0);
+        if (isSuitable(candidate, worker, now)) {
             const std::uint32_t left = countSlots(candidate, available, freeResourcesFor(candidate, available));
             add(apart, worker, slots);
             add(unreserved, worker, left);
-            add(permitted, worker, mayRun(candidate, worker) ? left : 0);
+            add(permitted, worker, mayRun(candidate, worker, now) ? left : 0);
         }
     }
     const std::uint32_t needed = neededSlots(candidate);
--- a/components/dispatch/waiting_test.cpp
+++ b/components/dispatch/waiting_test.cpp
@@ -104,6 +104,25 @@
     cr_assert(fixture.explain() == (dispatch::WaitReport {WaitReason::BesideServing, 4, 2, true}));
 }
 
+/// A separate flag, which only a tick set and cleared, let best-effort tasks start beside disturbed serving ones until the next tick, or kept them
+/// away for that long.
+Test(waiting, disturbedServingTasks_areTheReasonUntilTheDisturbanceIsOver)
+{
+    WaitingFixture fixture;
+    fixture.m_spec.m_usesIdleProcessor = true;
+    fixture.m_candidate.m_mayRunBesideServing = true;
+    for (const int i : {0, 3}) {
+        dispatch::WorkerState &worker = fixture.m_state.m_workers.at(WaitingFixture::idOf(i));
+        worker.m_servingRuns = 1;
+        worker.m_disturbedUntil = now.m_boot + 1ms;
+    }
+    cr_assert(fixture.explain() == (dispatch::WaitReport {WaitReason::BesideServing, 4, 2, true}));
+    for (const int i : {0, 3}) {
+        fixture.m_state.m_workers.at(WaitingFixture::idOf(i)).m_disturbedUntil = now.m_boot;
+    }
+    cr_assert(fixture.explain() == (dispatch::WaitReport {WaitReason::Unexplained, 4, 2, true}));
+}
+
 Test(waiting, reservationsOfOtherSteps_areTheReason)
 {
     WaitingFixture fixture;
--- a/components/dispatch/worker_state.hpp
+++ b/components/dispatch/worker_state.hpp
@@ -56,8 +56,7 @@
     /// Numbers of serving runs, which have a target for response times, and of best-effort runs, which only use idle processor time.
     int m_servingRuns = 0;
     int m_bestEffortRuns = 0;
-    /// A serving run is or was over its target for response times, so no best-effort run may work beside it until the given time.
-    bool m_isServingDisturbed = false;
+    /// A serving run is or was over its target for response times, so no best-effort run may work beside it until this time.
     fleet::BootTime m_disturbedUntil;
     /// Number of such times; each one doubles the next, up to a maximum.
     int m_disturbances = 0;
