foxtailcross-node check: checks a catalog before it is published

foxtailcross-node check FILE [--against FILE] [--json] prints findings with row and remedy, and the differences from the catalog in force. Exit codes: 0 clean, 1 findings, 2 wrong use, 3 unreadable file. Differences are no findings. Every other first argument still names the settings file; a settings file with the name check has to be given as ./check.

--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -1,3 +1,4 @@
+#include "apps/foxtailcross-node/check_command.hpp"
 #include "components/logging/line_log.hpp"
 #include "components/metrics/registry.hpp"
 #include "components/node/clocks.hpp"
@@ -14,6 +15,7 @@
 #include <exception>
 #include <iostream>
 #include <random>
+#include <string_view>
 
 namespace
 {
@@ -184,7 +186,10 @@
 
 int main(int argc, char **argv)
 {
-    // First of all, since a SIGHUP or SIGTERM without a handler ends the process at once.
+    if (argc > 1 && std::string_view(argv[1]) == "check") {
+        return node_app::runCheck({argv + 2, argv + argc}, std::cout, std::cerr);
+    }
+    // Before the settings are read, since a SIGHUP or SIGTERM without a handler ends the process at once.
     installSignalHandlers();
     try {
         const char *fromEnvironment = std::getenv("FOXTAILCROSS_SETTINGS");
