Maxima of accounts: no start raises the use of an account above its maximum

The catalog had no upper bound for what an account may have in use, so that one account could occupy all workers.

components/dispatch/account_limits decides in each plan how many tasks of a step may start, from the runs that may be running: all open runs, reported runs that are not open, and start orders without an answer that may still be carried out. A gang starts whole or not at all. Steps at the maximum get no reservations and cause no evictions, and wait with the reason account-maximum.

--- a/components/callers/reply.hpp
+++ b/components/callers/reply.hpp
@@ -20,7 +20,7 @@
     std::size_t m_waitingJobs = 0;
     /// Refused: how long the caller should wait before it retries.
     fleet::Duration m_retryAfter {0};
-    /// Refused, Malformed and Unknown: the reason and the remedy.
+    /// Refused, OverMaximum, Malformed and Unknown: the reason and the remedy.
     std::string m_reason;
 
     bool operator==(const Reply &) const = default;
--- a/components/callers/reply_kind.hpp
+++ b/components/callers/reply_kind.hpp
@@ -18,6 +18,8 @@
     KeyRefused,
     /// The call could not be parsed.
     Malformed,
+    /// The job asks for more than its account may have in use. It is not stored and never runs.
+    OverMaximum,
     /// Nothing was done and nothing will be; the caller may retry.
     Refused,
     /// The outcome could not be determined; the caller should repeat the call.
--- a/components/callers/submission_limits.cpp
+++ b/components/callers/submission_limits.cpp
@@ -25,6 +25,36 @@
     return std::max({amount.m_milliCores, amount.m_memoryMb, amount.m_accelerators}) > maxAmountPerTask;
 }
 
+/// Returns a description of the first resource of which more is asked for than the maximum; empty if there is none.
+std::string describeOver(const fleet::Resources &asked, const fleet::Resources &maximum)
+{
+    const auto describe = [](const char *name, std::int64_t amount, std::int64_t most) {
+        return most > 0 && amount > most ? std::to_string(amount) + ' ' + name + ", of which the account may have " + std::to_string(most) + " in use"
+                                         : std::string();
+    };
+    for (const std::string &excess : {describe("thousandths of a core", asked.m_milliCores, maximum.m_milliCores),
+                                      describe("MB of memory", asked.m_memoryMb, maximum.m_memoryMb),
+                                      describe("accelerators", asked.m_accelerators, maximum.m_accelerators)}) {
+        if (!excess.empty()) {
+            return excess;
+        }
+    }
+    return {};
+}
+
+}
+
+std::string findOverMaximum(const Submission &submission, const fleet::Resources &maximum)
+{
+    for (std::size_t i = 0; i < submission.m_steps.size(); ++i) {
+        const jobs::StepSpec &step = submission.m_steps[i];
+        const fleet::Resources together = step.m_isGang ? step.m_perTask * step.m_tasks : step.m_perTask;
+        const std::string excess = step.m_tasks == 0 ? std::string() : describeOver(together, maximum);
+        if (!excess.empty()) {
+            return std::string(step.m_isGang ? "the gang of step " : "a task of step ") + std::to_string(i) + " asks for " + excess + "; ask for less";
+        }
+    }
+    return {};
 }
 
 std::string findExcess(const Submission &submission)
--- /dev/null
+++ b/components/dispatch/account_limits_test.cpp
@@ -0,0 +1,100 @@
+#include "components/dispatch/account_limits.hpp"
+
+#include "components/catalog/queue.hpp"
+#include "components/dispatch/candidate.hpp"
+#include "components/dispatch/context.hpp"
+#include "components/jobs/step_spec.hpp"
+
+#include <chrono>
+
+#include <criterion/criterion.h>
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr fleet::Now now {fleet::BootTime(100s), fleet::TimePoint(1000s)};
+const fleet::AccountId account {"a"};
+
+/// One account with a maximum, and a candidate of it.
+struct LimitFixture
+{
+    LimitFixture()
+    {
+        m_catalog.m_accounts.push_back({account, {}, 0});
+        m_catalog.m_accounts.back().m_maximum = {4000, 0, 8};
+        m_candidate.m_spec = &m_spec;
+        m_candidate.m_account = account;
+        m_spec.m_perTask = {1000, 1000, 1};
+        m_candidate.m_tasks = {0, 1, 2, 3, 4, 5};
+        m_state.m_activeJobs[m_candidate.m_step.m_job] = now.m_boot;
+    }
+
+    std::size_t allowed()
+    {
+        dispatch::Context context {m_state, m_journalState, m_catalog, m_zonesOut, m_waves, now, {}, {}, {}, {}, {}, {}, {}};
+        dispatch::Candidate candidate = m_candidate;
+        dispatch::AccountBudgets budgets = dispatch::makeAccountBudgets(context, {candidate});
+        dispatch::withholdTasks(context, budgets, candidate);
+        return candidate.m_tasks.size();
+    }
+
+    dispatch::State m_state;
+    journal::JournalState m_journalState;
+    catalog::Catalog m_catalog;
+    std::set<fleet::ZoneId> m_zonesOut;
+    std::map<std::string, catalog::UpkeepWave> m_waves;
+    jobs::StepSpec m_spec;
+    dispatch::Candidate m_candidate;
+};
+
+}
+
+/// A best-effort task is allocated no cores, but counts with those that it asks for.
+Test(accountLimits, independentTasks_asManyAsFitTheFullRequest)
+{
+    LimitFixture fixture;
+    cr_assert_eq(fixture.allowed(), 4);
+    fixture.m_spec.m_usesIdleProcessor = true;
+    fixture.m_candidate.m_perTask = {0, 1000, 1};
+    cr_assert_eq(fixture.allowed(), 4);
+    fixture.m_state.m_accountUse[account] = {3500, 0, 0};
+    cr_assert_eq(fixture.allowed(), 0);
+    fixture.m_catalog.m_accounts.front().m_maximum = {};
+    cr_assert_eq(fixture.allowed(), 6);
+}
+
+/// A part of a gang would wait on its workers in vain.
+Test(accountLimits, gang_startsWholeOrNotAtAll)
+{
+    LimitFixture fixture;
+    fixture.m_spec.m_isGang = true;
+    cr_assert_eq(fixture.allowed(), 0);
+    fixture.m_candidate.m_tasks.resize(4);
+    cr_assert_eq(fixture.allowed(), 4);
+}
+
+/// A start order without an answer may be carried out after its run has ended, as long as its lease lasts.
+Test(accountLimits, unansweredStart_countsUntilItCannotBeCarriedOut)
+{
+    LimitFixture fixture;
+    const fleet::WorkerId id {"w"};
+    dispatch::WorkerState &worker = fixture.m_state.m_workers[id];
+    worker.m_registration.m_incarnation = {id, 1};
+    worker.m_clockMs = 500;
+    worker.m_clockAt = now.m_boot;
+    dispatch::UnansweredStart &start = fixture.m_state.m_unansweredStarts[id][{}];
+    start.m_target = {id, 1};
+    start.m_unansweredAt = now.m_boot;
+    start.m_leaseUntilMs = 600;
+    start.m_account = account;
+    start.m_requested = {4000, 0, 0};
+    cr_assert_eq(fixture.allowed(), 0);
+    worker.m_clockMs = 600;
+    cr_assert_eq(fixture.allowed(), 4);
+    worker.m_registration.m_incarnation = {id, 2};
+    cr_assert_eq(fixture.allowed(), 0, "the restarted worker does not know the run");
+    start.m_stoppedOn = {id, 2};
+    cr_assert_eq(fixture.allowed(), 4);
+}
--- a/components/dispatch/candidate.hpp
+++ b/components/dispatch/candidate.hpp
@@ -45,6 +45,8 @@
     /// A best-effort step that no other worker has room for may run beside serving tasks.
     bool m_mayRunBesideServing = false;
     std::vector<std::uint16_t> m_tasks;
+    /// Tasks that the maximum of the account keeps from starting in this plan.
+    std::vector<std::uint16_t> m_withheldTasks;
     /// The run that the tasks join if the rest of their gang has started already; otherwise 0.
     std::uint32_t m_joinedRun = 0;
     /// For tasks that join a run: the rack of the others if m_requiresOneRack is set, and the workers that refused the run.
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -1,5 +1,6 @@
 #include "components/dispatch/plan.hpp"
 
+#include "components/dispatch/account_limits.hpp"
 #include "components/dispatch/advice.hpp"
 #include "components/dispatch/available_workers.hpp"
 #include "components/dispatch/candidates.hpp"
@@ -353,6 +354,14 @@
     }
 }
 
+/// Withholds the tasks that the maximum of the account does not allow to start, with the reservation that only they need.
+void withholdExcess(Context &context, AccountBudgets &budgets, Candidate &candidate, AvailableWorkers &availableWorkers)
+{
+    if (withholdTasks(context, budgets, candidate)) {
+        dropReservation(context, candidate.m_step, availableWorkers);
+    }
+}
+
 }
 
 bool plan(Context &context)
@@ -362,13 +371,18 @@
     PlanFindings findings;
     bool isAnyLeft = false;
     std::vector<Candidate> candidates = findCandidates(context);
+    AccountBudgets budgets = makeAccountBudgets(context, candidates);
     for (Candidate &candidate : candidates) {
         WaitingStep &waiting = findWaitingStep(context, candidate);
+        withholdExcess(context, budgets, candidate, availableWorkers);
         const std::size_t ready = candidate.m_tasks.size();
-        placeCandidate(context, candidate, waiting, availableWorkers, findings);
+        if (ready > 0) {
+            placeCandidate(context, candidate, waiting, availableWorkers, findings);
+        }
         if (candidate.m_tasks.size() < ready) {
             recordPlaced(context, waiting);
         }
+        settleTasks(context, budgets, candidate, ready);
         isAnyLeft = isAnyLeft || !candidate.m_tasks.empty();
     }
     reportWaitingSteps(context, candidates, availableWorkers);
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -1,5 +1,6 @@
 #include "components/dispatch/reports.hpp"
 
+#include "components/dispatch/account_limits.hpp"
 #include "components/dispatch/advice.hpp"
 #include "components/dispatch/best_effort.hpp"
 #include "components/dispatch/context.hpp"
@@ -184,6 +185,7 @@
                                           .add("run", task.m_run.m_run)
                                           .add("worker", workerIncarnation.m_worker.value()));
         const WorkerState *worker = findWorker(context, workerIncarnation);
+        recordStrayRun(context, *worker, task.m_run);
         context.m_out.m_stops.push_back({workerIncarnation, worker->m_registration.m_address, task.m_run, context.m_state.m_token});
         return;
     }
@@ -328,6 +330,7 @@
     worker->m_endsAcknowledged = std::max(worker->m_endsAcknowledged, order.m_acknowledgedUpTo);
     const workers::WorkerIncarnation workerIncarnation = worker->m_registration.m_incarnation;
     applyEndedTasks(context, *worker, result.m_ended);
+    forgetStrayRuns(context, *worker);
     for (const workers::RunningTask &task : result.m_running) {
         applyRunningTask(context, workerIncarnation, task);
     }
--- a/components/dispatch/run_state.hpp
+++ b/components/dispatch/run_state.hpp
@@ -18,6 +18,8 @@
 {
     workers::WorkerIncarnation m_incarnation;
     fleet::Resources m_allocated;
+    /// What the task asks for, which counts as use of its account; more than what it is allocated if it only uses idle processor time.
+    fleet::Resources m_requested;
     int m_priority = 0;
     fleet::AccountId m_account;
     /// A long-running task with a target for its response times.
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -1,5 +1,6 @@
 #include "components/dispatch/runs.hpp"
 
+#include "components/dispatch/account_limits.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/failures.hpp"
 #include "components/dispatch/objectives.hpp"
@@ -276,6 +277,7 @@
     RunState run;
     run.m_incarnation = incarnation;
     run.m_allocated = allocationFor(step);
+    run.m_requested = step.m_perTask;
     run.m_priority = priorityOf(context, job);
     run.m_account = job.m_spec.m_account;
     run.m_isServing = step.m_tailLatencyObjective.count() > 0;
@@ -291,6 +293,7 @@
     worker.m_servingRuns += runState.m_isServing ? 1 : 0;
     worker.m_bestEffortRuns += runState.m_isBestEffort ? 1 : 0;
     worker.m_runs.insert(run);
+    addToAccountUse(state, runState);
     state.m_runsWithPendingOrders.insert(run);
     state.m_runs.emplace(run, std::move(runState));
 }
@@ -337,6 +340,7 @@
             recordHealthyStart(worker->second, found->second, context.m_now.m_boot);
         }
     }
+    removeFromAccountUse(context.m_state, found->second);
     context.m_state.m_runs.erase(found);
     context.m_state.m_runsWithPendingOrders.erase(run);
     recordEnd(context, ended);
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -6,6 +6,7 @@
 #include "components/dispatch/run_state.hpp"
 #include "components/dispatch/settings.hpp"
 #include "components/dispatch/step_advice.hpp"
+#include "components/dispatch/stray_run.hpp"
 #include "components/dispatch/unanswered_start.hpp"
 #include "components/dispatch/waiting_step.hpp"
 #include "components/dispatch/wave_state.hpp"
@@ -37,6 +38,10 @@
     std::optional<fleet::BootTime> m_firstListAt;
     /// Start orders of this holder without an answer that may still be carried out, also of runs that have ended since.
     std::map<fleet::WorkerId, std::map<jobs::RunId, UnansweredStart>> m_unansweredStarts;
+    /// Runs that workers reported although they are not open, until they have ended.
+    std::map<fleet::WorkerId, std::map<jobs::RunId, StrayRun>> m_strayRuns;
+    /// Sum of the resources that the open runs ask for, by account. It changes with m_runs.
+    std::map<fleet::AccountId, fleet::Resources> m_accountUse;
     /// Runs that have not started or are to be stopped, for which orders may be due.
     std::set<jobs::RunId> m_runsWithPendingOrders;
     /// Jobs that are not over, with the time when this holder first saw them. Their time of acceptance is from the clock of another
--- a/components/dispatch/unanswered_start.hpp
+++ b/components/dispatch/unanswered_start.hpp
@@ -2,8 +2,12 @@
 #define COMPONENTS_DISPATCH_UNANSWERED_START_HPP
 
 #include "components/fleet/boot_time.hpp"
+#include "components/fleet/identifiers.hpp"
+#include "components/fleet/resources.hpp"
 #include "components/workers/worker_incarnation.hpp"
 
+#include <cstdint>
+
 namespace dispatch
 {
 
@@ -13,6 +17,11 @@
 {
     workers::WorkerIncarnation m_target;
     fleet::BootTime m_unansweredAt;
+    /// Latest lease end that an order to the target granted, in milliseconds on the worker's clock. The target refuses it afterwards.
+    std::int64_t m_leaseUntilMs = 0;
+    /// Account of the run and what its task asks for.
+    fleet::AccountId m_account;
+    fleet::Resources m_requested;
     /// The latest incarnation that has confirmed a stop of the run, and refuses the order.
     workers::WorkerIncarnation m_stoppedOn;
     fleet::BootTime m_nextStopAt;
--- a/components/dispatch/unanswered_starts.cpp
+++ b/components/dispatch/unanswered_starts.cpp
@@ -1,11 +1,14 @@
 #include "components/dispatch/unanswered_starts.hpp"
 
+#include "components/dispatch/account_limits.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/runs.hpp"
 #include "components/workers/order_result.hpp"
 #include "components/workers/start_order.hpp"
 #include "components/workers/stop_order.hpp"
 
+#include <algorithm>
+
 namespace dispatch
 {
 
@@ -16,13 +19,13 @@
 constexpr fleet::Duration longestDelay {30'000};
 constexpr fleet::Duration stopRetryDelay {500};
 
-bool isOpenOn(Context &context, const jobs::RunId &id, const fleet::WorkerId &worker)
+bool isOpenOn(const Context &context, const jobs::RunId &id, const fleet::WorkerId &worker)
 {
-    const RunState *run = findRun(context, id);
-    return run != nullptr && run->m_incarnation.m_worker == worker;
+    const auto run = context.m_state.m_runs.find(id);
+    return run != context.m_state.m_runs.end() && run->second.m_incarnation.m_worker == worker;
 }
 
-bool isStopDue(Context &context, const WorkerState &worker, const jobs::RunId &run, const UnansweredStart &start)
+bool isStopDue(const Context &context, const WorkerState &worker, const jobs::RunId &run, const UnansweredStart &start)
 {
     const workers::WorkerIncarnation &incarnation = worker.m_registration.m_incarnation;
     const bool hasRestarted = incarnation.m_startedAtMs > start.m_target.m_startedAtMs;
@@ -35,15 +38,25 @@
 {
     UnansweredStart &start = context.m_state.m_unansweredStarts[order.m_target.m_worker][order.m_run];
     if (start.m_target != order.m_target) {
-        start = {order.m_target, {}, {}, {}};
+        start = UnansweredStart();
+        start.m_target = order.m_target;
     }
     start.m_unansweredAt = context.m_now.m_boot;
+    start.m_leaseUntilMs = std::max(start.m_leaseUntilMs, order.m_leaseUntilMs);
+    const jobs::StepId &step = order.m_run.m_task.m_step;
+    if (const journal::JobRecord *job = journal::findJob(context.m_journalState, step.m_job)) {
+        start.m_account = job->m_spec.m_account;
+        start.m_requested = job->m_spec.m_steps[step.m_step].m_perTask;
+    }
 }
 
 void recordStopAnswer(Context &context, const workers::StopOrder &order, const workers::OrderResult &result)
 {
-    const auto worker = context.m_state.m_unansweredStarts.find(order.m_target.m_worker);
     const bool isStopped = result.m_outcome == workers::OrderOutcome::Done || result.m_outcome == workers::OrderOutcome::RunIsOver;
+    if (isStopped) {
+        recordStrayStop(context, order);
+    }
+    const auto worker = context.m_state.m_unansweredStarts.find(order.m_target.m_worker);
     if (!isStopped || worker == context.m_state.m_unansweredStarts.end()) {
         return;
     }
@@ -52,6 +65,21 @@
     }
 }
 
+bool mayStillBeCarriedOut(const Context &context, const fleet::WorkerId &id, const jobs::RunId &run, const UnansweredStart &start)
+{
+    if (isOpenOn(context, run, id) || context.m_now.m_boot - start.m_unansweredAt >= longestDelay) {
+        return false;
+    }
+    const auto worker = context.m_state.m_workers.find(id);
+    if (worker == context.m_state.m_workers.end()) {
+        return true;
+    }
+    const workers::WorkerIncarnation &incarnation = worker->second.m_registration.m_incarnation;
+    const auto clock = minWorkerClock(worker->second, context.m_now.m_boot);
+    const bool hasLeaseEnded = incarnation == start.m_target && clock && *clock >= start.m_leaseUntilMs;
+    return !hasLeaseEnded && start.m_stoppedOn != incarnation;
+}
+
 void sendStopsOfUnansweredStarts(Context &context)
 {
     for (auto &[id, starts] : context.m_state.m_unansweredStarts) {
--- a/components/dispatch/unanswered_starts.hpp
+++ b/components/dispatch/unanswered_starts.hpp
@@ -1,6 +1,13 @@
 #ifndef COMPONENTS_DISPATCH_UNANSWERED_STARTS_HPP
 #define COMPONENTS_DISPATCH_UNANSWERED_STARTS_HPP
 
+#include "components/fleet/identifiers.hpp"
+
+namespace jobs
+{
+struct RunId;
+}
+
 namespace workers
 {
 struct OrderResult;
@@ -12,10 +19,15 @@
 {
 
 struct Context;
+struct UnansweredStart;
 
 void recordUnansweredStart(Context &context, const workers::StartOrder &order);
 void recordStopAnswer(Context &context, const workers::StopOrder &order, const workers::OrderResult &result);
 
+/// True if the run is no longer open on the worker, and the order may still be carried out there: its lease has not certainly expired, or the
+/// worker has restarted and not confirmed a stop of the run since.
+bool mayStillBeCarriedOut(const Context &context, const fleet::WorkerId &worker, const jobs::RunId &run, const UnansweredStart &start);
+
 /// Sends stops to workers that have restarted since a start order without an answer whose run is no longer open there, so that they
 /// refuse the order when it arrives.
 void sendStopsOfUnansweredStarts(Context &context);
--- a/components/dispatch/wait_reason.hpp
+++ b/components/dispatch/wait_reason.hpp
@@ -8,6 +8,8 @@
 
 /// What keeps a step from being placed: the first of these that leaves too little room for it.
 enum class WaitReason : std::uint8_t {
+    /// The account would exceed its maximum.
+    AccountMaximum,
     /// No listed worker runs the service and has the label.
     NoWorker,
     /// The workers that may be used have too little free capacity.
--- a/components/dispatch/waiting.cpp
+++ b/components/dispatch/waiting.cpp
@@ -25,6 +25,8 @@
 const char *nameOf(WaitReason reason)
 {
     switch (reason) {
+    case WaitReason::AccountMaximum:
+        return "account-maximum";
     case WaitReason::NoWorker:
         return "no-worker";
     case WaitReason::NoRoom:
@@ -109,6 +111,9 @@
 
 WaitReport explainWait(const Context &context, const Candidate &candidate, const AvailableWorkers &availableWorkers)
 {
+    if (!candidate.m_tasks.empty() && candidate.m_withheldTasks.size() == candidate.m_tasks.size()) {
+        return {WaitReason::AccountMaximum, 0, 0, false};
+    }
     jobs::StepSpec besideServing = *candidate.m_spec;
     besideServing.m_usesIdleProcessor = false;
     Candidate anywhere = candidate;
--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -104,6 +104,8 @@
         return "key-refused";
     case callers::ReplyKind::Malformed:
         return "malformed";
+    case callers::ReplyKind::OverMaximum:
+        return "over-maximum";
     case callers::ReplyKind::Refused:
         return "refused";
     case callers::ReplyKind::Unknown:
@@ -239,6 +241,16 @@
         reply(call, openCall, refusal(storeUnreachableReason, now), now);
         return;
     }
+    const catalog::Account *limited = catalog::findAccount(m_operatorConfig.m_catalog, account);
+    if (limited != nullptr && !isIncomplete(m_journal)) {
+        openCall.m_overMaximum = callers::findOverMaximum(*content.m_submission, limited->m_maximum);
+    }
+    if (!openCall.m_overMaximum.empty()) {
+        // An earlier attempt of this submission may have been stored when the maximum was higher.
+        openCall.m_minJournalAsOf = now.m_boot;
+        waitForJournalRead(call, openCall);
+        return;
+    }
     journal::JobAccepted record;
     record.m_spec = {openCall.m_job, queue.m_id, account, content.m_submission->m_payload, content.m_submission->m_steps, content.m_submission->m_schedule};
     record.m_maxAttempts = queue.m_maxAttempts;
@@ -365,8 +377,26 @@
     return reply;
 }
 
+void CallHandler::answerOverMaximum(std::uint64_t call, const OpenCall &openCall, fleet::Now now)
+{
+    if (journal::findJob(m_journal.m_journalState, openCall.m_job) != nullptr) {
+        reply(call, openCall, replyOf(callers::ReplyKind::Accepted), now);
+    } else if (const auto pending = m_pendingSubmissions.find(openCall.m_job); pending != m_pendingSubmissions.end()) {
+        m_openCalls.at(call).m_waitsForAppend = true;
+        m_pendingRecords.at(pending->second).m_calls.push_back(call);
+    } else if (isIncomplete(m_journal)) {
+        reply(call, openCall, {callers::ReplyKind::Unknown, {}, 0, {}, incompleteReason}, now);
+    } else {
+        reply(call, openCall, {callers::ReplyKind::OverMaximum, {}, 0, {}, openCall.m_overMaximum}, now);
+    }
+}
+
 bool CallHandler::tryAnswer(std::uint64_t call, const OpenCall &openCall, fleet::Now now)
 {
+    if (openCall.m_kind == callers::CallKind::Submit) {
+        answerOverMaximum(call, openCall, now);
+        return true;
+    }
     const journal::JobRecord *job = journal::findJob(m_journal.m_journalState, openCall.m_job);
     if (isIncomplete(m_journal) && (openCall.m_isForQueue || job == nullptr || !job->isOver())) {
         reply(call, openCall, refusal(incompleteReason, now), now);
@@ -463,6 +493,8 @@
     const journal::JobRecord *job = isForJob ? journal::findJob(m_journal.m_journalState, openCall.m_job) : nullptr;
     if (job != nullptr && job->isOver()) {
         reply(call, openCall, stateReply(*job), now);
+    } else if (openCall.m_kind == callers::CallKind::Submit && !openCall.m_waitsForAppend) {
+        reply(call, openCall, {callers::ReplyKind::Unknown, {}, 0, {}, "whether the job is stored could not be read; submit it again"}, now);
     } else if (openCall.m_waitsForAppend) {
         reply(call, openCall, {callers::ReplyKind::Unknown, {}, 0, {}, "the store has not answered; ask for the job again"}, now);
     } else {
--- a/components/node/call_handler.hpp
+++ b/components/node/call_handler.hpp
@@ -74,6 +74,8 @@
         /// True if the caller asks how many jobs of the queue wait; m_job has no meaning then, and each value of it names a job.
         bool m_isForQueue = false;
         std::string m_requestId;
+        /// Submit: why the job can never run within the maximum of its account, while it is read whether it is stored already.
+        std::string m_overMaximum;
     };
 
     /// A record of m_writer that is not known to be stored or refused yet.
@@ -99,6 +101,8 @@
     /// Answers without waiting for the store: with the state of a job that has ended, or that the outcome is not known, or with
     /// a refusal.
     void answerWithoutWaiting(std::uint64_t call, const OpenCall &openCall, fleet::Now now);
+    /// Refuses a submission that exceeds the maximum of its account, unless it is stored already or its record is in doubt.
+    void answerOverMaximum(std::uint64_t call, const OpenCall &openCall, fleet::Now now);
     bool tryAnswer(std::uint64_t call, const OpenCall &openCall, fleet::Now now);
     callers::Reply refusal(const std::string &reason, fleet::Now now) const;
     callers::Reply stateReply(const journal::JobRecord &job) const;
--- a/components/simulation/fleet_model.cpp
+++ b/components/simulation/fleet_model.cpp
@@ -186,6 +186,46 @@
     return used;
 }
 
+/// Returns what all running tasks of the account ask for.
+fleet::Resources useOf(const FleetModel &fleet, const fleet::AccountId &account)
+{
+    fleet::Resources use;
+    for (const auto &[id, worker] : fleet.m_workers) {
+        for (const auto &[run, state] : worker.m_running) {
+            const auto owner = fleet.m_accounts.find(run.m_task.m_step.m_job);
+            use = owner != fleet.m_accounts.end() && owner->second == account ? use + state.m_step.m_perTask : use;
+        }
+    }
+    return use;
+}
+
+/// Checks the use of an account after a start against the highest maximum that may be in force.
+void checkMaximum(FleetModel &fleet, const jobs::RunId &id, fleet::BootTime now)
+{
+    const auto account = fleet.m_accounts.find(id.m_task.m_step.m_job);
+    if (account == fleet.m_accounts.end()) {
+        return;
+    }
+    const fleet::Resources use = useOf(fleet, account->second);
+    fleet::Resources &peak = fleet.m_peakUse[account->second];
+    peak = {std::max(peak.m_milliCores, use.m_milliCores), std::max(peak.m_memoryMb, use.m_memoryMb), std::max(peak.m_accelerators, use.m_accelerators)};
+    const std::vector<PublishedMaximum> &maxima = fleet.m_maxima[account->second];
+    const auto isWithin = [&](std::int64_t fleet::Resources::*resource) {
+        for (std::size_t i = 0; i < maxima.size(); ++i) {
+            const bool mayBeInForce = i + 1 == maxima.size() || now - maxima[i + 1].m_publishedAt < fleet.m_catalogInForce;
+            const std::int64_t maximum = maxima[i].m_maximum.*resource;
+            if (mayBeInForce && (maximum == 0 || use.*resource <= maximum)) {
+                return true;
+            }
+        }
+        return maxima.empty();
+    };
+    if (!isWithin(&fleet::Resources::m_milliCores) || !isWithin(&fleet::Resources::m_memoryMb) || !isWithin(&fleet::Resources::m_accelerators)) {
+        fleet.m_violations.push_back("start of " + toString(id.m_task) + " above the maximum of " + account->second.value() + " at "
+                                     + std::to_string(now.time_since_epoch().count()));
+    }
+}
+
 void checkStart(FleetModel &fleet, const jobs::RunId &id, fleet::BootTime now)
 {
     const jobs::StepSpec &step = fleet.m_steps.at(id.m_task.m_step.m_job)[id.m_task.m_step.m_step];
@@ -329,6 +369,7 @@
         }
     }
     worker.m_running[order.m_run] = run;
+    checkMaximum(fleet, order.m_run, now);
     fleet.m_history.push_back({order.m_run, worker.m_registration.m_incarnation, now, fleet::BootTime::max(), {}});
     return orderResult(worker, workers::OrderOutcome::Done, now);
 }
--- a/components/simulation/fleet_model.hpp
+++ b/components/simulation/fleet_model.hpp
@@ -77,6 +77,13 @@
     std::string m_endReason;
 };
 
+/// Maximum of an account in one version of the catalog.
+struct PublishedMaximum
+{
+    fleet::BootTime m_publishedAt;
+    fleet::Resources m_maximum;
+};
+
 /// All workers, and the gangs whose members run on several of them.
 struct FleetModel
 {
@@ -84,6 +91,12 @@
     /// Steps and behaviour of the submitted jobs.
     std::map<jobs::JobId, std::vector<jobs::StepSpec>> m_steps;
     std::map<jobs::JobId, Behaviour> m_behaviours;
+    /// Accounts of the submitted jobs, the maxima of the accounts in the order of their publication, how long a replaced one may still be in
+    /// force, and the most resources that the running tasks of an account asked for.
+    std::map<jobs::JobId, fleet::AccountId> m_accounts;
+    std::map<fleet::AccountId, std::vector<PublishedMaximum>> m_maxima;
+    fleet::Duration m_catalogInForce {3000};
+    std::map<fleet::AccountId, fleet::Resources> m_peakUse;
     /// Jobs that start only with a ticket of the advice service, and the workers that get one.
     std::set<jobs::JobId> m_jobsNeedingTicket;
     std::set<fleet::WorkerId> m_permittedWorkers;
--- a/components/simulation/random_run_test.cpp
+++ b/components/simulation/random_run_test.cpp
@@ -21,8 +21,8 @@
 class RandomRun
 {
 public:
-    explicit RandomRun(unsigned seed)
-        : m_fixture(settingsFor(seed))
+    RandomRun(unsigned seed, const WorldSettings &settings)
+        : m_fixture(settingsFor(seed, settings))
     {
     }
 
@@ -31,9 +31,8 @@
     std::string findViolation();
 
 private:
-    static WorldSettings settingsFor(unsigned seed)
+    static WorldSettings settingsFor(unsigned seed, WorldSettings settings)
     {
-        WorldSettings settings;
         settings.m_seed = seed;
         settings.m_journalRetention = 20s;
         return settings;
@@ -162,7 +161,7 @@
 std::string RandomRun::findJobViolation(jobs::JobId id, const RandomJob &job)
 {
     const auto &reply = world().outcome(job.m_call).m_reply;
-    const bool wasRefused = reply && reply->m_kind == callers::ReplyKind::Refused;
+    const bool wasRefused = reply && (reply->m_kind == callers::ReplyKind::Refused || reply->m_kind == callers::ReplyKind::OverMaximum);
     const int runs = m_fixture.runCount(id);
     if (wasRefused && runs > 0) {
         return "job " + toString(id) + " ran although it was refused";
@@ -201,9 +200,18 @@
     return out << '{' << action.m_kind << ", " << action.m_first << ", " << action.m_second << ", " << action.m_pause << '}';
 }
 
-std::string performActions(unsigned seed, const std::vector<Action> &actions)
+std::vector<Action> anyActions()
 {
-    RandomRun run(seed);
+    const auto action = rc::gen::build<Action>(rc::gen::set(&Action::m_kind, rc::gen::inRange(0, actionKinds)),
+                                               rc::gen::set(&Action::m_first, rc::gen::inRange(0U, 100'000U)),
+                                               rc::gen::set(&Action::m_second, rc::gen::inRange(0U, 100'000U)),
+                                               rc::gen::set(&Action::m_pause, rc::gen::inRange(0U, 1500U)));
+    return *rc::gen::container<std::vector<Action>>(30, action);
+}
+
+std::string performActions(unsigned seed, const std::vector<Action> &actions, const WorldSettings &settings)
+{
+    RandomRun run(seed, settings);
     for (const Action &action : actions) {
         run.perform(action);
     }
@@ -219,11 +227,7 @@
 {
     const bool holds = rc::check("no job is lost, runs twice or after a refusal", [] {
         const auto seed = *rc::gen::arbitrary<unsigned>();
-        const auto action = rc::gen::build<Action>(rc::gen::set(&Action::m_kind, rc::gen::inRange(0, simulation::test::actionKinds)),
-                                                   rc::gen::set(&Action::m_first, rc::gen::inRange(0U, 100'000U)),
-                                                   rc::gen::set(&Action::m_second, rc::gen::inRange(0U, 100'000U)),
-                                                   rc::gen::set(&Action::m_pause, rc::gen::inRange(0U, 1500U)));
-        const auto actions = *rc::gen::container<std::vector<Action>>(30, action);
+        const auto actions = simulation::test::anyActions();
         const std::string violation = simulation::test::performActions(seed, actions);
         if (!violation.empty()) {
             RC_FAIL(violation);
--- a/components/simulation/random_run_test.hpp
+++ b/components/simulation/random_run_test.hpp
@@ -35,7 +35,10 @@
 };
 
 /// Performs the actions, ends all faults, and runs until the jobs should be done. Returns the first violation; empty if there was none.
-std::string performActions(unsigned seed, const std::vector<Action> &actions);
+/// The seed replaces that of the settings.
+std::string performActions(unsigned seed, const std::vector<Action> &actions, const WorldSettings &settings = {});
+/// Returns actions of any kind, for a property.
+std::vector<Action> anyActions();
 
 }
 
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -472,6 +472,7 @@
     catalog.m_queues.push_back(advised);
     catalog.m_services.push_back({fleet::ServiceId("service"), true, false});
     catalog.m_accounts.push_back({fleet::AccountId("account"), {"key"}, 16});
+    catalog.m_accounts.back().m_maximum = settings.m_accountMaximum;
     catalog.m_accounts.push_back({fleet::AccountId("other"), {"other-key"}, 16});
     publish(catalog);
     m_instances.resize(static_cast<std::size_t>(settings.m_zones) * static_cast<std::size_t>(settings.m_instancesPerZone));
@@ -599,6 +600,11 @@
 {
     m_fleet.m_steps[spec.m_id] = spec.m_steps;
     m_fleet.m_behaviours[spec.m_id] = behaviour;
+    for (const catalog::Account &account : m_catalog.m_accounts) {
+        if (std::find(account.m_keys.begin(), account.m_keys.end(), m_callerKey) != account.m_keys.end()) {
+            m_fleet.m_accounts.emplace(spec.m_id, account.m_id);
+        }
+    }
     callers::Call content;
     content.m_kind = callers::CallKind::Submit;
     content.m_path = queuePath + spec.m_queue.value().substr(1) + '/' + toString(spec.m_id);
@@ -647,7 +653,19 @@
 
 void World::publish(const catalog::Catalog &catalog)
 {
+    m_catalog = catalog;
     m_operatorLog.emplace_back(catalog);
+    for (const catalog::Account &account : catalog.m_accounts) {
+        m_fleet.m_maxima[account.m_id].push_back({m_now, account.m_maximum});
+    }
+}
+
+void World::publishMaximum(const fleet::Resources &maximum)
+{
+    catalog::Catalog next = m_catalog;
+    ++next.m_version;
+    next.m_accounts.front().m_maximum = maximum;
+    publish(next);
 }
 
 void World::setZoneOut(const fleet::ZoneId &zone, bool isOut)
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -58,6 +58,8 @@
 
     // Operators.
     void publish(const catalog::Catalog &catalog);
+    /// Publishes the next version of the catalog, with this maximum of the account "account".
+    void publishMaximum(const fleet::Resources &maximum);
     void setZoneOut(const fleet::ZoneId &zone, bool isOut);
     void requestUpkeep(const catalog::UpkeepWave &wave);
 
@@ -143,6 +145,7 @@
     std::vector<CallOutcome> m_outcomes;
     std::map<std::pair<int, std::uint64_t>, int> m_openCalls;
     std::uint64_t m_nextCall = 1;
+    catalog::Catalog m_catalog;
     std::vector<catalog::OperatorConfigChange> m_operatorLog;
     std::map<std::uint64_t, catalog::UpkeepWave> m_waves;
     std::vector<workers::WorkerListChange> m_workerListLog;
--- a/components/simulation/world_settings.hpp
+++ b/components/simulation/world_settings.hpp
@@ -19,6 +19,8 @@
     int m_workersPerZone = 4;
     int m_workersPerRack = 2;
     fleet::Resources m_workerCapacity {32'000, 64'000, 8};
+    /// Maximum of the account "account" in the first catalog.
+    fleet::Resources m_accountMaximum;
     /// Every second worker has this many times the capacity, and takes this many times as long for a task.
     int m_capacityFactor = 1;
     int m_slownessFactor = 1;
