Weights of accounts: steps of accounts below their share come first

Among steps of equal rank the order was by objective alone, so that an account with many early objectives got all workers while others waited. If the catalog holds different weights, candidates whose account is below its share of the weights now come first in their rank; each candidate counts as use for later ones of its account.

--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -1,6 +1,7 @@
 #include "components/dispatch/plan.hpp"
 
 #include "components/dispatch/account_limits.hpp"
+#include "components/dispatch/account_shares.hpp"
 #include "components/dispatch/advice.hpp"
 #include "components/dispatch/available_workers.hpp"
 #include "components/dispatch/candidates.hpp"
@@ -371,6 +372,7 @@
     PlanFindings findings;
     bool isAnyLeft = false;
     std::vector<Candidate> candidates = findCandidates(context);
+    orderByShare(context, candidates);
     AccountBudgets budgets = makeAccountBudgets(context, candidates);
     for (Candidate &candidate : candidates) {
         WaitingStep &waiting = findWaitingStep(context, candidate);
--- a/components/simulation/account_limits_test.cpp
+++ b/components/simulation/account_limits_test.cpp
@@ -29,6 +29,13 @@
         return settings;
     }
 
+    void publishMaximum(const fleet::Resources &maximum)
+    {
+        m_world.publishAccount([&](catalog::Account &account) {
+            account.m_maximum = maximum;
+        });
+    }
+
     std::int64_t peak() const
     {
         return m_world.m_fleet.m_peakUse.at(fleet::AccountId("account")).m_accelerators;
@@ -82,7 +89,7 @@
     LimitFixture fixture;
     const jobs::JobId running = fixture.submit(makeTasks(8), {6s});
     fixture.m_world.run(500ms);
-    fixture.m_world.publishMaximum({0, 0, 3});
+    fixture.publishMaximum({0, 0, 3});
     fixture.m_world.run(1s);
     const jobs::JobId waiting = fixture.submit(makeTasks(4), {1s});
     fixture.m_world.run(3s);
@@ -169,7 +176,7 @@
     cr_assert(fixture.submitAndWait(makeTasks(1, 9), task) == callers::ReplyKind::OverMaximum);
     cr_assert(fixture.submitAndWait(makeTasks(9), accepted) == callers::ReplyKind::Accepted);
     const jobs::JobId before = fixture.submit(makeGang(8), {10s});
-    fixture.m_world.publishMaximum({0, 0, 4});
+    fixture.publishMaximum({0, 0, 4});
     fixture.m_world.run(3s);
     jobs::JobSpec again;
     again.m_id = before;
@@ -181,6 +188,34 @@
     cr_assert_eq(fixture.runCount(gang) + fixture.runCount(task), 0);
 }
 
+/// Without weights two accounts that keep all workers busy get what the order of their objectives gives them.
+Test(accountShares, accountsCompeteForAllWorkers_useFollowsTheWeights)
+{
+    WorldFixture fixture;
+    fixture.m_world.publishAccount([](catalog::Account &account) {
+        account.m_weight = 3;
+    });
+    fixture.m_world.run(3s);
+    std::vector<jobs::JobId> heavy;
+    std::vector<jobs::JobId> light;
+    for (int i = 0; i < 60; ++i) {
+        fixture.m_world.m_callerKey = "other-key";
+        light.push_back(fixture.submit(makeTasks(8), {1s}));
+        fixture.m_world.m_callerKey = "key";
+        heavy.push_back(fixture.submit(makeTasks(8), {1s}));
+    }
+    int runsOfHeavy = 0;
+    int runsOfLight = 0;
+    fixture.m_world.run(6s);
+    for (std::size_t i = 0; i < heavy.size(); ++i) {
+        runsOfHeavy += fixture.runCount(heavy[i]);
+        runsOfLight += fixture.runCount(light[i]);
+    }
+    cr_assert_geq(runsOfHeavy, 2 * runsOfLight, "%d and %d runs", runsOfHeavy, runsOfLight);
+    cr_assert_leq(runsOfHeavy, 4 * runsOfLight, "%d and %d runs", runsOfHeavy, runsOfLight);
+    cr_assert(fixture.completes(light.back(), 60s));
+}
+
 /// Any faults and calls. No start may exceed the maximum, and every accepted job is done.
 Test(accountLimits, faultsAtAnyTime_noStartExceedsTheMaximum)
 {
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -660,11 +660,11 @@
     }
 }
 
-void World::publishMaximum(const fleet::Resources &maximum)
+void World::publishAccount(const std::function<void(catalog::Account &)> &change)
 {
     catalog::Catalog next = m_catalog;
     ++next.m_version;
-    next.m_accounts.front().m_maximum = maximum;
+    change(next.m_accounts.front());
     publish(next);
 }
 
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -58,8 +58,8 @@
 
     // Operators.
     void publish(const catalog::Catalog &catalog);
-    /// Publishes the next version of the catalog, with this maximum of the account "account".
-    void publishMaximum(const fleet::Resources &maximum);
+    /// Publishes the next version of the catalog after a change of its first account, "account".
+    void publishAccount(const std::function<void(catalog::Account &)> &change);
     void setZoneOut(const fleet::ZoneId &zone, bool isOut);
     void requestUpkeep(const catalog::UpkeepWave &wave);
 
