Metrics by account: running, maximum, share and waiting steps

Operators could not see which account is at its maximum or below its share. The holder now publishes these figures once a second, if the catalog gives any account a maximum or a weight, for at most 64 accounts and one entry for the rest.

--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -28,6 +28,8 @@
 /// Ended jobs are dropped this often. They are kept for forgetMargin longer than their retention, since callers may learn of the end
 /// from an instance that learned of it later.
 constexpr fleet::Duration forgetInterval {5000};
+/// The figures of the accounts examine all waiting steps; the metrics are read every few seconds.
+constexpr fleet::Duration accountStatsInterval {1000};
 constexpr fleet::Duration forgetMargin {15'000};
 /// A stopping process answers the calls that are still open this long before the platform would kill it, and exits after
 /// finalAnswerTime, in which the answers are sent. The rest of the margin is for writing the log.
@@ -124,6 +126,10 @@
     });
     onEventsHandled(now);
     contain("stop", now, [&] {
+        if (now.m_boot - m_accountsMeasuredAt >= accountStatsInterval) {
+            m_accountsMeasuredAt = now.m_boot;
+            m_accountStats = m_duty.accountStats();
+        }
         m_metrics.publish(collectStats(now));
         checkStop(now);
     });
@@ -436,6 +442,7 @@
     stats.m_openCalls = m_callHandler.openCalls();
     stats.m_callerConnections = m_ports.callerConnections();
     m_duty.addStats(stats);
+    stats.m_accounts = m_accountStats;
     return stats;
 }
 
--- a/components/node/control.hpp
+++ b/components/node/control.hpp
@@ -96,6 +96,8 @@
     bool m_isReady = false;
     std::optional<fleet::BootTime> m_stopRequestedAt;
     fleet::BootTime m_lastForgetAt;
+    std::vector<dispatch::AccountStats> m_accountStats;
+    fleet::BootTime m_accountsMeasuredAt;
     bool m_hasStoppedAccepting = false;
     bool m_isStopped = false;
 };
--- a/components/node/instance_metrics.cpp
+++ b/components/node/instance_metrics.cpp
@@ -3,6 +3,7 @@
 #include "components/metrics/registry.hpp"
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <variant>
 
@@ -92,6 +93,34 @@
     return "";
 }
 
+/// Number of accounts with metrics of their own; the others are summed up in one entry, since the registry keeps every entry.
+constexpr std::size_t maxPublishedAccounts = 64;
+
+void add(dispatch::AccountStats &sum, const dispatch::AccountStats &stats)
+{
+    sum.m_running = sum.m_running + stats.m_running;
+    sum.m_maximum = sum.m_maximum + stats.m_maximum;
+    sum.m_sharePermille += stats.m_sharePermille;
+    sum.m_waitingSteps += stats.m_waitingSteps;
+}
+
+/// Writes the name of an account as the value of a label. Names come from the operators and may hold any character.
+std::string labelValueOf(const fleet::AccountId &account)
+{
+    std::string text;
+    for (const char c : account.value()) {
+        if (c == '\n') {
+            text += "\\n";
+            continue;
+        }
+        if (c == '"' || c == '\\') {
+            text += '\\';
+        }
+        text += c;
+    }
+    return text;
+}
+
 std::string label(const char *name, const char *value)
 {
     return std::string(name) + "=\"" + value + '"';
@@ -191,7 +220,45 @@
     set("foxtailcross_steps_waiting_would_fit",
         "Holder: of these, steps for which the free capacity was enough in their last report.",
         stats.m_waitingStepsThatWouldFit);
+    if (stats.m_accounts != m_lastStats.m_accounts) {
+        publishAccounts(stats.m_accounts);
+    }
     m_lastStats = stats;
 }
 
+void InstanceMetrics::publishAccounts(const std::vector<dispatch::AccountStats> &accounts)
+{
+    // Accounts without new figures are set to 0: they have left the catalog, or the instance no longer holds the duty.
+    std::map<fleet::AccountId, dispatch::AccountStats> entries;
+    for (const fleet::AccountId &account : m_publishedAccounts) {
+        entries[account] = {};
+    }
+    const fleet::AccountId others;
+    for (const dispatch::AccountStats &account : accounts) {
+        if (m_publishedAccounts.size() < maxPublishedAccounts) {
+            m_publishedAccounts.insert(account.m_account);
+        }
+        const bool hasOwn = m_publishedAccounts.contains(account.m_account);
+        add(entries[hasOwn ? account.m_account : others], account);
+    }
+    m_hasOtherAccounts = m_hasOtherAccounts || entries.contains(others);
+    if (m_hasOtherAccounts) {
+        entries.try_emplace(others);
+    }
+    for (const auto &[account, stats] : entries) {
+        const std::string name = "account=\"" + (account == others ? "(others)" : labelValueOf(account)) + '"';
+        const auto setEach = [&](const char *metric, const char *help, const fleet::Resources &amount) {
+            m_registry.gauge(metric, help, name + ',' + label("resource", "cpu")).set(amount.m_milliCores);
+            m_registry.gauge(metric, help, name + ',' + label("resource", "mem_mb")).set(amount.m_memoryMb);
+            m_registry.gauge(metric, help, name + ',' + label("resource", "gpu")).set(amount.m_accelerators);
+        };
+        setEach("foxtailcross_account_running", "Holder: resources that the open runs of the account ask for.", stats.m_running);
+        setEach("foxtailcross_account_maximum", "Holder: maximum of the account; 0 for no limit.", stats.m_maximum);
+        m_registry.gauge("foxtailcross_account_share_permille", "Holder: share of the account by its weight, while it has work.", name)
+            .set(stats.m_sharePermille);
+        m_registry.gauge("foxtailcross_account_steps_waiting", "Holder: steps of the account that the last plan could not place.", name)
+            .set(static_cast<std::int64_t>(stats.m_waitingSteps));
+    }
+}
+
 }
--- a/components/node/instance_metrics.hpp
+++ b/components/node/instance_metrics.hpp
@@ -5,6 +5,9 @@
 #include "components/node/events.hpp"
 #include "components/node/instance_stats.hpp"
 
+#include <set>
+#include <vector>
+
 namespace metrics
 {
 class Registry;
@@ -32,10 +35,15 @@
 private:
     void countCall(const char *call, const char *outcome, fleet::Duration took);
     void countRefusedEntries(const workers::WorkerListRead &read);
+    void publishAccounts(const std::vector<dispatch::AccountStats> &accounts);
     void countOrder(const char *order, const char *outcome);
 
     metrics::Registry &m_registry;
     InstanceStats m_lastStats;
+    /// Accounts with metrics of their own.
+    std::set<fleet::AccountId> m_publishedAccounts;
+    /// More accounts had figures than have metrics of their own.
+    bool m_hasOtherAccounts = false;
 };
 
 }
--- a/components/node/instance_stats.hpp
+++ b/components/node/instance_stats.hpp
@@ -1,10 +1,12 @@
 #ifndef COMPONENTS_NODE_INSTANCE_STATS_HPP
 #define COMPONENTS_NODE_INSTANCE_STATS_HPP
 
+#include "components/dispatch/account_stats.hpp"
 #include "components/node/caller_connections.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace node
 {
@@ -34,6 +36,7 @@
     std::size_t m_unstoredBatches = 0;
     std::size_t m_waitingSteps = 0;
     std::size_t m_waitingStepsThatWouldFit = 0;
+    std::vector<dispatch::AccountStats> m_accounts;
 
     bool operator==(const InstanceStats &) const = default;
 };
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -648,6 +648,12 @@
     stats.m_waitingStepsThatWouldFit = dispatch::countStepsThatWouldFit(m_state);
 }
 
+std::vector<dispatch::AccountStats> SchedulingDuty::accountStats() const
+{
+    return m_phase == DutyPhase::Holding ? dispatch::measureAccounts(m_state, m_journal.m_journalState, m_operatorConfig.m_catalog)
+                                         : std::vector<dispatch::AccountStats>();
+}
+
 DutyPhase SchedulingDuty::phase() const
 {
     return m_phase;
--- a/components/node/scheduling_duty.hpp
+++ b/components/node/scheduling_duty.hpp
@@ -2,6 +2,7 @@
 #define COMPONENTS_NODE_SCHEDULING_DUTY_HPP
 
 #include "components/catalog/catalog.hpp"
+#include "components/dispatch/account_stats.hpp"
 #include "components/dispatch/environment.hpp"
 #include "components/dispatch/outbox.hpp"
 #include "components/dispatch/state.hpp"
@@ -76,6 +77,8 @@
     DutyPhase phase() const;
     /// Fills in the values that only the holder has.
     void addStats(InstanceStats &stats) const;
+    /// Figures of the accounts; nothing while the instance does not hold the duty.
+    std::vector<dispatch::AccountStats> accountStats() const;
     journal::Writer &writer();
     journal::Writer &snapshotWriter();
     /// True if every record of the duty's writer is stored.
