--- a/components/dispatch/account_limits_test.cpp
+++ b/components/dispatch/account_limits_test.cpp
@@ -98,3 +98,45 @@
     start.m_stoppedOn = {id, 2};
     cr_assert_eq(fixture.allowed(), 4);
 }
+
+/// A late start order that a worker carries out uses resources until the run has certainly ended.
+Test(accountLimits, strayRun_countsUntilItsStopOrItsLease)
+{
+    LimitFixture fixture;
+    const fleet::WorkerId id {"w"};
+    dispatch::WorkerState &worker = fixture.m_state.m_workers[id];
+    worker.m_registration.m_incarnation = {id, 1};
+    worker.m_clockMs = 500;
+    worker.m_clockAt = now.m_boot;
+    worker.m_hasAcceptedToken = true;
+    worker.m_grantedLeaseEndMs = 600;
+    dispatch::StrayRun &stray = fixture.m_state.m_strayRuns[id][{}];
+    stray = {{id, 1}, account, {4000, 0, 0}, now.m_boot, {}};
+    cr_assert_eq(fixture.allowed(), 0);
+    stray.m_endsBy = now.m_boot;
+    cr_assert_eq(fixture.allowed(), 4, "its stop was confirmed");
+    stray.m_endsBy.reset();
+    worker.m_clockMs = 600;
+    cr_assert_eq(fixture.allowed(), 4, "its lease has expired");
+    worker.m_clockMs = 500;
+    worker.m_registration.m_incarnation = {id, 2};
+    cr_assert_eq(fixture.allowed(), 4, "its process has ended");
+}
+
+/// Steps earlier in the order would take the room of members that join a gang, and the others would wait for them in vain.
+Test(accountLimits, membersThatJoinAGang_keepTheirRoom)
+{
+    LimitFixture fixture;
+    dispatch::Context context {
+        fixture.m_state, fixture.m_journalState, fixture.m_catalog, fixture.m_zonesOut, fixture.m_waves, now, {}, {}, {}, {}, {}, {}, {}};
+    dispatch::Candidate other = fixture.m_candidate;
+    dispatch::Candidate joining = fixture.m_candidate;
+    joining.m_joinedRun = 1;
+    joining.m_tasks.resize(3);
+    dispatch::AccountBudgets budgets = dispatch::makeAccountBudgets(context, {other, joining});
+    dispatch::withholdTasks(context, budgets, other);
+    cr_assert_eq(other.m_tasks.size(), 1);
+    dispatch::settleTasks(context, budgets, other, 1);
+    dispatch::withholdTasks(context, budgets, joining);
+    cr_assert_eq(joining.m_tasks.size(), 3);
+}
--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -41,6 +41,9 @@
 /// The same if the store answers other instances, since the caller's next try reaches another one.
 constexpr fleet::Duration otherInstanceRetryAfter {20};
 
+/// How long a record may be stored after it was sent, if the store does not answer: outages last seconds.
+constexpr fleet::Duration appendDoubtTime {10'000};
+
 /// Ticket of the record of this instance's start; the numbers of calls are higher.
 constexpr std::uint64_t instanceTicket = 0;
 
@@ -53,6 +56,15 @@
     return given - std::min(maxAnswerMargin, given / answerMarginDivisor);
 }
 
+/// Returns why the submission can never run within the maximum that the accounts give its own; empty if it can.
+std::string findOverMaximum(const callers::Submission &submission, const std::vector<catalog::Account> &accounts, const fleet::AccountId &id)
+{
+    const auto found = std::find_if(accounts.begin(), accounts.end(), [&](const catalog::Account &account) {
+        return account.m_id == id;
+    });
+    return found == accounts.end() ? std::string() : callers::findOverMaximum(submission, found->m_maximum);
+}
+
 std::string makeProducerName(const Settings &settings)
 {
     std::ostringstream name;
@@ -241,9 +253,8 @@
         reply(call, openCall, refusal(storeUnreachableReason, now), now);
         return;
     }
-    const catalog::Account *limited = catalog::findAccount(m_operatorConfig.m_catalog, account);
-    if (limited != nullptr && !isIncomplete(m_journal)) {
-        openCall.m_overMaximum = callers::findOverMaximum(*content.m_submission, limited->m_maximum);
+    if (!isIncomplete(m_journal) && !mayHaveBeenAllowed(*content.m_submission, account, now.m_boot)) {
+        openCall.m_overMaximum = findOverMaximum(*content.m_submission, m_operatorConfig.m_catalog.m_accounts, account);
     }
     if (!openCall.m_overMaximum.empty()) {
         // An earlier attempt of this submission may have been stored when the maximum was higher.
@@ -266,6 +277,18 @@
     append(call, openCall, std::move(bytes));
 }
 
+bool CallHandler::mayHaveBeenAllowed(const callers::Submission &submission, const fleet::AccountId &account, fleet::BootTime now) const
+{
+    // Another instance may have had the older catalog for one bound longer, and the read here may have waited for a change before it was answered.
+    const fleet::Duration doubtTime = 2 * m_settings.m_catalogInForce + appendDoubtTime;
+    return std::any_of(m_operatorConfig.m_replacedAccounts.begin(), m_operatorConfig.m_replacedAccounts.end(), [&](const ReplacedAccounts &replaced) {
+        const bool isKnown = std::any_of(replaced.m_accounts.begin(), replaced.m_accounts.end(), [&](const catalog::Account &known) {
+            return known.m_id == account;
+        });
+        return isKnown && now - replaced.m_replacedAt < doubtTime && findOverMaximum(submission, replaced.m_accounts, account).empty();
+    });
+}
+
 void CallHandler::append(std::uint64_t call, OpenCall openCall, std::string record)
 {
     openCall.m_waitsForAppend = true;
--- a/components/node/call_handler.hpp
+++ b/components/node/call_handler.hpp
@@ -89,6 +89,8 @@
 
     void
     submit(std::uint64_t call, OpenCall openCall, const callers::Call &content, const catalog::Queue &queue, const fleet::AccountId &account, fleet::Now now);
+    /// True if a catalog that was replaced of late allowed the submission, so that an earlier attempt of it may be on its way to the store.
+    bool mayHaveBeenAllowed(const callers::Submission &submission, const fleet::AccountId &account, fleet::BootTime now) const;
     void cancel(std::uint64_t call, OpenCall openCall, fleet::Now now);
     void showJob(std::uint64_t call, OpenCall openCall, fleet::Now now);
     void showQueue(std::uint64_t call, OpenCall openCall, fleet::Now now);
--- a/components/node/operator_config_view.cpp
+++ b/components/node/operator_config_view.cpp
@@ -8,10 +8,19 @@
 namespace
 {
 
-void apply(OperatorConfigView &view, const catalog::Catalog &change, fleet::BootTime)
+/// How long the accounts of a replaced catalog are kept: longer than a submission that it allowed may be in doubt.
+constexpr fleet::Duration replacedAccountsTime {300'000};
+
+void apply(OperatorConfigView &view, const catalog::Catalog &change, fleet::BootTime sentAt)
 {
     // Pages and late answers may contain an older version; while the process runs, the version never decreases.
     if (change.m_version > view.m_catalog.m_version) {
+        std::erase_if(view.m_replacedAccounts, [&](const ReplacedAccounts &replaced) {
+            return sentAt - replaced.m_replacedAt >= replacedAccountsTime;
+        });
+        if (view.hasCatalog()) {
+            view.m_replacedAccounts.push_back({view.m_catalog.m_accounts, sentAt});
+        }
         view.m_catalog = change;
     }
 }
--- a/components/node/operator_config_view.hpp
+++ b/components/node/operator_config_view.hpp
@@ -16,10 +16,19 @@
 namespace node
 {
 
+/// Accounts of a catalog that was replaced, and when the read that replaced it was sent.
+struct ReplacedAccounts
+{
+    std::vector<catalog::Account> m_accounts;
+    fleet::BootTime m_replacedAt;
+};
+
 /// The instance's copy of what the operators set: the catalog, the zones taken out of service and the upkeep waves.
 struct OperatorConfigView
 {
     catalog::Catalog m_catalog;
+    /// Accounts of the catalogs that were replaced of late.
+    std::vector<ReplacedAccounts> m_replacedAccounts;
     std::set<fleet::ZoneId> m_zonesOut;
     std::map<std::string, catalog::UpkeepWave> m_waves;
     /// Offset of the next read; empty while everything has to be read again.
--- a/components/simulation/account_limits_test.cpp
+++ b/components/simulation/account_limits_test.cpp
@@ -185,7 +185,12 @@
     const int call = fixture.m_world.submit(fixture.nonHolder(), again, {10s});
     fixture.m_world.run(500ms);
     cr_assert(fixture.m_world.wasAccepted(call));
-    cr_assert_eq(fixture.runCount(gang) + fixture.runCount(task), 0);
+    jobs::JobId allowedBefore;
+    jobs::JobId afterTheDoubt;
+    cr_assert(fixture.submitAndWait(makeGang(8), allowedBefore) == callers::ReplyKind::Accepted, "its first attempt may be on its way");
+    fixture.m_world.run(15s);
+    cr_assert(fixture.submitAndWait(makeGang(8), afterTheDoubt) == callers::ReplyKind::OverMaximum);
+    cr_assert_eq(fixture.runCount(gang) + fixture.runCount(task) + fixture.runCount(allowedBefore) + fixture.runCount(afterTheDoubt), 0);
 }
 
 /// Without weights two accounts that keep all workers busy get what the order of their objectives gives them.
