--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -41,6 +41,9 @@
 /// The same if the store answers other instances, since the caller's next try reaches another one.
 constexpr fleet::Duration otherInstanceRetryAfter {20};
 
+/// How long a record may be stored after it was sent, if the store does not answer: outages last seconds.
+constexpr fleet::Duration appendDoubtTime {10'000};
+
 /// Ticket of the record of this instance's start; the numbers of calls are higher.
 constexpr std::uint64_t instanceTicket = 0;
 
@@ -53,6 +56,15 @@
     return given - std::min(maxAnswerMargin, given / answerMarginDivisor);
 }
 
+/// Returns why the submission can never run within the maximum that the accounts give its own; empty if it can.
+std::string findOverMaximum(const callers::Submission &submission, const std::vector<catalog::Account> &accounts, const fleet::AccountId &id)
+{
+    const auto found = std::find_if(accounts.begin(), accounts.end(), [&](const catalog::Account &account) {
+        return account.m_id == id;
+    });
+    return found == accounts.end() ? std::string() : callers::findOverMaximum(submission, found->m_maximum);
+}
+
 std::string makeProducerName(const Settings &settings)
 {
     std::ostringstream name;
@@ -104,6 +116,8 @@
         return "key-refused";
     case callers::ReplyKind::Malformed:
         return "malformed";
+    case callers::ReplyKind::OverMaximum:
+        return "over-maximum";
     case callers::ReplyKind::Refused:
         return "refused";
     case callers::ReplyKind::Unknown:
@@ -239,6 +253,15 @@
         reply(call, openCall, refusal(storeUnreachableReason, now), now);
         return;
     }
+    if (!isIncomplete(m_journal) && !mayHaveBeenAllowed(*content.m_submission, account, now.m_boot)) {
+        openCall.m_overMaximum = findOverMaximum(*content.m_submission, m_operatorConfig.m_catalog.m_accounts, account);
+    }
+    if (!openCall.m_overMaximum.empty()) {
+        // An earlier attempt of this submission may have been stored when the maximum was higher.
+        openCall.m_minJournalAsOf = now.m_boot;
+        waitForJournalRead(call, openCall);
+        return;
+    }
     journal::JobAccepted record;
     record.m_spec = {openCall.m_job, queue.m_id, account, content.m_submission->m_payload, content.m_submission->m_steps, content.m_submission->m_schedule};
     record.m_maxAttempts = queue.m_maxAttempts;
@@ -254,6 +277,18 @@
     append(call, openCall, std::move(bytes));
 }
 
+bool CallHandler::mayHaveBeenAllowed(const callers::Submission &submission, const fleet::AccountId &account, fleet::BootTime now) const
+{
+    // Another instance may have had the older catalog for one bound longer, and the read here may have waited for a change before it was answered.
+    const fleet::Duration doubtTime = 2 * m_settings.m_catalogInForce + appendDoubtTime;
+    return std::any_of(m_operatorConfig.m_replacedAccounts.begin(), m_operatorConfig.m_replacedAccounts.end(), [&](const ReplacedAccounts &replaced) {
+        const bool isKnown = std::any_of(replaced.m_accounts.begin(), replaced.m_accounts.end(), [&](const catalog::Account &known) {
+            return known.m_id == account;
+        });
+        return isKnown && now - replaced.m_replacedAt < doubtTime && findOverMaximum(submission, replaced.m_accounts, account).empty();
+    });
+}
+
 void CallHandler::append(std::uint64_t call, OpenCall openCall, std::string record)
 {
     openCall.m_waitsForAppend = true;
@@ -365,8 +400,26 @@
     return reply;
 }
 
+void CallHandler::answerOverMaximum(std::uint64_t call, const OpenCall &openCall, fleet::Now now)
+{
+    if (journal::findJob(m_journal.m_journalState, openCall.m_job) != nullptr) {
+        reply(call, openCall, replyOf(callers::ReplyKind::Accepted), now);
+    } else if (const auto pending = m_pendingSubmissions.find(openCall.m_job); pending != m_pendingSubmissions.end()) {
+        m_openCalls.at(call).m_waitsForAppend = true;
+        m_pendingRecords.at(pending->second).m_calls.push_back(call);
+    } else if (isIncomplete(m_journal)) {
+        reply(call, openCall, {callers::ReplyKind::Unknown, {}, 0, {}, incompleteReason}, now);
+    } else {
+        reply(call, openCall, {callers::ReplyKind::OverMaximum, {}, 0, {}, openCall.m_overMaximum}, now);
+    }
+}
+
 bool CallHandler::tryAnswer(std::uint64_t call, const OpenCall &openCall, fleet::Now now)
 {
+    if (openCall.m_kind == callers::CallKind::Submit) {
+        answerOverMaximum(call, openCall, now);
+        return true;
+    }
     const journal::JobRecord *job = journal::findJob(m_journal.m_journalState, openCall.m_job);
     if (isIncomplete(m_journal) && (openCall.m_isForQueue || job == nullptr || !job->isOver())) {
         reply(call, openCall, refusal(incompleteReason, now), now);
@@ -463,6 +516,8 @@
     const journal::JobRecord *job = isForJob ? journal::findJob(m_journal.m_journalState, openCall.m_job) : nullptr;
     if (job != nullptr && job->isOver()) {
         reply(call, openCall, stateReply(*job), now);
+    } else if (openCall.m_kind == callers::CallKind::Submit && !openCall.m_waitsForAppend) {
+        reply(call, openCall, {callers::ReplyKind::Unknown, {}, 0, {}, "whether the job is stored could not be read; submit it again"}, now);
     } else if (openCall.m_waitsForAppend) {
         reply(call, openCall, {callers::ReplyKind::Unknown, {}, 0, {}, "the store has not answered; ask for the job again"}, now);
     } else {
