Dispatch feeds the model of run times, and logs its errors at a job's end

Cause: nothing told the model of run times what the holder sees. Time and progress before the holder first saw the run do not count (runs taken over, resumed from a checkpoint, on a worker that is warming up or after a start without an answer). Ends other than done count as a lower bound. What was expected at the launch is compared with the time of the run at its end; job-end shows the mean errors of its runs.

--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -5,6 +5,7 @@
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/departures.hpp"
 #include "components/dispatch/orders.hpp"
+#include "components/dispatch/run_time_samples.hpp"
 #include "components/dispatch/runs.hpp"
 #include "components/dispatch/unanswered_starts.hpp"
 
@@ -96,6 +97,7 @@
         run.m_stopInFlight = false;
         run.m_stopAnswered = false;
         run.m_isUnconfirmedAfterRestart = true;
+        run.m_observation = {};
         if (run.m_phase == RunPhase::Recording) {
             requestStop(context, id, "worker-reborn");
         }
@@ -203,6 +205,7 @@
     if (task.m_percent != run->m_percent) {
         run->m_percent = task.m_percent;
         run->m_percentAt = context.m_now.m_boot;
+        observeProgress(context, task.m_run, *run);
     }
     if (!task.m_checkpoint.empty()) {
         run->m_checkpoint = task.m_checkpoint;
@@ -365,6 +368,10 @@
             run->m_phase = RunPhase::Running;
             run->m_startedAt = now;
             run->m_percentAt = now;
+            // After an order without an answer, the run may have started earlier.
+            if (!run->m_isStartUncertain) {
+                observeStart(context, *run);
+            }
         }
         break;
     case workers::OrderOutcome::Fenced:
--- a/components/dispatch/run_state.hpp
+++ b/components/dispatch/run_state.hpp
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_DISPATCH_RUN_STATE_HPP
 #define COMPONENTS_DISPATCH_RUN_STATE_HPP
 
+#include "components/dispatch/run_observation.hpp"
 #include "components/dispatch/run_phase.hpp"
 #include "components/fleet/boot_time.hpp"
 #include "components/fleet/identifiers.hpp"
@@ -56,6 +57,7 @@
     /// Progress at the start of the run, in percent; more than 0 if it resumed from a checkpoint.
     int m_initialPercent = 0;
     fleet::BootTime m_percentAt;
+    RunObservation m_observation;
     std::string m_checkpoint;
     std::string m_ticket;
     /// When the run was last logged as overdue.
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -3,10 +3,12 @@
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/failures.hpp"
 #include "components/dispatch/objectives.hpp"
+#include "components/dispatch/run_time_samples.hpp"
 #include "components/journal/changes.hpp"
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace dispatch
 {
@@ -152,12 +154,22 @@
 {
     const catalog::Queue *queue = catalog::findQueue(context.m_catalog, job.m_spec.m_queue);
     const fleet::TimePoint objective = queue == nullptr ? job.m_acceptedAt : objectiveOf(job, *queue, job.occurrenceCount() - 1);
-    context.m_out.m_log.push_back(logging::Line("dispatch", "job-end")
-                                      .add("job", toString(job.m_spec.m_id))
-                                      .add("state", jobs::nameOf(stateOf(job)))
-                                      .add("took_ms", context.m_now.m_wall - job.m_acceptedAt)
-                                      .add("objective_ms", objective - job.m_acceptedAt)
-                                      .add("priority", priorityOf(context, job)));
+    logging::Line line = logging::Line("dispatch", "job-end")
+                             .add("job", toString(job.m_spec.m_id))
+                             .add("state", jobs::nameOf(stateOf(job)))
+                             .add("took_ms", context.m_now.m_wall - job.m_acceptedAt)
+                             .add("objective_ms", objective - job.m_acceptedAt)
+                             .add("priority", priorityOf(context, job));
+    const auto calibration = context.m_state.m_jobCalibrations.find(job.m_spec.m_id);
+    if (calibration != context.m_state.m_jobCalibrations.end()) {
+        line = std::move(line)
+                   .add("timed_runs", calibration->second.m_runs)
+                   .add("estimate_error_pct", calibration->second.meanEstimateError())
+                   .add("model_error_pct", calibration->second.meanModelError())
+                   .add("coverage_pct", calibration->second.coverage());
+        context.m_state.m_jobCalibrations.erase(calibration);
+    }
+    context.m_out.m_log.push_back(std::move(line));
 }
 
 /// Returns the checkpoint to record for the end of a run. A member that is stopped writes one at its end, while those whose gang breaks
@@ -302,6 +314,7 @@
     state.m_ticket = ticket;
     const journal::TaskRecord *task = journal::findTask(job, run.m_task);
     state.m_checkpoint = task == nullptr ? std::string() : task->m_checkpoint;
+    expectRunTime(context, run, state);
     addRun(context.m_state, run, std::move(state));
     context.m_launched.push_back({run, incarnation});
     journal::Changes changes;
@@ -321,6 +334,7 @@
                                       .add("how", jobs::nameOf(end))
                                       .add("percent", found->second.m_percent)
                                       .add("ran_ms", ranFor(found->second, context.m_now.m_boot)));
+    observeEnd(context, run, found->second, end);
     const workers::WorkerIncarnation incarnation = found->second.m_incarnation;
     if (end == jobs::RunEnd::Failed) {
         context.m_state.m_failures[run.m_task.m_step][incarnation.m_worker] = context.m_now.m_boot;
--- a/components/dispatch/settings.hpp
+++ b/components/dispatch/settings.hpp
@@ -8,7 +8,7 @@
 namespace dispatch
 {
 
-/// Time limits of the scheduling duty: bounds of the deployment, from its settings, and times that follow from them.
+/// Settings of the scheduling duty: bounds of the deployment, and times that follow from them.
 struct Settings
 {
     /// Maximum lease that a worker grants.
@@ -29,6 +29,9 @@
     /// that runs survive, and the time that a successor waits for workers that do not answer.
     fleet::Duration m_holderAuthority {4000};
 
+    /// Decisions use the run times learned from earlier runs. They are learned in any case.
+    bool m_usesLearnedRunTimes = true;
+
     /// How long a worker waits for a run to end before it answers a poll. A quarter of the lease leaves time for a lost poll and the
     /// next one; workers wait no longer than maxPollWait.
     fleet::Duration pollWait() const
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -4,6 +4,7 @@
 #include "components/dispatch/pending_batch.hpp"
 #include "components/dispatch/reservation.hpp"
 #include "components/dispatch/run_state.hpp"
+#include "components/dispatch/run_time_calibration.hpp"
 #include "components/dispatch/settings.hpp"
 #include "components/dispatch/step_advice.hpp"
 #include "components/dispatch/unanswered_start.hpp"
@@ -12,6 +13,7 @@
 #include "components/dispatch/worker_state.hpp"
 #include "components/fleet/fencing_token.hpp"
 #include "components/jobs/step_id.hpp"
+#include "components/run_times/model.hpp"
 
 #include <deque>
 #include <map>
@@ -52,6 +54,11 @@
     std::map<jobs::StepId, fleet::BootTime> m_restartNotBefore;
     /// Gangs of which a member was stopped and wrote a checkpoint, with the number of that run.
     std::map<jobs::StepId, std::uint32_t> m_stoppedGangRuns;
+    /// Run times learned by this holder. Whether decisions use them is a setting; see Settings.
+    run_times::Model m_runTimes;
+    /// How right the expected run times were, over all jobs and by job that is not over.
+    RunTimeCalibration m_calibration;
+    std::map<jobs::JobId, RunTimeCalibration> m_jobCalibrations;
     /// Advice for steps of queues that require the advice service.
     std::map<jobs::StepId, StepAdvice> m_advice;
     /// The advice service answers one question of an instance at a time.
