Setting scheduling.learned_run_times

Cause: an operator must be able to turn off the use of the learned run times. Measured: settings_test 17 of 17, with one new test.

--- a/components/settings/node_settings.cpp
+++ b/components/settings/node_settings.cpp
@@ -58,6 +58,7 @@
     settings.m_statusRetention = reader.duration("bounds.status_retention", settings.m_statusRetention, 1s, 24h);
     settings.m_journalRetention = reader.duration("bounds.journal_retention", settings.m_journalRetention, 1s, 720h);
     settings.m_stopLimit = reader.duration("bounds.stop_limit", settings.m_stopLimit, 1s, 1h);
+    settings.m_usesLearnedRunTimes = reader.boolean("scheduling.learned_run_times", settings.m_usesLearnedRunTimes);
     settings.m_logLevel = reader.level("log.level", settings.m_logLevel);
     checkRelations(reader, settings);
     reader.finish();
--- a/components/settings/node_settings.hpp
+++ b/components/settings/node_settings.hpp
@@ -59,6 +59,9 @@
     /// How long the platform waits between asking a process to stop and killing it.
     fleet::Duration m_stopLimit {6000};
 
+    /// Scheduling decisions use the run times learned from earlier runs.
+    bool m_usesLearnedRunTimes = true;
+
     logging::Level m_logLevel = logging::Level::Info;
 
     bool operator==(const NodeSettings &) const = default;
--- a/components/settings/node_settings_test.cpp
+++ b/components/settings/node_settings_test.cpp
@@ -88,3 +88,11 @@
     cr_assert_not(watch.hasChanged(start + 4s));
     std::filesystem::remove(file);
 }
+
+/// Guards against deployments without the setting that lose the use of the model, and against one that can't turn it off.
+Test(nodeSettings, learnedRunTimes_read_areUsedUnlessTurnedOff)
+{
+    cr_assert(read("").m_usesLearnedRunTimes);
+    cr_assert_not(read("[scheduling]\nlearned_run_times = false\n").m_usesLearnedRunTimes);
+    cr_assert(onlyProblem("[scheduling]\nlearned_run_times = \"no\"\n").m_key == "scheduling.learned_run_times");
+}
