Run times: fixed mean and distribution of the workers' factors

Cause: on recorded run-end lines all factors rose by 0.22 in the logarithm, since the first ends of a step come from fast workers, and comparisons kept the references of the time when little was known.

--- a/components/run_times/histories.hpp
+++ b/components/run_times/histories.hpp
@@ -54,6 +54,8 @@
     /// From the oldest to the latest.
     std::vector<Comparison> m_comparisons;
     double m_logFactor = 0;
+    /// What the comparisons alone show.
+    double m_logMean = 0;
     /// Number of runs that the factor rests on, as of m_updatedAt.
     double m_weight = 0;
     fleet::BootTime m_updatedAt;
--- a/components/run_times/recent_map.hpp
+++ b/components/run_times/recent_map.hpp
@@ -42,6 +42,25 @@
         return entry == m_entries.end() ? nullptr : &entry->second.m_value;
     }
 
+    /// Returns the key and the value after the given key in the order of the keys, or the first ones after the last key. The map must not
+    /// be empty.
+    std::pair<const Key &, const Value &> next(const Key &key) const
+    {
+        auto entry = m_entries.upper_bound(key);
+        if (entry == m_entries.end()) {
+            entry = m_entries.begin();
+        }
+        return {entry->first, entry->second.m_value};
+    }
+
+    template<class Visit>
+    void forEach(Visit visit)
+    {
+        for (auto &[key, entry] : m_entries) {
+            visit(entry.m_value);
+        }
+    }
+
     std::size_t size() const
     {
         return m_entries.size();
--- a/components/run_times/run_times.cpp
+++ b/components/run_times/run_times.cpp
@@ -34,6 +34,15 @@
 constexpr double restartWeight = 0.25;
 /// A worker's factor is constant over a day unless its machine changes, which shows in the comparisons that follow.
 constexpr fleet::Duration halfLife = std::chrono::hours(2);
+/// Spread of the tasks of a step, as a logarithm, and what remains of it with many runs.
+constexpr double taskSpread = 0.2;
+constexpr double leastSpread = 0.02;
+/// Workers of lower confidence don't count in the distribution of factors.
+constexpr double minDistributionConfidence = 0.5;
+/// The distribution of factors is derived once in this many samples, so that the work of an update does not grow with the workers.
+constexpr std::uint64_t samplesPerDistribution = 16;
+/// An earlier step is compared again once in this many samples; more often makes the factors no better.
+constexpr std::uint64_t samplesPerRefinement = 8;
 /// All workers of a step are compared again once its usual time has moved by this logarithm, or its runs have become half as many again,
 /// which bounds the work of an update.
 constexpr double comparisonStep = 0.03;
@@ -61,12 +70,28 @@
     return history == nullptr || history->m_startedAtMs > worker.m_startedAtMs ? nullptr : history;
 }
 
+struct LogSpeed
+{
+    double m_logFactor = 0;
+    double m_confidence = 0;
+};
+
+LogSpeed logSpeedOf(const Model &model, const workers::WorkerIncarnation &worker, fleet::BootTime now)
+{
+    const WorkerHistory *history = findHistory(model, worker);
+    if (history == nullptr) {
+        return {};
+    }
+    const bool isRestarted = history->m_startedAtMs < worker.m_startedAtMs;
+    const double weight = history->m_weight * decay(now - history->m_updatedAt) * (isRestarted ? restartWeight : 1);
+    return {history->m_logFactor, weight / (weight + halfConfidenceRuns)};
+}
+
 /// A run of a step without the influence of its worker's factor, as far as that is known.
 struct AdjustedRun
 {
     const StepRun *m_run = nullptr;
     double m_logTime = 0;
-    double m_logFactor = 0;
     /// Weight as part of the reference for other workers.
     double m_weight = 0;
 };
@@ -76,10 +101,9 @@
     std::vector<AdjustedRun> runs;
     runs.reserve(step.m_runs.size());
     for (const StepRun &run : step.m_runs) {
-        const WorkerSpeed speed = speedOf(model, run.m_worker, now);
-        const double logFactor = std::log(speed.m_factor);
+        const LogSpeed speed = logSpeedOf(model, run.m_worker, now);
         const double weight = run.m_isLowerBound ? 0 : unknownWorkerWeight + (1 - unknownWorkerWeight) * speed.m_confidence;
-        runs.push_back({&run, run.m_logTime - logFactor, logFactor, weight});
+        runs.push_back({&run, run.m_logTime - speed.m_logFactor, weight});
     }
     std::sort(runs.begin(), runs.end(), [](const AdjustedRun &a, const AdjustedRun &b) {
         return a.m_logTime < b.m_logTime;
@@ -112,8 +136,40 @@
     return Reference {times.size() % 2 == 1 ? times[middle] : (times[middle - 1] + times[middle]) / 2, weight};
 }
 
-void updateFactor(WorkerHistory &history, fleet::BootTime now)
+double distributionWeight(const WorkerHistory &history)
+{
+    return std::max(0.0, history.m_weight / (history.m_weight + halfConfidenceRuns) - minDistributionConfidence);
+}
+
+/// Makes the mean logarithm of the factors 0 and derives their distribution. Only the ratios of factors follow from comparisons: without
+/// a fixed mean, all of them would rise with the first ends, which come from fast workers.
+void updateDistribution(Model &model)
+{
+    double sum = 0;
+    double total = 0;
+    model.m_workers.forEach([&](const WorkerHistory &history) {
+        const double weight = history.m_weight / (history.m_weight + halfConfidenceRuns);
+        sum += weight * history.m_logFactor;
+        total += weight;
+    });
+    const double mean = total > 0 ? sum / total : 0;
+    model.m_distribution = {};
+    model.m_workers.forEach([&](WorkerHistory &history) {
+        // The comparisons move too, since the reference of each one was made of times divided by factors.
+        for (Comparison &comparison : history.m_comparisons) {
+            comparison.m_logRatio -= mean;
+        }
+        history.m_logMean -= mean;
+        history.m_logFactor -= mean;
+        if (distributionWeight(history) > 0) {
+            model.m_distribution.add(history.m_logMean, distributionWeight(history));
+        }
+    });
+}
+
+void updateFactor(const Model &model, WorkerHistory &history, fleet::BootTime now)
 {
+    const double ownWeight = distributionWeight(history);
     std::vector<WeightedValue> values;
     values.reserve(history.m_comparisons.size());
     history.m_weight = 0;
@@ -123,8 +179,15 @@
         history.m_weight += weight;
     }
     history.m_updatedAt = now;
+    if (values.empty() || history.m_weight <= 0) {
+        history.m_logFactor = 0;
+        return;
+    }
+    history.m_logMean = limitedMean(std::move(values), influenceLimit);
+    const double variance = taskSpread * taskSpread / history.m_weight + leastSpread * leastSpread;
     const double trust = history.m_weight / (history.m_weight + priorWeight);
-    history.m_logFactor = values.empty() ? 0 : trust * limitedMean(std::move(values), influenceLimit);
+    const double expected = model.m_distribution.expected(history.m_logMean, variance, ownWeight);
+    history.m_logFactor = trust * expected;
 }
 
 /// Returns the history of the worker for a change, or null if a later incarnation is known. A restart lowers the weight of what was
@@ -144,7 +207,8 @@
     return &history;
 }
 
-void addComparison(Model &model, const workers::WorkerIncarnation &worker, const Comparison &comparison, fleet::BootTime now)
+/// Adds the comparison, or replaces the earlier one of the run. With `onlyReplaces`, nothing is added.
+void addComparison(Model &model, const workers::WorkerIncarnation &worker, const Comparison &comparison, fleet::BootTime now, bool onlyReplaces = false)
 {
     WorkerHistory *history = historyForUpdate(model, worker);
     if (history == nullptr) {
@@ -156,23 +220,25 @@
     });
     if (known != comparisons.end()) {
         *known = comparison;
+    } else if (onlyReplaces) {
+        return;
     } else {
         if (comparisons.size() >= maxComparisons) {
             comparisons.erase(comparisons.begin());
         }
         comparisons.push_back(comparison);
     }
-    updateFactor(*history, now);
+    updateFactor(model, *history, now);
 }
 
-void compare(Model &model, const jobs::StepId &step, const std::vector<AdjustedRun> &runs, const StepRun &run, fleet::BootTime now)
+void compare(Model &model, const jobs::StepId &step, const std::vector<AdjustedRun> &runs, const StepRun &run, fleet::BootTime now, bool onlyReplaces = false)
 {
     const std::optional<Reference> reference = referenceWithout(runs, run.m_worker);
     if (run.m_isLowerBound || !reference) {
         return;
     }
     const double weight = reference->m_weight / (reference->m_weight + halfWeightReference);
-    addComparison(model, run.m_worker, {step, run.m_run, run.m_logTime - reference->m_logTime, weight, run.m_at}, now);
+    addComparison(model, run.m_worker, {step, run.m_run, run.m_logTime - reference->m_logTime, weight, run.m_at}, now, onlyReplaces);
 }
 
 double usualTime(const std::vector<AdjustedRun> &sorted)
@@ -202,6 +268,21 @@
     classStepFor(model.m_classes.use(sample.m_class), sample.m_step) = {sample.m_step, logTime, logTime - logEstimate, logSpread};
 }
 
+/// Compares the runs of the step that follows in turn again, since the factors of its workers are known better by now. Runs that the
+/// workers have forgotten since are not added again.
+void refineNextStep(Model &model, fleet::BootTime now)
+{
+    const auto [id, step] = model.m_steps.next(model.m_refinedStep);
+    model.m_refinedStep = id;
+    if (step.m_comparedRuns == 0) {
+        return;
+    }
+    const std::vector<AdjustedRun> runs = adjustedRuns(model, step, now);
+    for (const StepRun &run : step.m_runs) {
+        compare(model, id, runs, run, now, true);
+    }
+}
+
 void learnFromTasks(Model &model, const Sample &sample, StepHistory &step, const StepRun &latest, fleet::BootTime now)
 {
     const std::vector<AdjustedRun> runs = adjustedRuns(model, step, now);
@@ -218,6 +299,13 @@
     }
     const std::size_t high = static_cast<std::size_t>(highLevel * static_cast<double>(runs.size() - 1));
     updateClass(model, sample, usual, runs[high].m_logTime - usual);
+    ++model.m_samples;
+    if (model.m_samples % samplesPerRefinement == 0) {
+        refineNextStep(model, now);
+    }
+    if (model.m_samples % samplesPerDistribution == 0) {
+        updateDistribution(model);
+    }
 }
 
 /// The members of a gang end together, so its run time shows only that no member is slower. Compared with the other gangs of its class,
@@ -228,10 +316,10 @@
     double slowest = 0;
     bool isAnyKnown = false;
     for (const StepRun &run : step.m_runs) {
-        const WorkerSpeed speed = speedOf(model, run.m_worker, now);
+        const LogSpeed speed = logSpeedOf(model, run.m_worker, now);
         times.push_back(run.m_logTime);
         if (speed.m_confidence > 0) {
-            slowest = isAnyKnown ? std::max(slowest, std::log(speed.m_factor)) : std::log(speed.m_factor);
+            slowest = isAnyKnown ? std::max(slowest, speed.m_logFactor) : speed.m_logFactor;
             isAnyKnown = true;
         }
     }
@@ -246,8 +334,8 @@
     }
     if (!latest.m_isLowerBound && others.size() >= minStepsForGangBound) {
         const double bound = latest.m_logTime - median(others);
-        const WorkerSpeed speed = speedOf(model, latest.m_worker, now);
-        if (speed.m_confidence > 0 && std::log(speed.m_factor) > bound) {
+        const LogSpeed speed = logSpeedOf(model, latest.m_worker, now);
+        if (speed.m_confidence > 0 && speed.m_logFactor > bound) {
             addComparison(model, latest.m_worker, {sample.m_step, latest.m_run, bound, gangBoundWeight, now}, now);
         }
     }
@@ -330,13 +418,8 @@
 
 WorkerSpeed speedOf(const Model &model, const workers::WorkerIncarnation &worker, fleet::BootTime now)
 {
-    const WorkerHistory *history = findHistory(model, worker);
-    if (history == nullptr) {
-        return {};
-    }
-    const bool isRestarted = history->m_startedAtMs < worker.m_startedAtMs;
-    const double weight = history->m_weight * decay(now - history->m_updatedAt) * (isRestarted ? restartWeight : 1);
-    return {std::exp(history->m_logFactor), weight / (weight + halfConfidenceRuns)};
+    const LogSpeed speed = logSpeedOf(model, worker, now);
+    return {std::exp(speed.m_logFactor), speed.m_confidence};
 }
 
 Expectation expect(const Model &model, const TaskClass &taskClass, fleet::Duration estimate, fleet::BootTime)
--- a/components/run_times/run_times_test.cpp
+++ b/components/run_times/run_times_test.cpp
@@ -1,10 +1,13 @@
 #include "components/run_times/run_times.hpp"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cmath>
 #include <random>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -46,14 +49,29 @@
         for (int step = 0; step < steps; ++step) {
             const double usual = stepTime(m_random);
             ++m_job;
+            std::vector<std::pair<double, int>> ends;
             for (int task = 0; task < 10; ++task) {
                 const int worker = m_next++ % workers;
-                const double ran = usual * trueFactor(worker) * taskSpread(m_random) * (isSlow(m_random) ? 7 : 1);
+                ends.emplace_back(usual * trueFactor(worker) * taskSpread(m_random) * (isSlow(m_random) ? 7 : 1), worker);
+            }
+            if (m_endsInOrderOfTime) {
+                std::sort(ends.begin(), ends.end());
+            }
+            for (const auto &[ran, worker] : ends) {
                 run_times::learn(m_model, sampleOf(m_job, worker, fleet::Duration(static_cast<std::int64_t>(ran))), begin);
             }
         }
     }
 
+    double meanLogFactor() const
+    {
+        double sum = 0;
+        for (int worker = 0; worker < workers; ++worker) {
+            sum += std::log(run_times::speedOf(m_model, workerNumber(worker), begin).m_factor);
+        }
+        return sum / workers;
+    }
+
     double meanError() const
     {
         double sum = 0;
@@ -66,6 +84,7 @@
     static constexpr int workers = 31;
     std::mt19937 m_random {20261206};
     int m_next = 0;
+    bool m_endsInOrderOfTime = false;
     std::uint64_t m_job = 0;
     run_times::Model m_model;
 };
@@ -82,6 +101,18 @@
     cr_assert_lt(fixture.meanError(), 0.08, "mean error %f", fixture.meanError());
 }
 
+/// Guards against factors that all rise, which the ends of a step show in the order of its workers' speeds, and against a correction of
+/// this that does not settle.
+Test(runTimes, usualFactorStaysAtOne)
+{
+    FleetFixture fixture;
+    fixture.m_endsInOrderOfTime = true;
+    for (int step = 1; step <= 60; ++step) {
+        fixture.runSteps(1);
+        cr_assert_lt(std::abs(fixture.meanLogFactor()), 0.1, "step %d: %f", step, fixture.meanLogFactor());
+    }
+}
+
 Test(runTimes, unknownWorkerIsUsual)
 {
     const run_times::Model model;
