Dispatch: steps are placed by the learned speed of workers

Workers differ by up to 2.5 times, and no decision used it.

Steps with little slack now get the fastest workers, and the rack whose slowest chosen worker is fastest. Steps with much slack get the slow and the unknown workers, which also measures those. Runs are stopped on slow workers last for steps with little slack. Speeds come from the module run_times; the setting scheduling.learned_run_times turns the use off.

--- a/components/dispatch/available_worker.hpp
+++ b/components/dispatch/available_worker.hpp
@@ -2,6 +2,7 @@
 #define COMPONENTS_DISPATCH_AVAILABLE_WORKER_HPP
 
 #include "components/dispatch/worker_reservation.hpp"
+#include "components/dispatch/worker_speed.hpp"
 #include "components/fleet/resources.hpp"
 
 #include <vector>
@@ -21,6 +22,8 @@
     /// The latest runs on the worker failed. It gets one run at a time until a run outlasts the time of startup failures.
     bool m_isOnProbation = false;
     bool m_hasProbationRun = false;
+    /// See speedClass().
+    int m_speedClass = unknownSpeedClass;
 };
 
 using AvailableWorkers = std::vector<AvailableWorker>;
--- a/components/dispatch/available_workers.cpp
+++ b/components/dispatch/available_workers.cpp
@@ -4,7 +4,9 @@
 #include "components/dispatch/candidate.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/guarantees.hpp"
+#include "components/dispatch/worker_speed.hpp"
 #include "components/dispatch/zone_partitions.hpp"
+#include "components/run_times/run_times.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -110,6 +112,9 @@
     for (auto &[id, worker] : context.m_state.m_workers) {
         if (isUsable(context, worker)) {
             AvailableWorker available {&worker, worker.m_registration.m_capacity - worker.m_allocated, findReservations(context, id)};
+            if (context.m_state.m_settings.m_usesLearnedRunTimes) {
+                available.m_speedClass = speedClass(run_times::speedOf(context.m_state.m_runTimes, worker.m_registration.m_incarnation, context.m_now.m_boot));
+            }
             available.m_isOnProbation = isOnProbation(context, worker);
             available.m_hasProbationRun = available.m_isOnProbation && hasProbationRun(context, worker);
             availableWorkers.push_back(std::move(available));
--- a/components/dispatch/candidate.hpp
+++ b/components/dispatch/candidate.hpp
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_DISPATCH_CANDIDATE_HPP
 #define COMPONENTS_DISPATCH_CANDIDATE_HPP
 
+#include "components/dispatch/speed_preference.hpp"
 #include "components/fleet/identifiers.hpp"
 #include "components/fleet/resources.hpp"
 #include "components/fleet/time.hpp"
@@ -60,6 +61,7 @@
     std::optional<std::map<fleet::WorkerId, std::string>> m_tickets;
     /// Completion time that meets the objective of the job.
     fleet::TimePoint m_objective;
+    SpeedPreference m_speedPreference = SpeedPreference::None;
 };
 
 }
--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -6,6 +6,7 @@
 #include "components/dispatch/objectives.hpp"
 #include "components/dispatch/rack_preference.hpp"
 #include "components/dispatch/runs.hpp"
+#include "components/dispatch/worker_speed.hpp"
 
 #include <algorithm>
 #include <set>
@@ -111,6 +112,9 @@
         candidate.m_perTask = allocationFor(spec);
         candidate.m_objective = objectiveOf(job, queue, occurrence);
         candidate.m_tasks = std::move(tasks);
+        if (context.m_state.m_settings.m_usesLearnedRunTimes) {
+            candidate.m_speedPreference = speedPreference(spec, candidate.m_objective, context.m_now.m_wall);
+        }
         addFailures(context, candidate);
         if (queue.m_advice) {
             candidate.m_tickets = usableTickets(context, id);
--- a/components/dispatch/evictions.cpp
+++ b/components/dispatch/evictions.cpp
@@ -190,7 +190,14 @@
             }
         }
     }
-    std::sort(evictions.begin(), evictions.end(), [](const Eviction &a, const Eviction &b) {
+    // A stop on a slow worker is in vain if the candidate misses its objective there.
+    const auto isInVain = [&](const Eviction &eviction) {
+        return candidate.m_speedPreference == SpeedPreference::Fastest && eviction.m_worker->m_speedClass > unknownSpeedClass;
+    };
+    std::sort(evictions.begin(), evictions.end(), [&](const Eviction &a, const Eviction &b) {
+        if (isInVain(a) != isInVain(b)) {
+            return isInVain(b);
+        }
         return a.m_loss * b.m_slots < b.m_loss * a.m_slots;
     });
     return candidate.m_requiresOneRack ? chooseInOneRack(context, evictions, wanted, replan) : chooseInOrder(context, evictions, wanted, replan);
--- a/components/dispatch/placing.cpp
+++ b/components/dispatch/placing.cpp
@@ -2,6 +2,7 @@
 
 #include "components/dispatch/available_workers.hpp"
 #include "components/dispatch/candidate.hpp"
+#include "components/dispatch/worker_speed.hpp"
 #include "components/dispatch/worker_state.hpp"
 #include "components/jobs/step_spec.hpp"
 
@@ -11,6 +12,7 @@
 #include <limits>
 #include <map>
 #include <tuple>
+#include <utility>
 
 namespace dispatch
 {
@@ -22,21 +24,24 @@
 /// become faulty for seconds at a time.
 constexpr std::array<fleet::Duration, 3> healthyStartAges {fleet::Duration(500), fleet::Duration(1000), fleet::Duration(2000)};
 
-/// Sort key of a worker for best-fit placement: workers with little free capacity come first, so that empty workers remain for
-/// large tasks.
-std::tuple<std::int64_t, std::int64_t, std::int64_t> placementOrder(const Candidate &candidate, const WorkerState &worker, const fleet::Resources &free)
+using PlacementOrder = std::tuple<std::int64_t, std::int64_t, std::int64_t, std::int64_t>;
+
+/// Sort key of a worker for best-fit placement: among workers of a suitable speed, those with little free capacity come first, so that
+/// empty workers remain for large tasks.
+PlacementOrder placementOrder(const Candidate &candidate, const AvailableWorker &available, const fleet::Resources &free)
 {
+    const WorkerState &worker = *available.m_state;
     const bool isAwayFromData = !candidate.m_spec->m_dataRack.empty() && worker.m_registration.m_rack.value() != candidate.m_spec->m_dataRack;
     const std::int64_t penalty
         = (isAwayFromData ? 1 : 0) + (worker.m_consecutiveFailures > 0 ? 2 : 0) + (worker.m_registration.m_warmUpLeft.count() > 0 ? 1 : 0);
-    return {penalty, free.m_accelerators, free.m_memoryMb};
+    return {penalty, speedOrder(candidate.m_speedPreference, available.m_speedClass), free.m_accelerators, free.m_memoryMb};
 }
 
 struct Option
 {
     AvailableWorker *m_worker = nullptr;
     std::uint32_t m_slots = 0;
-    std::tuple<std::int64_t, std::int64_t, std::int64_t> m_order;
+    PlacementOrder m_order;
 };
 
 std::vector<Option> findOptions(const Candidate &candidate, AvailableWorkers &availableWorkers, fleet::BootTime now)
@@ -49,7 +54,7 @@
         const fleet::Resources free = freeResourcesFor(candidate, available);
         const std::uint32_t slots = countSlots(candidate, available, free);
         if (slots > 0) {
-            options.push_back({&available, slots, placementOrder(candidate, *available.m_state, free)});
+            options.push_back({&available, slots, placementOrder(candidate, available, free)});
         }
     }
     std::sort(options.begin(), options.end(), [](const Option &a, const Option &b) {
@@ -72,8 +77,21 @@
     return placement;
 }
 
-/// Assigns all tasks to the rack that can hold them with the least capacity left over.
-Placement assignToOneRack(const std::vector<Option> &options, std::uint32_t tasks)
+/// Returns what a placement costs in speed; lower is better. A gang that needs fast workers ends with its slowest member. A gang that does
+/// not need them should leave them to others.
+std::int64_t speedCost(SpeedPreference preference, const Placement &placement)
+{
+    std::int64_t cost = std::numeric_limits<std::int64_t>::min();
+    std::int64_t onFastWorkers = 0;
+    for (const auto &[available, tasks] : placement.m_tasksPerWorker) {
+        cost = std::max<std::int64_t>(cost, speedOrder(preference, available->m_speedClass));
+        onFastWorkers += available->m_speedClass < 0 ? tasks : 0;
+    }
+    return preference == SpeedPreference::Fastest ? cost : preference == SpeedPreference::Slowest ? onFastWorkers : 0;
+}
+
+/// Assigns all tasks to one rack: to one with workers of a suitable speed, and among these to the one with the least capacity left over.
+Placement assignToOneRack(SpeedPreference preference, const std::vector<Option> &options, std::uint32_t tasks)
 {
     std::map<fleet::RackId, std::vector<Option>> racks;
     std::map<fleet::RackId, std::uint32_t> slots;
@@ -82,22 +100,27 @@
         racks[rack].push_back(option);
         slots[rack] += option.m_slots;
     }
-    const std::vector<Option> *best = nullptr;
-    std::uint32_t fewest = std::numeric_limits<std::uint32_t>::max();
+    Placement best;
+    auto least = std::pair(std::numeric_limits<std::int64_t>::max(), std::numeric_limits<std::uint32_t>::max());
     for (const auto &[rack, rackOptions] : racks) {
-        if (slots[rack] >= tasks && slots[rack] < fewest) {
-            best = &rackOptions;
-            fewest = slots[rack];
+        if (slots[rack] < tasks) {
+            continue;
+        }
+        Placement placement = assign(rackOptions, tasks);
+        const auto cost = std::pair(speedCost(preference, placement), slots[rack]);
+        if (cost < least) {
+            least = cost;
+            best = std::move(placement);
         }
     }
-    return best == nullptr ? Placement() : assign(*best, tasks);
+    return best;
 }
 
 Placement assignTasks(const Candidate &candidate, const std::vector<Option> &options)
 {
     const auto tasks = static_cast<std::uint32_t>(candidate.m_tasks.size());
     const bool isGang = candidate.m_spec->m_isGang;
-    const Placement placement = candidate.m_requiresOneRack ? assignToOneRack(options, tasks) : assign(options, tasks);
+    const Placement placement = candidate.m_requiresOneRack ? assignToOneRack(candidate.m_speedPreference, options, tasks) : assign(options, tasks);
     return isGang && placement.m_tasks < tasks ? Placement() : placement;
 }
 
--- a/components/dispatch/placing_test.cpp
+++ b/components/dispatch/placing_test.cpp
@@ -45,6 +45,7 @@
         for (dispatch::WorkerState &worker : m_workers) {
             m_availableWorkers.push_back({&worker, worker.m_registration.m_capacity, {}});
             m_availableWorkers.back().m_isOnProbation = worker.m_consecutiveFailures > 0;
+            m_availableWorkers.back().m_speedClass = m_speedClasses[&worker - m_workers.data()];
         }
         return dispatch::choosePlacement(m_candidate, m_availableWorkers, now);
     }
@@ -57,6 +58,7 @@
     }
 
     std::array<dispatch::WorkerState, 6> m_workers;
+    std::array<int, 6> m_speedClasses {};
     jobs::StepSpec m_spec;
     catalog::Queue m_queue;
     dispatch::Candidate m_candidate;
@@ -116,3 +118,53 @@
     const dispatch::Placement placement = fixture.choose(48);
     cr_assert_eq(placement.m_tasks, 41);
 }
+
+/// A gang with little slack that includes one slow worker misses its objective although fast ones are free.
+Test(placing, gangWithLittleSlack_slowWorkersInTheRack_areLeftOut)
+{
+    RackFixture fixture;
+    fixture.m_speedClasses = {4, 0, 4, -4, 0, 4};
+    fixture.m_candidate.m_speedPreference = dispatch::SpeedPreference::Fastest;
+    const dispatch::Placement placement = fixture.choose(3);
+    cr_assert_eq(placement.m_tasks, 3);
+    cr_assert(fixture.isChosen(placement, 1));
+    cr_assert(fixture.isChosen(placement, 3));
+    cr_assert(fixture.isChosen(placement, 4));
+}
+
+/// With the least capacity left over as the only rule, the gang would go to the rack whose workers are slow.
+Test(placing, gangWithLittleSlack_smallestRackIsSlow_theFasterRackIsChosen)
+{
+    RackFixture fixture;
+    fixture.m_speedClasses = {4, 4, 0, 0, 0, -4};
+    for (const std::size_t i : {0UL, 1UL}) {
+        fixture.m_workers[i].m_registration.m_rack = fleet::RackId("small");
+    }
+    fixture.m_candidate.m_speedPreference = dispatch::SpeedPreference::Fastest;
+    const dispatch::Placement placement = fixture.choose(2);
+    cr_assert_eq(placement.m_tasks, 2);
+    cr_assert(fixture.isChosen(placement, 5));
+    cr_assert_not(fixture.isChosen(placement, 0));
+}
+
+/// Steps with much slack would otherwise occupy the fast workers that urgent steps need.
+Test(placing, stepWithMuchSlack_slowWorkersAreFree_leavesTheFastOnes)
+{
+    RackFixture fixture;
+    fixture.m_speedClasses = {-4, 4, 0, 4, -4, dispatch::unknownSpeedClass};
+    fixture.m_candidate.m_speedPreference = dispatch::SpeedPreference::Slowest;
+    const dispatch::Placement placement = fixture.choose(3);
+    cr_assert_eq(placement.m_tasks, 3);
+    cr_assert(fixture.isChosen(placement, 1));
+    cr_assert(fixture.isChosen(placement, 3));
+    cr_assert(fixture.isChosen(placement, 5));
+}
+
+/// Speed only orders the workers: a step must start where there is room.
+Test(placing, gangWithLittleSlack_onlySlowWorkersFree_startsThere)
+{
+    RackFixture fixture;
+    fixture.m_speedClasses = {4, 4, 4, 4, 4, 4};
+    fixture.m_candidate.m_speedPreference = dispatch::SpeedPreference::Fastest;
+    cr_assert_eq(fixture.choose(6).m_tasks, 6);
+}
