--- a/components/dispatch/account_shares_test.cpp
+++ b/components/dispatch/account_shares_test.cpp
@@ -47,6 +47,7 @@
         std::vector<dispatch::Candidate> candidates = m_candidates;
         dispatch::orderByShare(context, candidates);
         std::vector<std::uint64_t> result;
+        result.reserve(candidates.size());
         for (const dispatch::Candidate &candidate : candidates) {
             result.push_back(candidate.m_step.m_job.m_value);
         }
--- a/components/simulation/account_limits_test.cpp
+++ b/components/simulation/account_limits_test.cpp
@@ -151,9 +151,8 @@
 Test(accountLimits, gangAsWideAsTheMaximum_startsWholeAmongSmallTasks)
 {
     LimitFixture fixture;
-    std::vector<jobs::JobId> small;
     for (int i = 0; i < 4; ++i) {
-        small.push_back(fixture.submit(makeTasks(2), {fleet::Duration(1500 + 400 * i)}));
+        fixture.submit(makeTasks(2), {fleet::Duration(1500 + 400 * i)});
     }
     const jobs::JobId gang = fixture.submit(makeGang(8), {1s});
     for (int i = 0; i < 20; ++i) {
