--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -162,11 +162,12 @@
                              .add("priority", priorityOf(context, job));
     const auto calibration = context.m_state.m_jobCalibrations.find(job.m_spec.m_id);
     if (calibration != context.m_state.m_jobCalibrations.end()) {
-        line = std::move(line)
-                   .add("timed_runs", calibration->second.m_runs)
-                   .add("estimate_error_pct", calibration->second.meanEstimateError())
-                   .add("model_error_pct", calibration->second.meanModelError())
-                   .add("coverage_pct", calibration->second.coverage());
+        // The chain changes the line in place; an assignment of its result would move the line into itself.
+        static_cast<void>(std::move(line)
+                              .add("timed_runs", calibration->second.m_runs)
+                              .add("estimate_error_pct", calibration->second.meanEstimateError())
+                              .add("model_error_pct", calibration->second.meanModelError())
+                              .add("coverage_pct", calibration->second.coverage()));
         context.m_state.m_jobCalibrations.erase(calibration);
     }
     context.m_out.m_log.push_back(std::move(line));
