Metrics of the learned run times

Cause: whether the model is better than the callers' estimates could be seen by job only. Change: gauges foxtailcross_run_times_* of the holder: compared runs, mean errors of the estimates and of the model, coverage of the high time, known workers and classes.

--- a/components/node/instance_metrics.cpp
+++ b/components/node/instance_metrics.cpp
@@ -191,6 +191,16 @@
     set("foxtailcross_steps_waiting_would_fit",
         "Holder: of these, steps for which the free capacity was enough in their last report.",
         stats.m_waitingStepsThatWouldFit);
+    set("foxtailcross_run_times_runs", "Holder: done runs whose expected run time was compared with the actual one.", stats.m_calibration.m_runs);
+    set("foxtailcross_run_times_estimate_error_pct",
+        "Holder: mean error of the callers' estimates, absolute natural logarithm in percent.",
+        stats.m_calibration.meanEstimateError());
+    set("foxtailcross_run_times_model_error_pct",
+        "Holder: mean error of the learned run times, absolute natural logarithm in percent.",
+        stats.m_calibration.meanModelError());
+    set("foxtailcross_run_times_coverage_pct", "Holder: runs that took at most the expected high time, in percent.", stats.m_calibration.coverage());
+    set("foxtailcross_run_times_workers", "Holder: workers whose speed was learned.", stats.m_runTimeWorkers);
+    set("foxtailcross_run_times_classes", "Holder: classes of tasks whose run time was learned.", stats.m_runTimeClasses);
     m_lastStats = stats;
 }
 
--- a/components/node/instance_stats.hpp
+++ b/components/node/instance_stats.hpp
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_NODE_INSTANCE_STATS_HPP
 #define COMPONENTS_NODE_INSTANCE_STATS_HPP
 
+#include "components/dispatch/run_time_calibration.hpp"
 #include "components/node/caller_connections.hpp"
 
 #include <cstddef>
@@ -34,6 +35,10 @@
     std::size_t m_unstoredBatches = 0;
     std::size_t m_waitingSteps = 0;
     std::size_t m_waitingStepsThatWouldFit = 0;
+    dispatch::RunTimeCalibration m_calibration;
+    /// Workers and classes of tasks of which run times were learned.
+    std::size_t m_runTimeWorkers = 0;
+    std::size_t m_runTimeClasses = 0;
 
     bool operator==(const InstanceStats &) const = default;
 };
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -646,6 +646,9 @@
     stats.m_unstoredBatches = m_state.m_pendingBatches.size();
     stats.m_waitingSteps = m_state.m_waitingSteps.size();
     stats.m_waitingStepsThatWouldFit = dispatch::countStepsThatWouldFit(m_state);
+    stats.m_calibration = m_state.m_calibration;
+    stats.m_runTimeWorkers = m_state.m_runTimes.m_workers.size();
+    stats.m_runTimeClasses = m_state.m_runTimes.m_classes.size();
 }
 
 DutyPhase SchedulingDuty::phase() const
