Run time samples: tests of three cases that nothing checked

Cause: of six mutations of run_time_samples.cpp that were tried, four passed all tests: a run seen in part that counts as whole, two checks of the warm-up, and the time of a lost run. Change: two tests are extended and two added. Measured: dispatch_test 29 of 29; each of the four mutations fails one test.

--- a/components/dispatch/run_time_samples_test.cpp
+++ b/components/dispatch/run_time_samples_test.cpp
@@ -9,6 +9,7 @@
 #include "components/run_times/run_times.hpp"
 
 #include <chrono>
+#include <cmath>
 #include <string>
 
 #include <criterion/criterion.h>
@@ -210,6 +211,8 @@
     fixture.m_now += 500ms;
     fixture.reportEnd(0, jobs::RunEnd::Done);
     cr_assert_eq(fixture.sampledRuns(), 4);
+    // 40% in 1.5 s, not the whole run in 1.5 s.
+    cr_assert_float_eq(std::exp(fixture.m_state.m_runTimes.m_steps.find({fixture.m_job, 0, 0})->m_runs[0].m_logTime), 3750, 1);
     cr_assert_eq(fixture.m_state.m_calibration.m_runs, 0);
 }
 
@@ -232,6 +235,7 @@
     fixture.hold(2);
     fixture.launchAll();
     fixture.workForASecond(0);
+    fixture.workForASecond(25);
     cr_assert_eq(fixture.speed(3).m_confidence, 0);
     cr_assert_eq(fixture.sampledRuns(), 3);
 }
@@ -261,3 +265,26 @@
     fixture.reportEnd(0, jobs::RunEnd::Failed);
     cr_assert_eq(fixture.sampledRuns(), 0);
 }
+
+/// Guards against the same for a run that ends before it reports progress.
+Test(runTimeSamples, runThatEndsDuringWarmUp_isIgnored)
+{
+    HolderFixture fixture;
+    fixture.m_warmingUp = 3;
+    fixture.hold(2);
+    fixture.launchAll();
+    fixture.m_now += 1s;
+    fixture.reportEnd(3, jobs::RunEnd::Done);
+    cr_assert_eq(fixture.sampledRuns(), 0);
+}
+
+/// Guards against the time until a lease expires being counted as run time, since the worker may have stopped working long before.
+Test(runTimeSamples, lostRun_countsUntilItsLastProgress)
+{
+    HolderFixture fixture;
+    fixture.launchAll();
+    fixture.workForASecond(0);
+    fixture.m_now += 60s;
+    fixture.reportEnd(3, jobs::RunEnd::LeaseExpired);
+    cr_assert_float_eq(std::exp(fixture.m_state.m_runTimes.m_steps.find({fixture.m_job, 0, 0})->m_runs[3].m_logTime), 4000, 1);
+}
