--- a/components/node/instance_stats.hpp
+++ b/components/node/instance_stats.hpp
@@ -2,6 +2,7 @@
 #define COMPONENTS_NODE_INSTANCE_STATS_HPP
 
 #include "components/dispatch/account_stats.hpp"
+#include "components/dispatch/run_time_calibration.hpp"
 #include "components/node/caller_connections.hpp"
 
 #include <cstddef>
@@ -37,6 +38,10 @@
     std::size_t m_waitingSteps = 0;
     std::size_t m_waitingStepsThatWouldFit = 0;
     std::vector<dispatch::AccountStats> m_accounts;
+    dispatch::RunTimeCalibration m_calibration;
+    /// Workers and classes of tasks of which run times were learned.
+    std::size_t m_runTimeWorkers = 0;
+    std::size_t m_runTimeClasses = 0;
 
     bool operator==(const InstanceStats &) const = default;
 };
