HTTP server: limits of connections and a budget of the process for clients

Beast's parser limits the first header section and the data of a body only. Trailers, chunk-size lines and chunk extensions stayed in a buffer without a limit, unfinished bodies and silent connections were limited for each listener but not in sum, and datagrams were queued without a bound.

ServerSession now reads and parses step by step with limits for trailers, chunk headers, header lines, the progress of a body and the time for reading a response, and releases its buffer between requests. ClientBudget accounts for the held bytes and the connections of a process, with shares for callers, readiness and metrics; pure functions choose what to close when one is exhausted. A refusal (400, 408, 413, 431, 503) is sent only for a request that was not passed to the handler. Limits are settings (clients.*, machine.memory, machine.descriptors) with defaults for the smallest machine. Refusals are counted by listener and cause and logged at most once a second each.

--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -117,7 +117,9 @@
                   .add("zone", settings.m_zone.value())
                   .add("version", FOXTAILCROSS_VERSION)
                   .add("callers", settings::toString(settings.m_callers))
-                  .add("store", settings::toString(settings.m_store)),
+                  .add("store", settings::toString(settings.m_store))
+                  .add("client_bytes", settings.m_clients.m_heldBytes)
+                  .add("client_connections", settings.m_clients.m_connections),
               node::currentTime());
     metrics::Registry registry;
     node::EventQueue queue;
@@ -127,7 +129,8 @@
                                toAddress(settings.m_store),
                                toAddress(settings.m_advice),
                                toAddress(settings.m_machines),
-                               toAddress(settings.m_metrics)},
+                               toAddress(settings.m_metrics),
+                               settings.m_clients},
                               queue,
                               log,
                               registry);
--- a/components/http/server_core.cpp
+++ b/components/http/server_core.cpp
@@ -1,5 +1,6 @@
 #include "components/http/server_core.hpp"
 
+#include "components/http/client_budget.hpp"
 #include "components/http/error_response.hpp"
 #include "components/http/server_error.hpp"
 #include "components/http/server_session.hpp"
@@ -8,6 +9,7 @@
 #include <boost/asio/post.hpp>
 
 #include <exception>
+#include <limits>
 #include <utility>
 
 namespace http
@@ -21,6 +23,14 @@
 /// Delay before accepting again after an error, such as when there are no free file descriptors.
 constexpr std::chrono::milliseconds acceptRetryInterval {100};
 
+/// A budget of one server, for a process that has set none.
+std::shared_ptr<ClientBudget> makeOwnBudget(const ServerSettings &settings)
+{
+    ClientBudgetSettings budget;
+    budget.m_shares[static_cast<std::size_t>(settings.m_clientKind)] = {std::numeric_limits<std::size_t>::max(), settings.m_connectionLimit};
+    return std::make_shared<ClientBudget>(budget);
+}
+
 }
 
 ServerCore::ServerCore(const ServerSettings &settings, Server::Handler handler, boost::asio::io_context &io)
@@ -31,6 +41,9 @@
     , m_acceptor(m_acceptStrand)
     , m_acceptRetry(m_acceptStrand)
 {
+    if (!m_settings.m_budget) {
+        m_settings.m_budget = makeOwnBudget(m_settings);
+    }
     try {
         const tcp::endpoint endpoint(boost::asio::ip::make_address(m_settings.m_bind.m_host), m_settings.m_bind.m_port);
         m_acceptor.open(endpoint.protocol());
@@ -108,6 +121,11 @@
     return m_settings;
 }
 
+ClientBudget &ServerCore::budget()
+{
+    return *m_settings.m_budget;
+}
+
 void ServerCore::handle(Request request, const Responder &responder)
 {
     ++m_inFlight;
@@ -194,10 +212,19 @@
 void ServerCore::addSession(tcp::socket socket)
 {
     const std::lock_guard lock(m_mutex);
-    if (m_terminated || m_sessions.size() >= m_settings.m_connectionLimit) {
+    if (m_terminated) {
         return;
     }
     const auto session = std::make_shared<ServerSession>(shared_from_this(), std::move(socket));
+    const auto number = budget().open(m_settings.m_clientKind, std::chrono::steady_clock::now(), [weak = session->weak_from_this()](CloseCause cause) {
+        if (const auto asked = weak.lock()) {
+            asked->closeForBudget(cause);
+        }
+    });
+    if (!number) {
+        return;
+    }
+    session->setBudgetNumber(*number);
     m_sessions.insert(session);
     session->start();
 }
--- a/components/http/server_core.hpp
+++ b/components/http/server_core.hpp
@@ -18,6 +18,7 @@
 namespace http
 {
 
+class ClientBudget;
 class ServerSession;
 
 /// Listening socket and open connections of a server. Includes Asio headers; only for use in the server's own sources.
@@ -40,6 +41,7 @@
     bool stopping() const;
     bool isDrained() const;
     const ServerSettings &settings() const;
+    ClientBudget &budget();
 
     /// Passes a request to the handler and counts it as in flight.
     void handle(Request request, const Responder &responder);
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -284,6 +284,13 @@
     }
 }
 
+void Control::process(const ClientsRefused &event, fleet::Now now)
+{
+    m_ports.log(
+        logging::Line("clients", "refused", logging::Level::Warning).add("listener", event.m_listener).add("cause", event.m_cause).add("count", event.m_count),
+        now);
+}
+
 void Control::process(const TrafficFailed &event, fleet::Now now)
 {
     recordUnexpectedError("traffic", event.m_reason, now);
--- a/components/node/control.hpp
+++ b/components/node/control.hpp
@@ -61,6 +61,7 @@
     void process(const UpkeepEnded &event, fleet::Now now);
     void process(const WaveReported &event, fleet::Now now);
     void process(const DatagramArrived &event, fleet::Now now);
+    void process(const ClientsRefused &event, fleet::Now now);
     void process(const TrafficFailed &event, fleet::Now now);
     void process(const StopRequested &event, fleet::Now now);
     template<class Action>
--- a/components/node/events.hpp
+++ b/components/node/events.hpp
@@ -114,6 +114,15 @@
     std::string m_bytes;
 };
 
+/// Clients outside the limits were refused or their connections closed. Sent at most once a second for each listener and cause.
+struct ClientsRefused
+{
+    std::string m_listener;
+    std::string m_cause;
+    /// Since the previous event of this listener and cause.
+    std::uint64_t m_count = 0;
+};
+
 /// A handler of the network I/O failed with an error that nobody expected. The call that it belonged to ends as one without an
 /// answer.
 struct TrafficFailed
@@ -140,6 +149,7 @@
                            UpkeepEnded,
                            WaveReported,
                            DatagramArrived,
+                           ClientsRefused,
                            TrafficFailed,
                            StopRequested>;
 
--- a/components/settings/node_settings.hpp
+++ b/components/settings/node_settings.hpp
@@ -4,6 +4,7 @@
 #include "components/fleet/identifiers.hpp"
 #include "components/fleet/time.hpp"
 #include "components/logging/level.hpp"
+#include "components/settings/client_limits.hpp"
 #include "components/settings/endpoint.hpp"
 
 namespace settings
@@ -33,6 +34,11 @@
 
     /// Processor time available to the instance, in cores; 0 if unknown.
     double m_processorShare = 0;
+    /// Memory of the machine in MB. The default is that of the smallest machine in use.
+    std::int64_t m_memoryMb = 120;
+    /// File descriptors that the process may open. The default is that of the smallest machine in use.
+    std::int64_t m_descriptors = 3075;
+    ClientLimits m_clients;
     /// Longest lease that a worker grants.
     fleet::Duration m_leaseLimit {6000};
     fleet::Duration m_stopGrace {200};
--- a/components/settings/node_settings_test.cpp
+++ b/components/settings/node_settings_test.cpp
@@ -75,6 +75,37 @@
     cr_assert(onlyProblem("[bounds]\nkey_revocation = \"700 ms\"\n").m_key == "bounds.key_revocation");
 }
 
+/// The defaults of the smallest machine must leave room for what clients inside the limits send.
+Test(nodeSettings, clientLimitsMissing_read_areThoseOfTheSmallestMachine)
+{
+    const auto settings = read("");
+    cr_assert(settings.m_clients == settings::ClientLimits());
+    cr_assert(read("[machine]\nmemory = 120\ndescriptors = 3075\n").m_clients == settings.m_clients);
+    cr_assert_geq(settings.m_clients.m_connections, 1000);
+    cr_assert_geq(settings.m_clients.m_heldBytes, 40 * 262'144);
+}
+
+Test(nodeSettings, machineMemoryAndDescriptors_read_limitsFollow)
+{
+    const auto settings = read("[machine]\nmemory = 260.5\ndescriptors = 4100\n");
+    cr_assert_eq(settings.m_clients.m_heldBytes, (std::int64_t {260} << 20) / 8);
+    cr_assert_eq(settings.m_clients.m_connections, 2340);
+}
+
+/// A machine below the sizes in use must start all the same.
+Test(nodeSettings, smallestAcceptedMachine_read_limitsAreConsistent)
+{
+    cr_assert_geq(read("[machine]\nmemory = 16\ndescriptors = 512\n").m_clients.m_connections, 3 * settings::reservedConnections);
+}
+
+Test(nodeSettings, clientLimitsThatContradictTheMachine_read_areRefused)
+{
+    cr_assert(onlyProblem("[clients]\nheld_bytes = 70000000\n").m_key == "clients.held_bytes");
+    cr_assert(onlyProblem("[clients]\nconnections = 3000\n").m_key == "clients.connections");
+    cr_assert(onlyProblem("[clients]\nmax_body_bytes = 10000000\n").m_key == "clients.max_body_bytes");
+    cr_assert(onlyProblem("[clients]\nbody_grace = \"40 s\"\n").m_key == "clients.body_grace");
+}
+
 Test(fileWatch, fileWrittenAgain_isNoticedOnceAfterTheInterval)
 {
     const std::filesystem::path file = std::filesystem::temp_directory_path() / ("foxtailcross-watch-" + std::to_string(getpid()));
