HTTP server: end a connection whose parsing fails with an exception

An exception between a read and the handler, such as for lack of memory, left the connection open without a pending operation, so that it was accounted for until the process ended. It is now closed, and the error is passed on as before. There is no test of its own, since no input causes such an exception.

--- a/components/http/server_session.cpp
+++ b/components/http/server_session.cpp
@@ -190,8 +190,19 @@
     parse();
 }
 
-/// Parses what has been received, and reads more if the request is not complete.
 void ServerSession::parse()
+{
+    try {
+        parseInput();
+    } catch (const std::exception &) {
+        // Without this, the connection would stay open without a pending operation, and the budget would count it until the end.
+        end();
+        throw;
+    }
+}
+
+/// Parses what has been received, and reads more if the request is not complete.
+void ServerSession::parseInput()
 {
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
         const auto input = m_buffer.data();
@@ -328,10 +339,12 @@
 {
     // No operation is pending on the socket while the handler runs, so there is nothing to time out.
     m_stream.expires_never();
-    m_isRequestInFlight = true;
+    const bool last = !m_parser->keep_alive();
     m_handledBytes = m_parser->get().body().capacity();
+    Request request = toRequest(m_parser->release());
+    m_parser.reset();
+    m_isRequestInFlight = true;
     record(ConnectionPhase::Handling, true);
-    const bool last = !m_parser->keep_alive();
     // A responder may outlive the server and its threads, so it must not own a part of it.
     const Responder responder([gate = m_core->gate(), weak = weak_from_this(), last](std::optional<Response> response) {
         gate->runUnlessClosed([&] {
@@ -342,8 +355,6 @@
             }
         });
     });
-    Request request = toRequest(m_parser->release());
-    m_parser.reset();
     m_core->handle(std::move(request), responder);
 }
 
--- a/components/http/server_session.hpp
+++ b/components/http/server_session.hpp
@@ -48,6 +48,7 @@
     void awaitRequest();
     void beginRequest();
     void parse();
+    void parseInput();
     std::optional<CloseCause> exceededLimit() const;
     void readMore();
     void onRead(const Error &error, std::size_t count);
