Check of a catalog: maxima and weights of accounts

Since accounts have maxima and weights, the check reported neither a guarantee above the maximum nor weights that only some accounts have, and compare() left out both members.

Differences print floating-point numbers with the digits that tell them apart, since two weights with the same first six digits looked equal.

--- a/components/catalog_check/check.cpp
+++ b/components/catalog_check/check.cpp
@@ -108,6 +108,30 @@
     }
 }
 
+void checkMaximum(const catalog::Catalog &catalog, std::size_t index, Findings &findings)
+{
+    const catalog::Account &account = catalog.m_accounts[index];
+    const std::int64_t guaranteed = account.m_guaranteedAccelerators;
+    const std::int64_t maximum = account.m_maximum.m_accelerators;
+    if (maximum > 0 && guaranteed > maximum) {
+        findings.push_back({{Section::Accounts, index, Field::MaximumAccelerators},
+                            std::to_string(guaranteed) + " accelerators are guaranteed, and at most " + std::to_string(maximum) + " may be in use",
+                            "raise the maximum to at least the guarantee, or lower the guarantee"});
+    }
+}
+
+void checkWeight(const catalog::Catalog &catalog, std::size_t index, Findings &findings)
+{
+    const bool isAnyWeightSet = std::any_of(catalog.m_accounts.begin(), catalog.m_accounts.end(), [](const catalog::Account &account) {
+        return account.m_weight.has_value();
+    });
+    if (isAnyWeightSet && !catalog.m_accounts[index].m_weight) {
+        findings.push_back({{Section::Accounts, index, Field::Weight},
+                            "the account has no weight, and others have one; it counts as weight 1",
+                            "set a weight above 0 for each account, or for none"});
+    }
+}
+
 template<class Items, class Check>
 void checkEach(const catalog::Catalog &catalog, const Items &items, Findings &findings, Check check)
 {
@@ -127,6 +151,8 @@
     checkEach(catalog, catalog.m_queues, findings, checkQueue);
     checkEach(catalog, catalog.m_services, findings, checkService);
     checkEach(catalog, catalog.m_accounts, findings, checkAccount);
+    checkEach(catalog, catalog.m_accounts, findings, checkMaximum);
+    checkEach(catalog, catalog.m_accounts, findings, checkWeight);
     if (catalog.m_limits.m_maxBodyBytes == 0) {
         findings.push_back({{Section::Limits, 0, Field::MaxBodyBytes}, "bodies may have 0 bytes, so that no job can be submitted", "set the limit in bytes"});
     }
--- a/components/catalog_check/check_test.cpp
+++ b/components/catalog_check/check_test.cpp
@@ -91,6 +91,45 @@
     cr_assert(places == expected);
 }
 
+/// A guarantee above the maximum cannot be met, and an account without a weight takes part in the sharing as soon as another has one.
+Test(catalog_check, maximaAndWeights_contradictionsAreFound)
+{
+    catalog::Catalog catalog = makeSoundCatalog();
+    catalog::Account &account = catalog.m_accounts[0];
+    account.m_maximum = {1, 1, 8};
+    catalog.m_accounts[1].m_maximum.m_accelerators = 1;
+    cr_assert(catalog_check::check(catalog).empty());
+    account.m_maximum.m_accelerators = 7;
+    account.m_weight = 2;
+    const auto findings = catalog_check::check(catalog);
+    cr_assert_eq(findings.size(), 2U);
+    cr_assert(findings[0].m_place == (Place {Section::Accounts, 0, Field::MaximumAccelerators}));
+    cr_assert(findings[1].m_place == (Place {Section::Accounts, 1, Field::Weight}));
+    account.m_maximum.m_accelerators = 0;
+    catalog.m_accounts[1].m_weight = 1;
+    cr_assert(catalog_check::check(catalog).empty());
+}
+
+/// Weights were cut to six digits in the texts, so that both sides of a difference could look equal.
+Test(catalog_check, differencesOfMaximaAndWeights_nameEachChange)
+{
+    catalog::Catalog inForce = makeSoundCatalog();
+    inForce.m_accounts[0].m_maximum = {4000, 0, 8};
+    inForce.m_accounts[1].m_weight = 123456788;
+    catalog::Catalog next = inForce;
+    next.m_accounts[0].m_maximum = {5000, 64, 0};
+    next.m_accounts[0].m_weight = 2.5;
+    next.m_accounts[1].m_weight = 123456789;
+    const std::vector<catalog_check::Difference> expected {
+        {DifferenceKind::Changed, Section::Accounts, "a", Field::MaximumMilliCores, "4000", "5000"},
+        {DifferenceKind::Changed, Section::Accounts, "a", Field::MaximumMemory, "no limit", "64"},
+        {DifferenceKind::Changed, Section::Accounts, "a", Field::MaximumAccelerators, "8", "no limit"},
+        {DifferenceKind::Changed, Section::Accounts, "a", Field::Weight, "none", "2.5"},
+        {DifferenceKind::Changed, Section::Accounts, "b", Field::Weight, "123456788", "123456789"},
+    };
+    cr_assert(catalog_check::compare(inForce, next) == expected);
+}
+
 /// A catalog whose version is not higher never takes effect, and no error shows it.
 Test(catalog_check, versionThatIsNotHigher_isFound)
 {
--- a/components/catalog_check/compare.cpp
+++ b/components/catalog_check/compare.cpp
@@ -3,6 +3,8 @@
 #include "components/catalog/catalog.hpp"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <set>
 #include <sstream>
 #include <utility>
@@ -34,6 +36,18 @@
     return std::to_string(duration.count());
 }
 
+/// The shortest text that reads back as the same number, so that different numbers have different texts.
+std::string toText(double number)
+{
+    std::array<char, 32> text {};
+    return {text.data(), std::to_chars(text.data(), text.data() + text.size(), number).ptr};
+}
+
+std::string toText(const std::optional<double> &weight)
+{
+    return weight ? toText(*weight) : "none";
+}
+
 template<class Number>
 std::string toText(Number number)
 {
@@ -61,6 +75,15 @@
         }
     }
 
+    /// Compares maxima of one resource, of which 0 means no limit.
+    void compareMaximum(Field field, std::int64_t before, std::int64_t after)
+    {
+        const auto describe = [](std::int64_t maximum) {
+            return maximum == 0 ? "no limit" : toText(maximum);
+        };
+        compareField(field, describe(before), describe(after));
+    }
+
     void add(Field field, std::string before, std::string after)
     {
         m_differences.push_back({DifferenceKind::Changed, m_section, m_id, field, std::move(before), std::move(after)});
@@ -119,6 +142,10 @@
                            + " withdrawn");
     }
     comparison.compareField(Field::GuaranteedAccelerators, before.m_guaranteedAccelerators, after.m_guaranteedAccelerators);
+    comparison.compareMaximum(Field::MaximumMilliCores, before.m_maximum.m_milliCores, after.m_maximum.m_milliCores);
+    comparison.compareMaximum(Field::MaximumMemory, before.m_maximum.m_memoryMb, after.m_maximum.m_memoryMb);
+    comparison.compareMaximum(Field::MaximumAccelerators, before.m_maximum.m_accelerators, after.m_maximum.m_accelerators);
+    comparison.compareField(Field::Weight, before.m_weight, after.m_weight);
 }
 
 template<class Item>
--- a/components/catalog_check/place.hpp
+++ b/components/catalog_check/place.hpp
@@ -39,6 +39,10 @@
     IsSpare,
     Keys,
     GuaranteedAccelerators,
+    MaximumMilliCores,
+    MaximumMemory,
+    MaximumAccelerators,
+    Weight,
     MaxBodyBytes,
 };
 
