HTTP server: connections that have ended start no request, and accepting survives an exception

Found in review. A connection closed for the budget while its read had completed passed one more request to the handler, which could not be answered and stayed in the count of unanswered requests. An exception while a connection was added ended accepting for good and could make a stop wait without a limit.

--- a/components/http/server_core.cpp
+++ b/components/http/server_core.cpp
@@ -165,7 +165,7 @@
 void ServerCore::onAccepted(const boost::system::error_code &error, tcp::socket socket)
 {
     if (!error) {
-        addSession(std::move(socket));
+        tryAddSession(std::move(socket));
     }
     if (!m_acceptor.is_open()) {
         return;
@@ -196,7 +196,7 @@
         tcp::socket socket(boost::asio::make_strand(m_io));
         m_acceptor.accept(socket, error);
         if (!error) {
-            addSession(std::move(socket));
+            tryAddSession(std::move(socket));
         }
     }
     m_acceptor.close(error);
@@ -209,6 +209,16 @@
     m_drainedCondition.notify_all();
 }
 
+void ServerCore::tryAddSession(tcp::socket socket)
+{
+    try {
+        addSession(std::move(socket));
+    } catch (const std::exception &) {
+        // Without memory for one connection the listener must go on, and a stop must close it. The peer sees a closed connection.
+        budget().report(m_settings.m_clientKind, CloseCause::Memory);
+    }
+}
+
 void ServerCore::addSession(tcp::socket socket)
 {
     const std::lock_guard lock(m_mutex);
--- a/components/http/server_core.hpp
+++ b/components/http/server_core.hpp
@@ -57,6 +57,7 @@
     void onAccepted(const boost::system::error_code &error, boost::asio::ip::tcp::socket socket);
     void scheduleAcceptRetry();
     void closeListener();
+    void tryAddSession(boost::asio::ip::tcp::socket socket);
     void addSession(boost::asio::ip::tcp::socket socket);
     void terminate();
 
--- a/components/http/server_session.cpp
+++ b/components/http/server_session.cpp
@@ -181,6 +181,9 @@
 
 void ServerSession::beginRequest()
 {
+    if (m_ended) {
+        return;
+    }
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_core->settings().m_headerLimit));
     m_parser->body_limit(m_core->settings().m_bodyLimit);
@@ -385,6 +388,9 @@
 void ServerSession::writeResponse(Response response, bool last)
 {
     if (m_ended) {
+        if (std::exchange(m_isRequestInFlight, false)) {
+            m_core->onRequestFinished();
+        }
         return;
     }
     m_response = {};
