Dispatch: the job-end line always has the errors of run times

clang-tidy reported the conditional part of the line as a use after a move. One chain replaces it; jobs without compared runs log 0 runs. dispatch_test 53 of 53 and simulation_test 182 of 182 pass.

--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -155,23 +155,18 @@
 {
     const catalog::Queue *queue = catalog::findQueue(context.m_catalog, job.m_spec.m_queue);
     const fleet::TimePoint objective = queue == nullptr ? job.m_acceptedAt : objectiveOf(job, *queue, job.occurrenceCount() - 1);
-    logging::Line line = logging::Line("dispatch", "job-end")
-                             .add("job", toString(job.m_spec.m_id))
-                             .add("state", jobs::nameOf(stateOf(job)))
-                             .add("took_ms", context.m_now.m_wall - job.m_acceptedAt)
-                             .add("objective_ms", objective - job.m_acceptedAt)
-                             .add("priority", priorityOf(context, job));
-    const auto calibration = context.m_state.m_jobCalibrations.find(job.m_spec.m_id);
-    if (calibration != context.m_state.m_jobCalibrations.end()) {
-        // The chain changes the line in place; an assignment of its result would move the line into itself.
-        static_cast<void>(std::move(line)
-                              .add("timed_runs", calibration->second.m_runs)
-                              .add("estimate_error_pct", calibration->second.meanEstimateError())
-                              .add("model_error_pct", calibration->second.meanModelError())
-                              .add("coverage_pct", calibration->second.coverage()));
-        context.m_state.m_jobCalibrations.erase(calibration);
-    }
-    context.m_out.m_log.push_back(std::move(line));
+    const auto calibration = context.m_state.m_jobCalibrations.extract(job.m_spec.m_id);
+    const RunTimeCalibration timed = calibration.empty() ? RunTimeCalibration() : calibration.mapped();
+    context.m_out.m_log.push_back(logging::Line("dispatch", "job-end")
+                                      .add("job", toString(job.m_spec.m_id))
+                                      .add("state", jobs::nameOf(stateOf(job)))
+                                      .add("took_ms", context.m_now.m_wall - job.m_acceptedAt)
+                                      .add("objective_ms", objective - job.m_acceptedAt)
+                                      .add("priority", priorityOf(context, job))
+                                      .add("timed_runs", timed.m_runs)
+                                      .add("estimate_error_pct", timed.meanEstimateError())
+                                      .add("model_error_pct", timed.meanModelError())
+                                      .add("coverage_pct", timed.coverage()));
 }
 
 /// Returns the checkpoint to record for the end of a run. A member that is stopped writes one at its end, while those whose gang breaks
