Account limits: room for a gang is kept in turns; late orders count until their stop has taken effect

Found in review. A gang that could not start beside long-running tasks of its account kept all other work of the account waiting for good. Room is now kept in turns of 6 s, or 2 s while the account is below half of its maximum. A start order carried out late on a restarted worker was not counted between the answer to its stop and its end.

Not taken over from the review: holding back 429 after the start of an instance.

--- a/components/dispatch/account_limits.cpp
+++ b/components/dispatch/account_limits.cpp
@@ -19,7 +19,13 @@
 
 /// After this wait at the maximum of its account, the room for a gang is kept free of later steps of the account; otherwise small tasks would
 /// take up each part of it that becomes free. As long as a gang waits for capacity before workers are reserved for it.
-constexpr fleet::Duration gangWaitBeforeRoomIsKept {1500};
+constexpr fleet::Duration waitBeforeRoomIsKept {1500};
+/// The room is kept and given back in turns of this length, since a gang whose room does not become free, for example beside long-running
+/// tasks, would otherwise stop all other work of the account.
+constexpr fleet::Duration turnOfKeptRoom {6000};
+/// The same while the account uses less than half of its maximum. A step that stands still for 3 s although its account has half of its
+/// maximum left counts as lost.
+constexpr fleet::Duration turnOfKeptRoomBelowHalf {2000};
 
 std::size_t countWithin(std::int64_t maximum, std::int64_t use, std::int64_t perTask)
 {
@@ -58,9 +64,19 @@
     return sum;
 }
 
-bool hasWaitedForRoom(const Context &context, const Candidate &candidate)
+bool isBelowHalf(const AccountBudget &budget)
 {
-    return context.m_now.m_boot - context.m_state.m_activeJobs.at(candidate.m_step.m_job) >= gangWaitBeforeRoomIsKept;
+    const auto isBelow = [](std::int64_t use, std::int64_t maximum) {
+        return maximum == 0 || 2 * use < maximum;
+    };
+    return isBelow(budget.m_use.m_milliCores, budget.m_maximum.m_milliCores) && isBelow(budget.m_use.m_memoryMb, budget.m_maximum.m_memoryMb)
+        && isBelow(budget.m_use.m_accelerators, budget.m_maximum.m_accelerators);
+}
+
+fleet::Duration waitedFor(const Context &context, const Candidate &candidate)
+{
+    const auto waiting = context.m_state.m_waitingSteps.find(candidate.m_step);
+    return waiting == context.m_state.m_waitingSteps.end() ? fleet::Duration(0) : context.m_now.m_boot - waiting->second.m_since;
 }
 
 bool isStrayRunOver(const Context &context, const fleet::WorkerId &id, const StrayRun &stray)
@@ -86,6 +102,15 @@
                      countWithin(budget.m_maximum.m_accelerators, budget.m_use.m_accelerators, perTask.m_accelerators)});
 }
 
+bool isRoomKeptForGang(fleet::Duration waited, bool isAccountBelowHalf)
+{
+    if (waited < waitBeforeRoomIsKept) {
+        return false;
+    }
+    const fleet::Duration turn = isAccountBelowHalf ? turnOfKeptRoomBelowHalf : turnOfKeptRoom;
+    return (waited - waitBeforeRoomIsKept) / turn % 2 == 0;
+}
+
 void addToAccountUse(State &state, const RunState &run)
 {
     add(state.m_accountUse, run.m_account, run.m_requested);
@@ -116,7 +141,8 @@
     for (const auto &[worker, starts] : context.m_state.m_unansweredStarts) {
         const auto strays = context.m_state.m_strayRuns.find(worker);
         for (const auto &[run, start] : starts) {
-            const bool isStray = strays != context.m_state.m_strayRuns.end() && strays->second.contains(run);
+            const bool isStray
+                = strays != context.m_state.m_strayRuns.end() && strays->second.contains(run) && !isStrayRunOver(context, worker, strays->second.at(run));
             if (!isStray && mayStillBeCarriedOut(context, worker, run, start)) {
                 add(use, start.m_account, start.m_requested);
             }
@@ -218,7 +244,7 @@
     const fleet::Resources withheld = requested(candidate, candidate.m_withheldTasks.size());
     const bool canEverStart
         = countWithinMaximum({budget->m_maximum, {}}, candidate.m_spec->m_perTask, candidate.m_withheldTasks.size()) == candidate.m_withheldTasks.size();
-    if (candidate.m_spec->m_isGang && canEverStart && hasWaitedForRoom(context, candidate)) {
+    if (candidate.m_spec->m_isGang && canEverStart && isRoomKeptForGang(waitedFor(context, candidate), isBelowHalf(*budget))) {
         budget->m_use = budget->m_use + withheld;
     }
     candidate.m_tasks.insert(candidate.m_tasks.end(), candidate.m_withheldTasks.begin(), candidate.m_withheldTasks.end());
--- a/components/dispatch/account_limits.hpp
+++ b/components/dispatch/account_limits.hpp
@@ -3,6 +3,7 @@
 
 #include "components/fleet/identifiers.hpp"
 #include "components/fleet/resources.hpp"
+#include "components/fleet/time.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -46,6 +47,9 @@
 /// Returns how many of the `wanted` tasks fit, each with the resources `perTask`.
 std::size_t countWithinMaximum(const AccountBudget &budget, const fleet::Resources &perTask, std::size_t wanted);
 
+/// Returns whether the room of a gang that its account's maximum does not allow to start yet is kept free of later steps of the account.
+bool isRoomKeptForGang(fleet::Duration waited, bool isAccountBelowHalf);
+
 /// Adds the resources of a run to the use of its account, or removes them. Called where a run is added and where it ends.
 void addToAccountUse(State &state, const RunState &run);
 void removeFromAccountUse(State &state, const RunState &run);
--- a/components/dispatch/account_limits_test.cpp
+++ b/components/dispatch/account_limits_test.cpp
@@ -140,3 +140,22 @@
     dispatch::withholdTasks(context, budgets, joining);
     cr_assert_eq(joining.m_tasks.size(), 3);
 }
+
+/// A gang whose room never becomes free, for example beside long-running tasks, must not stop the other work of its account for good.
+Test(accountLimits, gangThatWaitsForRoom_roomIsKeptInTurns)
+{
+    cr_assert_not(dispatch::isRoomKeptForGang(1s, false));
+    cr_assert(dispatch::isRoomKeptForGang(2s, false));
+    cr_assert(dispatch::isRoomKeptForGang(7s, false));
+    cr_assert_not(dispatch::isRoomKeptForGang(8s, false));
+    cr_assert(dispatch::isRoomKeptForGang(14s, false));
+}
+
+/// Steps that stand still for 3 s while their account has half of its maximum left count as lost.
+Test(accountLimits, gangThatWaitsForRoom_accountBelowHalf_turnsAreShort)
+{
+    cr_assert(dispatch::isRoomKeptForGang(3s, true));
+    cr_assert_not(dispatch::isRoomKeptForGang(4s, true));
+    cr_assert_not(dispatch::isRoomKeptForGang(5s, true));
+    cr_assert(dispatch::isRoomKeptForGang(6s, true));
+}
--- a/components/dispatch/unanswered_start.hpp
+++ b/components/dispatch/unanswered_start.hpp
@@ -24,6 +24,8 @@
     fleet::Resources m_requested;
     /// The latest incarnation that has confirmed a stop of the run, and refuses the order.
     workers::WorkerIncarnation m_stoppedOn;
+    /// When it confirmed the stop; a run that the order had started may work on for the time for stops.
+    fleet::BootTime m_stoppedAt;
     fleet::BootTime m_nextStopAt;
 };
 
--- a/components/dispatch/unanswered_starts.cpp
+++ b/components/dispatch/unanswered_starts.cpp
@@ -62,6 +62,7 @@
     }
     if (const auto start = worker->second.find(order.m_run); start != worker->second.end()) {
         start->second.m_stoppedOn = order.m_target;
+        start->second.m_stoppedAt = context.m_now.m_boot;
     }
 }
 
@@ -77,7 +78,8 @@
     const workers::WorkerIncarnation &incarnation = worker->second.m_registration.m_incarnation;
     const auto clock = minWorkerClock(worker->second, context.m_now.m_boot);
     const bool hasLeaseEnded = incarnation == start.m_target && clock && *clock >= start.m_leaseUntilMs;
-    return !hasLeaseEnded && start.m_stoppedOn != incarnation;
+    const bool hasStopped = start.m_stoppedOn == incarnation && context.m_now.m_boot - start.m_stoppedAt >= context.m_state.m_settings.m_stopGrace;
+    return !hasLeaseEnded && !hasStopped;
 }
 
 void sendStopsOfUnansweredStarts(Context &context)
