Account limits: a guaranteed step at its account's maximum stops batch runs of the account

The holder withheld the gang and stopped nothing, since it had room on the workers.

A guaranteed step that the maximum withholds now stops runs of lower priority of its own account, those that lose least first, and its room is kept for it. The launch line also says which speed class the slowest chosen worker has.

--- a/components/dispatch/account_limits.cpp
+++ b/components/dispatch/account_limits.cpp
@@ -232,6 +232,22 @@
     return !reservedFor(context, candidate).fitsIn(candidate.m_perTask * static_cast<std::int64_t>(allowed));
 }
 
+fleet::Resources missingBelowMaximum(const AccountBudgets &budgets, const Candidate &candidate)
+{
+    const auto found = budgets.find(candidate.m_account);
+    if (found == budgets.end()) {
+        return {};
+    }
+    const fleet::Resources wanted = found->second.m_use + requested(candidate, candidate.m_withheldTasks.size());
+    const fleet::Resources &maximum = found->second.m_maximum;
+    const auto excess = [](std::int64_t amount, std::int64_t limit) {
+        return limit == 0 ? 0 : std::max<std::int64_t>(0, amount - limit);
+    };
+    return {excess(wanted.m_milliCores, maximum.m_milliCores),
+            excess(wanted.m_memoryMb, maximum.m_memoryMb),
+            excess(wanted.m_accelerators, maximum.m_accelerators)};
+}
+
 void settleTasks(const Context &context, AccountBudgets &budgets, Candidate &candidate, std::size_t ready)
 {
     AccountBudget *budget = findBudget(budgets, candidate);
@@ -244,7 +260,8 @@
     const fleet::Resources withheld = requested(candidate, candidate.m_withheldTasks.size());
     const bool canEverStart
         = countWithinMaximum({budget->m_maximum, {}}, candidate.m_spec->m_perTask, candidate.m_withheldTasks.size()) == candidate.m_withheldTasks.size();
-    if (candidate.m_spec->m_isGang && canEverStart && isRoomKeptForGang(waitedFor(context, candidate), isBelowHalf(*budget))) {
+    const bool isKeptForGang = candidate.m_spec->m_isGang && isRoomKeptForGang(waitedFor(context, candidate), isBelowHalf(*budget));
+    if (canEverStart && (candidate.m_isGuaranteed || isKeptForGang)) {
         budget->m_use = budget->m_use + withheld;
     }
     candidate.m_tasks.insert(candidate.m_tasks.end(), candidate.m_withheldTasks.begin(), candidate.m_withheldTasks.end());
--- a/components/dispatch/account_limits.hpp
+++ b/components/dispatch/account_limits.hpp
@@ -72,8 +72,12 @@
 /// step has a reservation that is larger than the rest needs, which is to be dropped. Every start passes through here.
 bool withholdTasks(const Context &context, AccountBudgets &budgets, Candidate &candidate);
 
+/// Returns by how much the withheld tasks of the candidate would exceed the maximum of its account; 0 for what they do not exceed.
+fleet::Resources missingBelowMaximum(const AccountBudgets &budgets, const Candidate &candidate);
+
 /// Adds the tasks that were placed to the use of the account, and returns the withheld ones to the candidate. `ready` is the number of tasks of
-/// the candidate after withholdTasks(). Keeps room for a reservation, and for a gang that has waited long below its maximum.
+/// the candidate after withholdTasks(). Keeps room for a reservation, for a
+/// guaranteed step, and for a gang that has waited long below its maximum.
 void settleTasks(const Context &context, AccountBudgets &budgets, Candidate &candidate, std::size_t ready);
 
 }
--- a/components/dispatch/evictions.cpp
+++ b/components/dispatch/evictions.cpp
@@ -226,4 +226,34 @@
     return choose(context, candidate, availableWorkers, planOn);
 }
 
+std::vector<jobs::RunId> chooseStopsInOwnAccount(const Context &context, const Candidate &candidate, const fleet::Resources &needed)
+{
+    EvictionCache cache;
+    UnavailableTasks unavailable;
+    std::vector<Victim> victims;
+    fleet::Resources freed;
+    for (const auto &[id, run] : context.m_state.m_runs) {
+        if (run.m_account != candidate.m_account) {
+            continue;
+        }
+        if (run.m_isStopRequested) {
+            freed = freed + run.m_requested;
+        } else if (run.m_priority > candidate.m_queue->m_priority && useDisruptionBudget(context, id, unavailable)) {
+            victims.push_back({id, &run, lostWorkWithGang(context, id, run, cache)});
+        }
+    }
+    std::sort(victims.begin(), victims.end(), [](const Victim &a, const Victim &b) {
+        return a.m_loss < b.m_loss;
+    });
+    std::vector<jobs::RunId> chosen;
+    for (const Victim &victim : victims) {
+        if (needed.fitsIn(freed)) {
+            break;
+        }
+        freed = freed + victim.m_state->m_requested;
+        chosen.push_back(victim.m_run);
+    }
+    return needed.fitsIn(freed) ? chosen : std::vector<jobs::RunId>();
+}
+
 }
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -18,6 +18,7 @@
 #include "components/dispatch/waiting.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <optional>
 #include <utility>
@@ -95,6 +96,10 @@
     if (candidate.m_spec->m_isLongRunning && isJobLikelyCause(context, candidate.m_step.m_job)) {
         context.m_state.m_restartNotBefore[candidate.m_step] = context.m_now.m_boot + restartPause;
     }
+    int slowest = std::numeric_limits<int>::min();
+    for (const auto &[available, tasks] : placement.m_tasksPerWorker) {
+        slowest = std::max(slowest, available->m_speedClass);
+    }
     context.m_out.m_log.push_back(logging::Line("dispatch", "launch")
                                       .add("job", toString(candidate.m_step.m_job))
                                       .add("occurrence", candidate.m_step.m_occurrence)
@@ -103,6 +108,8 @@
                                       .add("tasks", next)
                                       .add("workers", placement.m_tasksPerWorker.size())
                                       .add("priority", candidate.m_queue->m_priority)
+                                      .add("prefers_fast", candidate.m_speedPreference == SpeedPreference::Fastest)
+                                      .add("slowest_speed_class", slowest)
                                       .add("waited_ms", context.m_now.m_wall - job.m_acceptedAt)
                                       .add("token", context.m_state.m_token.m_value)
                                       .add("catalog", context.m_catalog.m_version));
@@ -363,6 +370,17 @@
     }
 }
 
+/// A guaranteed step has to start within the reclaim limit also if runs of lower priority take up the maximum of its own account.
+void makeRoomBelowMaximum(Context &context, const AccountBudgets &budgets, const Candidate &candidate)
+{
+    if (!candidate.m_isGuaranteed || candidate.m_withheldTasks.empty()) {
+        return;
+    }
+    for (const jobs::RunId &run : chooseStopsInOwnAccount(context, candidate, missingBelowMaximum(budgets, candidate))) {
+        requestStop(context, run, "maximum-for-" + toString(candidate.m_step.m_job));
+    }
+}
+
 }
 
 bool plan(Context &context)
@@ -377,6 +395,7 @@
     for (Candidate &candidate : candidates) {
         WaitingStep &waiting = findWaitingStep(context, candidate);
         withholdExcess(context, budgets, candidate, availableWorkers);
+        makeRoomBelowMaximum(context, budgets, candidate);
         const std::size_t ready = candidate.m_tasks.size();
         if (ready > 0) {
             placeCandidate(context, candidate, waiting, availableWorkers, findings);
--- a/components/simulation/account_limits_test.cpp
+++ b/components/simulation/account_limits_test.cpp
@@ -147,6 +147,20 @@
     fixture.expectNoViolation();
 }
 
+/// The guarantee of an account broke when its own batch work had used up its maximum: the urgent job waited for runs to end.
+Test(accountLimits, guaranteedStepAtTheMaximum_startsWithinTheReclaimLimit)
+{
+    LimitFixture fixture;
+    const jobs::JobId batch = fixture.submit(makeTasks(8), {30s});
+    fixture.m_world.run(500ms);
+    const jobs::JobId urgent = fixture.submit(makeGang(6), {1s}, 0);
+    fixture.m_world.run(2700ms);
+    cr_assert_eq(fixture.runCount(urgent), 6);
+    cr_assert_eq(fixture.endedRunCount(batch, "stopped"), 6);
+    cr_assert_eq(fixture.peak(), 8);
+    fixture.expectNoViolation();
+}
+
 /// Small tasks of the account would take up each accelerator that becomes free below the maximum, and a gang would never start.
 Test(accountLimits, gangAsWideAsTheMaximum_startsWholeAmongSmallTasks)
 {
