--- a/components/dispatch/placing.cpp
+++ b/components/dispatch/placing.cpp
@@ -81,13 +81,21 @@
 /// not need them should leave them to others.
 std::int64_t speedCost(SpeedPreference preference, const Placement &placement)
 {
-    std::int64_t cost = std::numeric_limits<std::int64_t>::min();
+    std::int64_t slowest = std::numeric_limits<std::int64_t>::min();
     std::int64_t onFastWorkers = 0;
     for (const auto &[available, tasks] : placement.m_tasksPerWorker) {
-        cost = std::max<std::int64_t>(cost, speedOrder(preference, available->m_speedClass));
+        slowest = std::max<std::int64_t>(slowest, available->m_speedClass);
         onFastWorkers += available->m_speedClass < 0 ? tasks : 0;
     }
-    return preference == SpeedPreference::Fastest ? cost : preference == SpeedPreference::Slowest ? onFastWorkers : 0;
+    switch (preference) {
+    case SpeedPreference::Fastest:
+        return slowest;
+    case SpeedPreference::Slowest:
+        return onFastWorkers;
+    case SpeedPreference::None:
+        break;
+    }
+    return 0;
 }
 
 /// Assigns all tasks to one rack: to one with workers of a suitable speed, and among these to the one with the least capacity left over.
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -51,6 +51,15 @@
 /// How often it is checked whether a rack could hold a gang at all; the list of workers is read about as often.
 constexpr fleet::Duration rackCheckInterval {500};
 
+int slowestSpeedClass(const Placement &placement)
+{
+    int slowest = std::numeric_limits<int>::min();
+    for (const auto &[available, tasks] : placement.m_tasksPerWorker) {
+        slowest = std::max(slowest, available->m_speedClass);
+    }
+    return slowest;
+}
+
 std::uint32_t nextRunNumber(const journal::JobRecord &job, const Candidate &candidate)
 {
     const journal::StepRecord *record = journal::findStep(job, candidate.m_step);
@@ -96,10 +105,6 @@
     if (candidate.m_spec->m_isLongRunning && isJobLikelyCause(context, candidate.m_step.m_job)) {
         context.m_state.m_restartNotBefore[candidate.m_step] = context.m_now.m_boot + restartPause;
     }
-    int slowest = std::numeric_limits<int>::min();
-    for (const auto &[available, tasks] : placement.m_tasksPerWorker) {
-        slowest = std::max(slowest, available->m_speedClass);
-    }
     context.m_out.m_log.push_back(logging::Line("dispatch", "launch")
                                       .add("job", toString(candidate.m_step.m_job))
                                       .add("occurrence", candidate.m_step.m_occurrence)
@@ -109,7 +114,7 @@
                                       .add("workers", placement.m_tasksPerWorker.size())
                                       .add("priority", candidate.m_queue->m_priority)
                                       .add("prefers_fast", candidate.m_speedPreference == SpeedPreference::Fastest)
-                                      .add("slowest_speed_class", slowest)
+                                      .add("slowest_speed_class", slowestSpeedClass(placement))
                                       .add("waited_ms", context.m_now.m_wall - job.m_acceptedAt)
                                       .add("token", context.m_state.m_token.m_value)
                                       .add("catalog", context.m_catalog.m_version));
