Dispatch: one function each for the begin of an occurrence, the wait of a step and a candidate's request

Found in the read-through: account shares worked out the begin of an occurrence again that objectives has, and account limits and shares each looked up the wait of a step and summed a candidate's full request; account limits called the wait by a name that plan.cpp uses for the age of the job. Each is one function now.

--- a/components/dispatch/account_limits.cpp
+++ b/components/dispatch/account_limits.cpp
@@ -4,6 +4,7 @@
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/runs.hpp"
 #include "components/dispatch/unanswered_starts.hpp"
+#include "components/dispatch/waiting.hpp"
 #include "components/jobs/step_spec.hpp"
 #include "components/workers/stop_order.hpp"
 
@@ -47,12 +48,6 @@
     return found == budgets.end() ? nullptr : &found->second;
 }
 
-/// Tasks count with their full request, also those that are allocated no processor cores.
-fleet::Resources requested(const Candidate &candidate, std::size_t tasks)
-{
-    return candidate.m_spec->m_perTask * static_cast<std::int64_t>(tasks);
-}
-
 fleet::Resources reservedFor(const Context &context, const Candidate &candidate)
 {
     fleet::Resources sum;
@@ -73,12 +68,6 @@
         && isBelow(budget.m_use.m_accelerators, budget.m_maximum.m_accelerators);
 }
 
-fleet::Duration waitedFor(const Context &context, const Candidate &candidate)
-{
-    const auto waiting = context.m_state.m_waitingSteps.find(candidate.m_step);
-    return waiting == context.m_state.m_waitingSteps.end() ? fleet::Duration(0) : context.m_now.m_boot - waiting->second.m_since;
-}
-
 bool isStrayRunOver(const Context &context, const fleet::WorkerId &id, const StrayRun &stray)
 {
     const fleet::BootTime now = context.m_now.m_boot;
@@ -102,6 +91,11 @@
                      countWithin(budget.m_maximum.m_accelerators, budget.m_use.m_accelerators, perTask.m_accelerators)});
 }
 
+fleet::Resources requested(const Candidate &candidate, std::size_t tasks)
+{
+    return candidate.m_spec->m_perTask * static_cast<std::int64_t>(tasks);
+}
+
 bool isRoomKeptForGang(fleet::Duration waited, bool isAccountBelowHalf)
 {
     if (waited < waitBeforeRoomIsKept) {
@@ -260,7 +254,8 @@
     const fleet::Resources withheld = requested(candidate, candidate.m_withheldTasks.size());
     const bool canEverStart
         = countWithinMaximum({budget->m_maximum, {}}, candidate.m_spec->m_perTask, candidate.m_withheldTasks.size()) == candidate.m_withheldTasks.size();
-    const bool isKeptForGang = candidate.m_spec->m_isGang && isRoomKeptForGang(waitedFor(context, candidate), isBelowHalf(*budget));
+    const bool isKeptForGang
+        = candidate.m_spec->m_isGang && isRoomKeptForGang(stepWaitedFor(context, candidate.m_step).value_or(fleet::Duration(0)), isBelowHalf(*budget));
     if (canEverStart && (candidate.m_isGuaranteed || isKeptForGang)) {
         budget->m_use = budget->m_use + withheld;
     }
--- a/components/dispatch/account_limits.hpp
+++ b/components/dispatch/account_limits.hpp
@@ -44,6 +44,9 @@
 /// Budgets of the accounts with a maximum.
 using AccountBudgets = std::map<fleet::AccountId, AccountBudget>;
 
+/// Returns what a number of the candidate's tasks ask for. They count with their full request, also if they are allocated no processor cores.
+fleet::Resources requested(const Candidate &candidate, std::size_t tasks);
+
 /// Returns how many of the `wanted` tasks fit, each with the resources `perTask`.
 std::size_t countWithinMaximum(const AccountBudget &budget, const fleet::Resources &perTask, std::size_t wanted);
 
--- a/components/dispatch/account_shares.cpp
+++ b/components/dispatch/account_shares.cpp
@@ -4,6 +4,8 @@
 #include "components/dispatch/candidate.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/guarantees.hpp"
+#include "components/dispatch/objectives.hpp"
+#include "components/dispatch/waiting.hpp"
 #include "components/jobs/step_spec.hpp"
 
 #include <algorithm>
@@ -32,23 +34,16 @@
     return account == nullptr ? weightOfUnweighted : account->m_weight.value_or(weightOfUnweighted);
 }
 
-fleet::Resources requested(const Candidate &candidate)
-{
-    return candidate.m_spec->m_perTask * static_cast<std::int64_t>(candidate.m_tasks.size());
-}
-
 fleet::Duration objectiveLength(const Context &context, const Candidate &candidate)
 {
     const journal::JobRecord &job = context.m_journalState.m_jobs.at(candidate.m_step.m_job);
-    const jobs::Schedule &schedule = job.m_spec.m_schedule;
-    return candidate.m_objective - (schedule.isTimed() ? schedule.dueTime(candidate.m_step.m_occurrence) : job.m_acceptedAt);
+    return candidate.m_objective - beginOf(job, candidate.m_step.m_occurrence);
 }
 
 bool isOverdueGang(const Context &context, const Candidate &candidate)
 {
-    const auto waiting = context.m_state.m_waitingSteps.find(candidate.m_step);
-    return candidate.m_spec->m_isGang && waiting != context.m_state.m_waitingSteps.end()
-        && context.m_now.m_boot - waiting->second.m_since >= objectiveLength(context, candidate) * objectiveLengthsBeforeException;
+    const auto waited = stepWaitedFor(context, candidate.m_step);
+    return candidate.m_spec->m_isGang && waited && *waited >= objectiveLength(context, candidate) * objectiveLengthsBeforeException;
 }
 
 }
@@ -107,12 +102,12 @@
     for (const Candidate &candidate : candidates) {
         fleet::Resources &ofAccount = use[candidate.m_account];
         const double share = shares.at(candidate.m_account);
-        const bool isWiderThanShare = dominantShare(requested(candidate), all) > share;
+        const bool isWiderThanShare = dominantShare(requested(candidate, candidate.m_tasks.size()), all) > share;
         // The rest of a gang that runs in part comes first, since the members that run wait for it.
         if (dominantShare(ofAccount, all) < share || candidate.m_joinedRun > 0 || (isWiderThanShare && isOverdueGang(context, candidate))) {
             first.insert(candidate.m_step);
         }
-        ofAccount = ofAccount + requested(candidate);
+        ofAccount = ofAccount + requested(candidate, candidate.m_tasks.size());
     }
     std::stable_sort(candidates.begin(), candidates.end(), [&](const Candidate &a, const Candidate &b) {
         return std::pair(rankOf(a), !first.contains(a.m_step)) < std::pair(rankOf(b), !first.contains(b.m_step));
--- a/components/dispatch/objectives.cpp
+++ b/components/dispatch/objectives.cpp
@@ -24,12 +24,16 @@
     return longest;
 }
 
-fleet::TimePoint objectiveOf(const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence)
+fleet::TimePoint beginOf(const journal::JobRecord &job, std::uint32_t occurrence)
 {
     const jobs::Schedule &schedule = job.m_spec.m_schedule;
-    const fleet::TimePoint begin = schedule.isTimed() ? schedule.dueTime(occurrence) : job.m_acceptedAt;
+    return schedule.isTimed() ? schedule.dueTime(occurrence) : job.m_acceptedAt;
+}
+
+fleet::TimePoint objectiveOf(const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence)
+{
     const double stretched = static_cast<double>(criticalPathLength(job.m_spec).count()) * queue.m_stretch;
-    return begin + fleet::Duration(static_cast<std::int64_t>(stretched)) + queue.m_slack;
+    return beginOf(job, occurrence) + fleet::Duration(static_cast<std::int64_t>(stretched)) + queue.m_slack;
 }
 
 }
--- a/components/dispatch/waiting.cpp
+++ b/components/dispatch/waiting.cpp
@@ -103,6 +103,12 @@
     return waiting;
 }
 
+std::optional<fleet::Duration> stepWaitedFor(const Context &context, const jobs::StepId &step)
+{
+    const auto waiting = context.m_state.m_waitingSteps.find(step);
+    return waiting == context.m_state.m_waitingSteps.end() ? std::nullopt : std::optional(context.m_now.m_boot - waiting->second.m_since);
+}
+
 void recordPlaced(Context &context, WaitingStep &waiting)
 {
     const fleet::BootTime now = context.m_now.m_boot;
--- a/components/dispatch/waiting.hpp
+++ b/components/dispatch/waiting.hpp
@@ -3,10 +3,17 @@
 
 #include "components/dispatch/available_worker.hpp"
 #include "components/dispatch/wait_report.hpp"
+#include "components/fleet/time.hpp"
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
+namespace jobs
+{
+struct StepId;
+}
+
 namespace dispatch
 {
 
@@ -18,6 +25,9 @@
 /// Returns the entry of the step; a new one if it did not wait before.
 WaitingStep &findWaitingStep(Context &context, const Candidate &candidate);
 
+/// Returns how long the step has waited since this holder found it ready or last placed a task of it; empty if it does not wait.
+std::optional<fleet::Duration> stepWaitedFor(const Context &context, const jobs::StepId &step);
+
 /// Starts the wait of a step anew if a task of it was placed.
 void recordPlaced(Context &context, WaitingStep &waiting);
 
