--- a/cmake/components.cmake
+++ b/cmake/components.cmake
@@ -9,12 +9,12 @@
 # The seed of the property tests is fixed so that every run gives the same result.
 set(FOXTAILCROSS_RC_PARAMS "seed=20261204 max_success=100" CACHE STRING "rapidcheck parameters of the test run")
 
-# foxtailcross_component(name [DEPENDS target...])
+# foxtailcross_component(name [DEPENDS target...] [KNOWN_RED suite/test...])
 # Builds components/<name> as a static library from every .cpp beside its CMakeLists.txt;
 # files named *_test.cpp become one Criterion program, <name>_test, and files named
-# *_bench.cpp one Google Benchmark program, <name>_bench.
+# *_bench.cpp one Google Benchmark program, <name>_bench. The test run passes over the tests of KNOWN_RED, which KNOWN-RED.txt lists.
 function(foxtailcross_component name)
-    cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+    cmake_parse_arguments(ARG "" "" "DEPENDS;KNOWN_RED" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS *.cpp)
     set(tests ${sources})
     list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
@@ -31,7 +31,13 @@
     if(tests AND FOXTAILCROSS_TESTS)
         add_executable(${name}_test ${tests})
         target_link_libraries(${name}_test PRIVATE ${name} rapidcheck criterion)
-        add_test(NAME ${name}_test COMMAND ${name}_test WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
+        set(filter)
+        if(ARG_KNOWN_RED)
+            list(JOIN ARG_KNOWN_RED "|" known_red)
+            set(filter --filter "!(${known_red})")
+            message(STATUS "Known failures that ${name}_test passes over: ${ARG_KNOWN_RED}")
+        endif()
+        add_test(NAME ${name}_test COMMAND ${name}_test ${filter} WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
         set_tests_properties(${name}_test PROPERTIES ENVIRONMENT "RC_PARAMS=${FOXTAILCROSS_RC_PARAMS}" TIMEOUT 300)
     endif()
     if(benches AND FOXTAILCROSS_BENCHMARKS)
--- /dev/null
+++ b/components/dispatch/order_answers_test.cpp
@@ -0,0 +1,101 @@
+#include "components/dispatch/context.hpp"
+#include "components/dispatch/environment.hpp"
+#include "components/dispatch/reports.hpp"
+#include "components/dispatch/runs.hpp"
+#include "components/dispatch/scheduler_events.hpp"
+#include "components/dispatch/state.hpp"
+#include "components/journal/changes.hpp"
+#include "components/workers/poll_order.hpp"
+#include "components/workers/poll_result.hpp"
+#include "components/workers/start_order.hpp"
+
+#include <chrono>
+
+#include <criterion/criterion.h>
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A holder whose first order to start the only task of a job had no answer.
+struct UnansweredStartFixture
+{
+    UnansweredStartFixture()
+    {
+        journal::JobAccepted accepted;
+        accepted.m_spec.m_id = m_run.m_task.m_step.m_job;
+        accepted.m_spec.m_steps.resize(1);
+        accepted.m_spec.m_steps[0].m_tasks = 1;
+        journal::Changes changes;
+        journal::apply(m_journal, accepted, changes);
+        m_state.m_token.m_value = 1;
+        dispatch::takeOver(m_state, environment(), m_now, {m_now, {}});
+        workers::Registration entry;
+        entry.m_incarnation = m_worker;
+        entry.m_address = "w";
+        entry.m_capacity = {8000, 8000, 8};
+        entry.m_clockMs = 1000;
+        dispatch::onListRead(m_state, environment(), {entry}, {m_now, {}});
+
+        dispatch::Context context {m_state, m_journal, m_catalog, m_zonesOut, m_waves, {m_now, {}}, {}, {}, {}, {}, {}, {}, {}};
+        dispatch::launch(context, m_run, m_worker, {});
+        m_state.m_runs.at(m_run).m_phase = dispatch::RunPhase::Starting;
+        m_state.m_runs.at(m_run).m_startTries = 1;
+        endStart(workers::OrderOutcome::Unknown);
+    }
+
+    dispatch::Environment environment()
+    {
+        return {m_journal, m_catalog, m_zonesOut, m_waves};
+    }
+
+    void endStart(workers::OrderOutcome outcome)
+    {
+        workers::StartOrder order;
+        order.m_target = m_worker;
+        order.m_run = m_run;
+        dispatch::onStartEnded(m_state, environment(), order, {outcome, 2000, {}}, {m_now, {}});
+    }
+
+    void listAsRunning()
+    {
+        workers::PollOrder order;
+        order.m_target = m_worker;
+        workers::PollResult result;
+        result.m_outcome = workers::PollOutcome::Answered;
+        result.m_startedAtMs = m_worker.m_startedAtMs;
+        result.m_clockMs = 2000;
+        result.m_running.push_back({m_run, {}, 10, -1});
+        dispatch::onPollEnded(m_state, environment(), order, m_now, result, {m_now, {}});
+    }
+
+    bool isOpen() const
+    {
+        return m_state.m_runs.contains(m_run);
+    }
+
+    fleet::BootTime m_now {100s};
+    jobs::RunId m_run {{{{7}, 0, 0}, 0}, 1};
+    workers::WorkerIncarnation m_worker {fleet::WorkerId("w"), 1};
+    journal::JournalState m_journal;
+    catalog::Catalog m_catalog;
+    std::set<fleet::ZoneId> m_zonesOut;
+    std::map<std::string, catalog::UpkeepWave> m_waves;
+    dispatch::State m_state;
+};
+
+}
+
+/// A refusal says that the refused order did nothing. It was taken as proof that the run did not exist, and the task ran twice at once.
+Test(orderAnswers, repeatedStartRefusedAfterTheRunWasListed_runStaysOpen)
+{
+    using workers::OrderOutcome;
+    for (const OrderOutcome refusal : {OrderOutcome::Unhealthy, OrderOutcome::NoCapacity, OrderOutcome::BadTicket, OrderOutcome::Malformed}) {
+        UnansweredStartFixture fixture;
+        cr_assert(fixture.isOpen());
+        fixture.listAsRunning();
+        fixture.endStart(refusal);
+        cr_expect(fixture.isOpen(), "refusal %d", static_cast<int>(refusal));
+    }
+}
