Dispatch: a refused repetition of a start order doesn't end a run that the worker has listed

Cause: an order to start a run gets no answer, though the worker has carried it out. The holder polls the worker and repeats the order in the same cycle. If the poll's answer comes first, the run counts as running and no longer as in doubt; the worker then refuses the repetition (429 or 503, as a busy one does), and the holder closed the run as never begun and started the task elsewhere. The class: the answer to one order taken as proof about another. A refusal now ends only a start that nothing else shows to have been carried out.

Why it works: a run is closed as never begun only while it is in phase starting and no order of it is in doubt. A run that the worker has listed ends by what the worker lists afterwards, by its lease, or by another instance at its address, and then as lost with its worker and not as never begun.

--- a/components/dispatch/order_answers_test.cpp
+++ b/components/dispatch/order_answers_test.cpp
@@ -9,6 +9,7 @@
 #include "components/workers/poll_result.hpp"
 #include "components/workers/start_order.hpp"
 
+#include <array>
 #include <chrono>
 
 #include <criterion/criterion.h>
@@ -17,6 +18,9 @@
 {
 
 using namespace std::chrono_literals;
+using workers::OrderOutcome;
+
+constexpr std::array refusals {OrderOutcome::Unhealthy, OrderOutcome::NoCapacity, OrderOutcome::BadTicket, OrderOutcome::Malformed};
 
 /// A holder whose first order to start the only task of a job had no answer.
 struct UnansweredStartFixture
@@ -42,7 +46,7 @@
         dispatch::launch(context, m_run, m_worker, {});
         m_state.m_runs.at(m_run).m_phase = dispatch::RunPhase::Starting;
         m_state.m_runs.at(m_run).m_startTries = 1;
-        endStart(workers::OrderOutcome::Unknown);
+        endStart(OrderOutcome::Unknown);
     }
 
     dispatch::Environment environment()
@@ -50,7 +54,7 @@
         return {m_journal, m_catalog, m_zonesOut, m_waves};
     }
 
-    void endStart(workers::OrderOutcome outcome)
+    void endStart(OrderOutcome outcome)
     {
         workers::StartOrder order;
         order.m_target = m_worker;
@@ -87,11 +91,10 @@
 
 }
 
-/// A refusal says that the refused order did nothing. It was taken as proof that the run did not exist, and the task ran twice at once.
+/// The refusal of a repeated order was taken as proof that the run did not exist, and the task ran twice at once.
 Test(orderAnswers, repeatedStartRefusedAfterTheRunWasListed_runStaysOpen)
 {
-    using workers::OrderOutcome;
-    for (const OrderOutcome refusal : {OrderOutcome::Unhealthy, OrderOutcome::NoCapacity, OrderOutcome::BadTicket, OrderOutcome::Malformed}) {
+    for (const OrderOutcome refusal : refusals) {
         UnansweredStartFixture fixture;
         cr_assert(fixture.isOpen());
         fixture.listAsRunning();
@@ -99,3 +102,25 @@
         cr_expect(fixture.isOpen(), "refusal %d", static_cast<int>(refusal));
     }
 }
+
+/// The earlier order may still begin the run.
+Test(orderAnswers, repeatedStartRefusedBeforeTheRunWasListed_runIsStopped)
+{
+    for (const OrderOutcome refusal : refusals) {
+        UnansweredStartFixture fixture;
+        fixture.endStart(refusal);
+        cr_assert(fixture.isOpen(), "refusal %d", static_cast<int>(refusal));
+        cr_expect(fixture.m_state.m_runs.at(fixture.m_run).m_isStopRequested, "refusal %d", static_cast<int>(refusal));
+    }
+}
+
+/// Another instance at the address shows that the worker is gone. A run that has begun may not count as never begun, since a member of a gang that
+/// never began joins its run again.
+Test(orderAnswers, otherInstanceAnswersARepeatedStartAfterTheRunWasListed_runIsLostWithItsWorker)
+{
+    UnansweredStartFixture fixture;
+    fixture.listAsRunning();
+    fixture.endStart(OrderOutcome::OtherIncarnation);
+    cr_assert_not(fixture.isOpen());
+    cr_expect(fixture.m_journal.m_jobs.at(fixture.m_run.m_task.m_step.m_job).m_hasBegun);
+}
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -260,10 +260,13 @@
     }
 }
 
-/// Gives up a start that the worker did not carry out. If an earlier start order without an answer may still be carried out, the
-/// run is stopped instead of ended.
+/// Gives up a start that the worker refused. The refusal only shows that this order did nothing: a run that the worker has listed goes on,
+/// and one that an earlier order without an answer may still begin is stopped instead of ended.
 void giveUpStart(Context &context, const jobs::RunId &id, RunState &run, const std::string &why)
 {
+    if (run.m_phase == RunPhase::Running) {
+        return;
+    }
     if (run.m_isStartUncertain) {
         requestStop(context, id, why);
         return;
@@ -359,7 +362,7 @@
         run->m_isStartUncertain = run->m_isStartUncertain || result.m_outcome == workers::OrderOutcome::Unknown;
         run->m_hasUnansweredStart = run->m_hasUnansweredStart || result.m_outcome == workers::OrderOutcome::Unknown;
         recordNoAnswer(context, *worker);
-        if (result.m_outcome == workers::OrderOutcome::NotSent && !run->m_isStartUncertain && run->m_phase == RunPhase::Starting) {
+        if (result.m_outcome == workers::OrderOutcome::NotSent && !run->m_isStartUncertain) {
             giveUpStart(context, order.m_run, *run, "unreachable");
         }
         return;
@@ -397,6 +400,10 @@
         break;
     case workers::OrderOutcome::OtherIncarnation:
         avoid(*worker, now + unavailablePause);
+        if (run->m_phase == RunPhase::Running) {
+            endRun(context, order.m_run, jobs::RunEnd::LostWithWorker, {});
+            break;
+        }
         run->m_isStartUncertain = false;
         giveUpStart(context, order.m_run, *run, "other-life");
         break;
