Dispatch: a task doesn't start while a worker is known to run it

Seen in the incident's trace: a worker listed a run that was not open any more, the holder sent one stop, and launched the task again elsewhere before the run had ended. Cause: runs that are listed but not open counted for the maxima of accounts only. The class: a known fact that one decision uses and another ignores.

Change: tasks with such a run are not startable until the worker no longer lists it, its stop has taken effect or its lease is over; a worker with such runs is polled every 200 ms without a wait, also if it has no others, so that the stop is repeated.

worker/lateRunOfATaskIsReported_taskStartsAgainOnlyAfterItsEnd failed before with "two runs of/0/0/0"; dispatch and simulation tests pass.

--- a/components/dispatch/account_limits.cpp
+++ b/components/dispatch/account_limits.cpp
@@ -166,6 +166,19 @@
     context.m_state.m_strayRuns.erase(worker.m_registration.m_incarnation.m_worker);
 }
 
+std::set<jobs::TaskId> tasksWithStrayRuns(const Context &context)
+{
+    std::set<jobs::TaskId> tasks;
+    for (const auto &[worker, strays] : context.m_state.m_strayRuns) {
+        for (const auto &[run, stray] : strays) {
+            if (!isStrayRunOver(context, worker, stray)) {
+                tasks.insert(run.m_task);
+            }
+        }
+    }
+    return tasks;
+}
+
 void recordStrayStop(Context &context, const workers::StopOrder &order)
 {
     const auto worker = context.m_state.m_strayRuns.find(order.m_target.m_worker);
--- a/components/dispatch/account_limits.hpp
+++ b/components/dispatch/account_limits.hpp
@@ -4,10 +4,12 @@
 #include "components/fleet/identifiers.hpp"
 #include "components/fleet/resources.hpp"
 #include "components/fleet/time.hpp"
+#include "components/jobs/task_id.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace jobs
@@ -65,6 +67,8 @@
 void recordStrayRun(Context &context, const WorkerState &worker, const jobs::RunId &run);
 /// Forgets the runs that were recorded so for the worker, since a newer report follows.
 void forgetStrayRuns(Context &context, const WorkerState &worker);
+/// Returns the tasks with such a run that may still work.
+std::set<jobs::TaskId> tasksWithStrayRuns(const Context &context);
 /// Records that the worker has confirmed a stop, after which a run ends within the time for stops.
 void recordStrayStop(Context &context, const workers::StopOrder &order);
 
--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -1,5 +1,6 @@
 #include "components/dispatch/candidates.hpp"
 
+#include "components/dispatch/account_limits.hpp"
 #include "components/dispatch/advice.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/guarantees.hpp"
@@ -21,14 +22,19 @@
 /// How long a step avoids a worker where it failed.
 constexpr fleet::Duration failedWorkerAvoidance {8000};
 
-/// Returns the tasks of the step that are neither done nor have an open run. For a gang these are all tasks, or those that can
-/// join the run of the others.
-std::vector<std::uint16_t> startableTasks(const jobs::StepSpec &spec, const journal::StepRecord *record)
+/// Returns the tasks of the step that are neither done nor have a run. For a gang these are all tasks, or those that can join the run of
+/// the others; none as long as a member has a stray run.
+std::vector<std::uint16_t>
+startableTasks(const jobs::StepId &id, const jobs::StepSpec &spec, const journal::StepRecord *record, const std::set<jobs::TaskId> &strayTasks)
 {
     std::vector<std::uint16_t> tasks;
     for (std::uint16_t i = 0; i < spec.m_tasks; ++i) {
         const bool isFree = record == nullptr || (!record->m_tasks[i].m_isDone && record->m_tasks[i].m_open.empty());
-        if (isFree) {
+        const bool isStray = strayTasks.contains({id, i});
+        if (isStray && spec.m_isGang) {
+            return {};
+        }
+        if (isFree && !isStray) {
             tasks.push_back(i);
         }
     }
@@ -89,8 +95,12 @@
     return notBefore == context.m_state.m_restartNotBefore.end() || context.m_now.m_boot >= notBefore->second;
 }
 
-void addOccurrence(
-    const Context &context, const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence, std::vector<Candidate> &candidates)
+void addOccurrence(const Context &context,
+                   const journal::JobRecord &job,
+                   const catalog::Queue &queue,
+                   std::uint32_t occurrence,
+                   const std::set<jobs::TaskId> &strayTasks,
+                   std::vector<Candidate> &candidates)
 {
     const auto steps = static_cast<std::uint16_t>(job.m_spec.m_steps.size());
     for (std::uint16_t i = 0; i < steps; ++i) {
@@ -99,7 +109,7 @@
         if (journal::isStepDone(job, occurrence, i) || !areDependenciesDone(job, occurrence, spec) || !isRestartDue(context, id)) {
             continue;
         }
-        std::vector<std::uint16_t> tasks = startableTasks(spec, journal::findStep(job, id));
+        std::vector<std::uint16_t> tasks = startableTasks(id, spec, journal::findStep(job, id), strayTasks);
         if (tasks.empty()) {
             continue;
         }
@@ -154,6 +164,7 @@
 std::vector<Candidate> findCandidates(const Context &context)
 {
     std::vector<Candidate> candidates;
+    const std::set<jobs::TaskId> strayTasks = tasksWithStrayRuns(context);
     for (const auto &[id, seenAt] : context.m_state.m_activeJobs) {
         const journal::JobRecord &job = context.m_journalState.m_jobs.at(id);
         const catalog::Queue *queue = catalog::findQueue(context.m_catalog, job.m_spec.m_queue);
@@ -163,7 +174,7 @@
         const std::uint32_t due = dueOccurrences(job, context.m_now.m_wall);
         for (std::uint32_t occurrence = 0; occurrence < due; ++occurrence) {
             if (!job.m_doneOccurrences.contains(occurrence)) {
-                addOccurrence(context, job, *queue, occurrence, candidates);
+                addOccurrence(context, job, *queue, occurrence, strayTasks, candidates);
             }
         }
     }
--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -65,6 +65,11 @@
         && context.m_now.m_boot >= run.m_nextStopAt;
 }
 
+bool hasStrayRuns(const Context &context, const WorkerState &worker)
+{
+    return context.m_state.m_strayRuns.contains(worker.m_registration.m_incarnation.m_worker);
+}
+
 bool isPollDue(const Context &context, const WorkerState &worker)
 {
     if (worker.m_pollInFlight || context.m_now.m_boot < worker.m_nextPollAt || worker.m_registration.m_address.empty()) {
@@ -75,7 +80,8 @@
     const bool isUnresponsive = worker.m_unansweredCalls > 0 && worker.m_isListed;
     // No start can be sent before the worker's clock is known, which an answer shows.
     const bool isClockNeeded = !worker.m_clockMs && !worker.m_runs.empty();
-    if (hasEndsToAcknowledge || isUnresponsive || worker.m_isProbeDue || isClockNeeded || mayReportEnds(worker, context.m_now.m_boot)) {
+    if (hasEndsToAcknowledge || isUnresponsive || worker.m_isProbeDue || isClockNeeded || mayReportEnds(worker, context.m_now.m_boot)
+        || hasStrayRuns(context, worker)) {
         return true;
     }
     return std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
@@ -103,7 +109,8 @@
         order.m_leaseUntilMs = leaseEnd(context, worker, context.m_state.m_settings.m_leaseLimit);
         // An end that is listed but may not be forgotten yet would end the wait at once. A worker that does not answer is polled without a
         // wait, so that the call times out sooner and the next one shows that the worker can be reached again.
-        const bool mayWait = !hasUnstoredEnds && worker.m_hasAcceptedToken && !hasRunOverSincePoll && worker.m_unansweredCalls == 0;
+        const bool mayWait
+            = !hasUnstoredEnds && worker.m_hasAcceptedToken && !hasRunOverSincePoll && worker.m_unansweredCalls == 0 && !hasStrayRuns(context, worker);
         order.m_wait = mayWait ? context.m_state.m_settings.pollWait() : fleet::Duration(0);
     }
     if (order.m_leaseUntilMs) {
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -23,6 +23,8 @@
 /// Poll interval while reported ends are not stored yet, which is only needed to renew the lease. The worker is polled again as
 /// soon as the ends are stored.
 constexpr fleet::Duration unstoredPollInterval {1000};
+/// Poll interval while a worker lists runs that are not open.
+constexpr fleet::Duration strayRunPollInterval {200};
 /// Delay before an idle worker that did not answer is polled again.
 constexpr fleet::Duration probeInterval {1000};
 /// How long a worker gets no new runs after it refused a start for lack of capacity.
@@ -344,6 +346,10 @@
     if (worker->m_endsReceived > worker->m_endsStored) {
         worker->m_nextPollAt = now + unstoredPollInterval;
     }
+    if (context.m_state.m_strayRuns.contains(workerIncarnation.m_worker)) {
+        // The next poll shows whether the stops that were sent have taken effect.
+        worker->m_nextPollAt = now + strayRunPollInterval;
+    }
 }
 
 void applyStartResult(Context &context, const workers::StartOrder &order, const workers::OrderResult &result)
--- a/components/simulation/workers_test.cpp
+++ b/components/simulation/workers_test.cpp
@@ -616,3 +616,39 @@
     cr_assert_eq(fleet.m_workers.begin()->second.m_endsAcknowledged, 1U);
     cr_assert_eq(fleet.m_repeatedAcknowledgements, 0);
 }
+
+/// The holder launched another run of a task of which a worker had just reported a run that is not open.
+Test(worker, lateRunOfATaskIsReported_taskStartsAgainOnlyAfterItsEnd)
+{
+    WorldSettings settings;
+    settings.m_zones = 1;
+    settings.m_workersPerZone = 1;
+    settings.m_bounds.m_dispatch.m_stopGrace = 20s;
+    WorldFixture fixture(settings);
+    FleetModel &fleet = fixture.m_world.m_fleet;
+    const jobs::JobId other = fixture.submit(makeTasks(1), {60s});
+    const jobs::JobId job = fixture.submit(makeTasks(1), {200ms, true});
+    cr_assert(fixture.m_world.runUntil(
+        [&] {
+            return fixture.endedRunCount(job, "failed") == 1;
+        },
+        3s));
+
+    ModelWorker &worker = fleet.m_workers.begin()->second;
+    const RunRecord failed = fleet.m_history.back();
+    ModelRun late;
+    late.m_step = makeTasks(1);
+    late.m_isWorking = true;
+    late.m_acceptedAt = late.m_workingSince = fixture.m_world.now();
+    late.m_behaviour.m_duration = 30s;
+    worker.m_running[failed.m_run] = late;
+    fleet.m_history.push_back({failed.m_run, failed.m_incarnation, fixture.m_world.now()});
+    cr_assert(fixture.m_world.runUntil(
+        [&] {
+            return fixture.runCount(job) == 3;
+        },
+        20s));
+    cr_expect_eq(fixture.endedRunCount(job, "stopped"), 1);
+    cr_expect(fixture.isRunning(other));
+    fixture.expectNoViolation();
+}
