Dispatch: the log tells by what a run counts as over, and names two runs of a task

run-end has the proof by which the run counts as over, the process of the worker that it was launched on and the present one, unanswered starts, and for an expired lease its end, the clock reading and the age of that. New lines, each once a decision: worker-restarted, start-unanswered, late-start-stop, end-after-close and two-runs, a stray run beside another run of its task that was ordered to start. duty/hold has the open runs and how long former leases may last. Counters of restarts, stray runs, pairs and runs given up by proof; a gauge of unanswered starts. No decision changes.

--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -38,6 +38,7 @@
     const journal::JobRecord &job = context.m_journalState.m_jobs.at(id.m_task.m_step.m_job);
     worker.m_grantedLeaseEndMs = std::max(worker.m_grantedLeaseEndMs, *lease);
     run.m_startInFlight = true;
+    run.m_startSentAt = context.m_now.m_boot;
     ++run.m_startTries;
     run.m_nextStartAt = context.m_now.m_boot + retryDelay(run.m_startTries);
     context.m_out.m_starts.push_back(
@@ -194,7 +195,7 @@
         });
     }
     for (const jobs::RunId &run : unsent) {
-        endRun(context, run, jobs::RunEnd::NeverBegan, {});
+        endRun(context, run, jobs::RunEnd::NeverBegan, {}, RunEndProof::ClockUnknown);
     }
 }
 
@@ -213,7 +214,7 @@
     }
     for (const jobs::RunId &run : expired) {
         context.m_state.m_workers.at(context.m_state.m_runs.at(run).m_incarnation.m_worker).m_gaveUpRunsAt = context.m_now.m_boot;
-        endRun(context, run, jobs::RunEnd::LeaseExpired, {});
+        endRun(context, run, jobs::RunEnd::LeaseExpired, {}, RunEndProof::LeaseOver);
     }
 }
 
--- a/components/dispatch/outbox.hpp
+++ b/components/dispatch/outbox.hpp
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_DISPATCH_OUTBOX_HPP
 #define COMPONENTS_DISPATCH_OUTBOX_HPP
 
+#include "components/dispatch/run_counts.hpp"
 #include "components/jobs/job_id.hpp"
 #include "components/journal/record.hpp"
 #include "components/logging/line.hpp"
@@ -36,6 +37,7 @@
     /// A worker has seen a higher fencing token, so another instance holds the duty.
     bool m_isFenced = false;
     std::vector<logging::Line> m_log;
+    RunCounts m_counts;
 };
 
 }
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -6,6 +6,7 @@
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/departures.hpp"
 #include "components/dispatch/orders.hpp"
+#include "components/dispatch/run_log.hpp"
 #include "components/dispatch/run_time_samples.hpp"
 #include "components/dispatch/runs.hpp"
 #include "components/dispatch/unanswered_starts.hpp"
@@ -83,8 +84,9 @@
 /// Handles a worker that restarted under the same id. The runs of the previous incarnation are gone, but a start order sent to it
 /// may have reached the new one, which has seen no fencing token yet and accepts it. Only the new incarnation's own list of runs
 /// shows whether a run exists.
-void moveToNewIncarnation(Context &context, WorkerState &worker, const workers::Registration &registration)
+void moveToNewIncarnation(Context &context, WorkerState &worker, const workers::Registration &registration, const char *learnedFrom)
 {
+    logRestart(context, worker, registration.m_incarnation, learnedFrom);
     resetForNewIncarnation(worker, registration);
     // Once it has seen this holder's token, it refuses the orders of former holders.
     worker.m_isProbeDue = true;
@@ -115,7 +117,7 @@
         worker.m_isProbeDue = true;
         context.m_state.m_planIsDue = true;
     } else if (registration.m_incarnation.m_startedAtMs > known.m_startedAtMs) {
-        moveToNewIncarnation(context, worker, registration);
+        moveToNewIncarnation(context, worker, registration, "list");
         context.m_state.m_planIsDue = true;
     } else if (registration.m_incarnation.m_startedAtMs < known.m_startedAtMs) {
         return;
@@ -155,7 +157,7 @@
         }
     }
     for (const jobs::RunId &run : lost) {
-        endRun(context, run, jobs::RunEnd::LostWithWorker, {});
+        endRun(context, run, jobs::RunEnd::LostWithWorker, {}, RunEndProof::NewerWorkerOnMachine);
     }
 }
 
@@ -169,8 +171,11 @@
         context.m_endNumbers[worker.m_registration.m_incarnation] = task.m_number;
         const RunState *run = findRun(context, task.m_run);
         if (run != nullptr && run->m_incarnation == worker.m_registration.m_incarnation) {
-            endRun(context, task.m_run, task.m_end, task.m_checkpoint);
-        } else if (task.m_end == jobs::RunEnd::Done) {
+            endRun(context, task.m_run, task.m_end, task.m_checkpoint, RunEndProof::ReportedByWorker);
+            continue;
+        }
+        logEndAfterClose(context, worker.m_registration.m_incarnation, task);
+        if (task.m_end == jobs::RunEnd::Done) {
             recordDoneAfterClose(context, task.m_run, worker.m_registration.m_incarnation);
         }
     }
@@ -182,10 +187,7 @@
     if (run == nullptr || run->m_incarnation != incarnation) {
         // A delayed start order was carried out after the run had been given up.
         const workers::WorkerIncarnation workerIncarnation = incarnation;
-        context.m_out.m_log.push_back(logging::Line("dispatch", "stray-run", logging::Level::Warning)
-                                          .add("task", toString(task.m_run.m_task))
-                                          .add("run", task.m_run.m_run)
-                                          .add("worker", workerIncarnation.m_worker.value()));
+        logStrayRun(context, workerIncarnation, task.m_run);
         const WorkerState *worker = findWorker(context, workerIncarnation);
         recordStrayRun(context, *worker, task.m_run);
         context.m_out.m_stops.push_back({workerIncarnation, worker->m_registration.m_address, task.m_run, context.m_state.m_token});
@@ -224,7 +226,7 @@
         context.m_state.m_runsWithPendingOrders.insert(id);
         requestStop(context, id, "worker-reborn");
     } else {
-        endRun(context, id, jobs::RunEnd::LostWithWorker, {});
+        endRun(context, id, jobs::RunEnd::LostWithWorker, {}, RunEndProof::RestartedWithoutIt);
     }
 }
 
@@ -255,14 +257,16 @@
         const bool wasRunning = run.m_phase == RunPhase::Running && run.m_startedAt < sentAt;
         const bool wasOver = (run.m_isOverOnWorker && run.m_overSince < sentAt) || (run.m_stopAnswered && run.m_overSince < sentAt);
         if (wasRunning || wasOver) {
-            endRun(context, id, run.m_phase == RunPhase::Running ? jobs::RunEnd::LostWithWorker : jobs::RunEnd::NeverBegan, {});
+            const RunEndProof proofOfEnd = run.m_stopAnswered ? RunEndProof::StopConfirmed : RunEndProof::RefusedAsOver;
+            const RunEndProof proof = wasOver ? proofOfEnd : RunEndProof::NotListedByWorker;
+            endRun(context, id, run.m_phase == RunPhase::Running ? jobs::RunEnd::LostWithWorker : jobs::RunEnd::NeverBegan, {}, proof);
         }
     }
 }
 
 /// Gives up a start that the worker did not carry out. If an earlier start order without an answer may still be carried out, the
 /// run is stopped instead of ended.
-void giveUpStart(Context &context, const jobs::RunId &id, RunState &run, const std::string &why)
+void giveUpStart(Context &context, const jobs::RunId &id, RunState &run, const std::string &why, RunEndProof proof)
 {
     if (run.m_isStartUncertain) {
         requestStop(context, id, why);
@@ -273,7 +277,7 @@
                                       .add("run", id.m_run)
                                       .add("worker", run.m_incarnation.m_worker.value())
                                       .add("why", why));
-    endRun(context, id, jobs::RunEnd::NeverBegan, {});
+    endRun(context, id, jobs::RunEnd::NeverBegan, {}, proof);
 }
 
 }
@@ -321,7 +325,7 @@
     if (result.m_startedAtMs && *result.m_startedAtMs > order.m_target.m_startedAtMs) {
         workers::Registration registration = worker->m_registration;
         registration.m_incarnation.m_startedAtMs = *result.m_startedAtMs;
-        moveToNewIncarnation(context, *worker, registration);
+        moveToNewIncarnation(context, *worker, registration, "poll");
     }
     recordAnswer(context, *worker, result.m_clockMs);
     worker->m_gaveUpRunsAt.reset();
@@ -360,7 +364,7 @@
         run->m_hasUnansweredStart = run->m_hasUnansweredStart || result.m_outcome == workers::OrderOutcome::Unknown;
         recordNoAnswer(context, *worker);
         if (result.m_outcome == workers::OrderOutcome::NotSent && !run->m_isStartUncertain && run->m_phase == RunPhase::Starting) {
-            giveUpStart(context, order.m_run, *run, "unreachable");
+            giveUpStart(context, order.m_run, *run, "unreachable", RunEndProof::NotSent);
         }
         return;
     }
@@ -389,20 +393,20 @@
         break;
     case workers::OrderOutcome::NoCapacity:
         avoid(*worker, now + noCapacityPause);
-        giveUpStart(context, order.m_run, *run, "no-room");
+        giveUpStart(context, order.m_run, *run, "no-room", RunEndProof::RefusedForRoom);
         break;
     case workers::OrderOutcome::BadTicket:
         dropTicket(context, order.m_run.m_task.m_step, order.m_target.m_worker);
-        giveUpStart(context, order.m_run, *run, "bad-ticket");
+        giveUpStart(context, order.m_run, *run, "bad-ticket", RunEndProof::RefusedForTicket);
         break;
     case workers::OrderOutcome::OtherIncarnation:
         avoid(*worker, now + unavailablePause);
         run->m_isStartUncertain = false;
-        giveUpStart(context, order.m_run, *run, "other-life");
+        giveUpStart(context, order.m_run, *run, "other-life", RunEndProof::OtherInstanceAnswered);
         break;
     default:
         avoid(*worker, now + unavailablePause);
-        giveUpStart(context, order.m_run, *run, "outcome-" + std::to_string(static_cast<int>(result.m_outcome)));
+        giveUpStart(context, order.m_run, *run, "outcome-" + std::to_string(static_cast<int>(result.m_outcome)), RunEndProof::Refused);
         break;
     }
 }
@@ -424,7 +428,7 @@
     if (result.m_outcome == workers::OrderOutcome::Fenced) {
         context.m_out.m_isFenced = true;
     } else if (result.m_outcome == workers::OrderOutcome::OtherIncarnation) {
-        endRun(context, order.m_run, jobs::RunEnd::LostWithWorker, {});
+        endRun(context, order.m_run, jobs::RunEnd::LostWithWorker, {}, RunEndProof::OtherInstanceAnswered);
     } else if (result.m_outcome == workers::OrderOutcome::Done || result.m_outcome == workers::OrderOutcome::RunIsOver) {
         run->m_stopAnswered = true;
         run->m_overSince = context.m_now.m_boot;
--- a/components/dispatch/run_state.hpp
+++ b/components/dispatch/run_state.hpp
@@ -18,6 +18,8 @@
 struct RunState
 {
     workers::WorkerIncarnation m_incarnation;
+    /// Start time of the incarnation that it was launched on, or taken over on; the worker may have restarted since.
+    std::int64_t m_launchedOnMs = 0;
     fleet::Resources m_allocated;
     /// What the task asks for, which counts as use of its account; more than what it is allocated if it only uses idle processor time.
     fleet::Resources m_requested;
@@ -34,6 +36,7 @@
 
     bool m_startInFlight = false;
     int m_startTries = 0;
+    fleet::BootTime m_startSentAt;
     /// A start order had no answer and may be carried out late.
     bool m_isStartUncertain = false;
     /// A start order of this holder had no answer. It has no effect while the run exists, but would start it again after a restart of
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -4,6 +4,7 @@
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/failures.hpp"
 #include "components/dispatch/objectives.hpp"
+#include "components/dispatch/run_log.hpp"
 #include "components/dispatch/run_time_samples.hpp"
 #include "components/journal/changes.hpp"
 
@@ -284,6 +285,7 @@
     const jobs::StepSpec &step = job.m_spec.m_steps[stepNumber];
     RunState run;
     run.m_incarnation = incarnation;
+    run.m_launchedOnMs = incarnation.m_startedAtMs;
     run.m_allocated = allocationFor(step);
     run.m_requested = step.m_perTask;
     run.m_priority = priorityOf(context, job);
@@ -320,19 +322,13 @@
     journal::apply(context.m_journalState, journal::RunsLaunched {{{run, incarnation}}}, changes);
 }
 
-void endRun(Context &context, const jobs::RunId &run, jobs::RunEnd end, const std::string &checkpoint)
+void endRun(Context &context, const jobs::RunId &run, jobs::RunEnd end, const std::string &checkpoint, RunEndProof proof)
 {
     const auto found = context.m_state.m_runs.find(run);
     if (found == context.m_state.m_runs.end()) {
         return;
     }
-    context.m_out.m_log.push_back(logging::Line("dispatch", "run-end")
-                                      .add("task", toString(run.m_task))
-                                      .add("run", run.m_run)
-                                      .add("worker", found->second.m_incarnation.m_worker.value())
-                                      .add("how", jobs::nameOf(end))
-                                      .add("percent", found->second.m_percent)
-                                      .add("ran_ms", ranFor(found->second, context.m_now.m_boot)));
+    logRunEnd(context, run, found->second, end, proof);
     observeEnd(context, run, found->second, end);
     const workers::WorkerIncarnation incarnation = found->second.m_incarnation;
     if (end == jobs::RunEnd::Failed) {
@@ -401,7 +397,7 @@
     state->m_stopRequestedAt = context.m_now.m_boot;
     state->m_nextStopAt = context.m_now.m_boot;
     if (state->m_startTries == 0) {
-        endRun(context, run, jobs::RunEnd::NeverBegan, {});
+        endRun(context, run, jobs::RunEnd::NeverBegan, {}, RunEndProof::NotOrdered);
     }
 }
 
--- a/components/dispatch/runs.hpp
+++ b/components/dispatch/runs.hpp
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_DISPATCH_RUNS_HPP
 #define COMPONENTS_DISPATCH_RUNS_HPP
 
+#include "components/dispatch/run_end_proof.hpp"
 #include "components/fleet/boot_time.hpp"
 #include "components/jobs/run_end.hpp"
 #include "components/jobs/run_id.hpp"
@@ -50,7 +51,7 @@
 void launch(Context &context, const jobs::RunId &run, const workers::WorkerIncarnation &incarnation, const std::string &ticket);
 
 /// Records the end of a run and frees its resources. References to its state are invalid afterwards.
-void endRun(Context &context, const jobs::RunId &run, jobs::RunEnd end, const std::string &checkpoint);
+void endRun(Context &context, const jobs::RunId &run, jobs::RunEnd end, const std::string &checkpoint, RunEndProof proof);
 
 /// Records that a run which the journal has closed was done, unless its task is done already or no longer needed. The lease of a worker
 /// that does not answer expires, and its runs are given up, but a run may have been done before.
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -1,7 +1,9 @@
 #ifndef COMPONENTS_DISPATCH_STATE_HPP
 #define COMPONENTS_DISPATCH_STATE_HPP
 
+#include "components/dispatch/closed_run.hpp"
 #include "components/dispatch/pending_batch.hpp"
+#include "components/dispatch/reported_stray.hpp"
 #include "components/dispatch/reservation.hpp"
 #include "components/dispatch/run_state.hpp"
 #include "components/dispatch/run_time_calibration.hpp"
@@ -42,6 +44,9 @@
     std::map<fleet::WorkerId, std::map<jobs::RunId, UnansweredStart>> m_unansweredStarts;
     /// Runs that workers reported although they are not open, until they have ended.
     std::map<fleet::WorkerId, std::map<jobs::RunId, StrayRun>> m_strayRuns;
+    /// For the logs: runs closed of late that may still turn up on a worker, oldest first, and stray runs that were counted.
+    std::deque<ClosedRun> m_closedRuns;
+    std::map<jobs::RunId, ReportedStray> m_reportedStrays;
     /// Sum of the resources that the open runs ask for, by account. It changes with m_runs.
     std::map<fleet::AccountId, fleet::Resources> m_accountUse;
     /// Runs that have not started or are to be stopped, for which orders may be due.
--- a/components/dispatch/unanswered_start.hpp
+++ b/components/dispatch/unanswered_start.hpp
@@ -17,6 +17,8 @@
 {
     workers::WorkerIncarnation m_target;
     fleet::BootTime m_unansweredAt;
+    /// When the latest of them was sent; not known, and later, if the run had ended before the answer was given up.
+    fleet::BootTime m_sentAt;
     /// Latest lease end that an order to the target granted, in milliseconds on the worker's clock. The target refuses it afterwards.
     std::int64_t m_leaseUntilMs = 0;
     /// Account of the run and what its task asks for.
@@ -27,6 +29,8 @@
     /// When it confirmed the stop; a run that the order had started may work on for the time for stops.
     fleet::BootTime m_stoppedAt;
     fleet::BootTime m_nextStopAt;
+    /// The latest incarnation that a stop was sent to, for the logs.
+    workers::WorkerIncarnation m_stopSentTo;
 };
 
 }
--- a/components/dispatch/unanswered_starts.cpp
+++ b/components/dispatch/unanswered_starts.cpp
@@ -2,12 +2,14 @@
 
 #include "components/dispatch/account_limits.hpp"
 #include "components/dispatch/context.hpp"
+#include "components/dispatch/run_log.hpp"
 #include "components/dispatch/runs.hpp"
 #include "components/workers/order_result.hpp"
 #include "components/workers/start_order.hpp"
 #include "components/workers/stop_order.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace dispatch
 {
@@ -42,12 +44,15 @@
         start.m_target = order.m_target;
     }
     start.m_unansweredAt = context.m_now.m_boot;
+    const RunState *open = findRun(context, order.m_run);
+    start.m_sentAt = open == nullptr ? context.m_now.m_boot : open->m_startSentAt;
     start.m_leaseUntilMs = std::max(start.m_leaseUntilMs, order.m_leaseUntilMs);
     const jobs::StepId &step = order.m_run.m_task.m_step;
     if (const journal::JobRecord *job = journal::findJob(context.m_journalState, step.m_job)) {
         start.m_account = job->m_spec.m_account;
         start.m_requested = job->m_spec.m_steps[step.m_step].m_perTask;
     }
+    logUnansweredStart(context, order, start);
 }
 
 void recordStopAnswer(Context &context, const workers::StopOrder &order, const workers::OrderResult &result)
@@ -61,6 +66,9 @@
         return;
     }
     if (const auto start = worker->second.find(order.m_run); start != worker->second.end()) {
+        if (start->second.m_stoppedOn != order.m_target && start->second.m_target != order.m_target) {
+            logStopOfLateStart(context, order, start->second, "confirmed");
+        }
         start->second.m_stoppedOn = order.m_target;
         start->second.m_stoppedAt = context.m_now.m_boot;
     }
@@ -97,6 +105,10 @@
             if (isStopDue(context, worker, run, start)) {
                 start.m_nextStopAt = context.m_now.m_boot + stopRetryDelay;
                 context.m_out.m_stops.push_back({worker.m_registration.m_incarnation, worker.m_registration.m_address, run, context.m_state.m_token});
+                if (start.m_stopSentTo != worker.m_registration.m_incarnation) {
+                    start.m_stopSentTo = worker.m_registration.m_incarnation;
+                    logStopOfLateStart(context, context.m_out.m_stops.back(), start, "sent");
+                }
             }
         }
     }
@@ -105,4 +117,11 @@
     });
 }
 
+std::size_t countUnansweredStarts(const State &state)
+{
+    return std::accumulate(state.m_unansweredStarts.begin(), state.m_unansweredStarts.end(), std::size_t {0}, [](std::size_t sum, const auto &entry) {
+        return sum + entry.second.size();
+    });
+}
+
 }
--- a/components/dispatch/unanswered_starts.hpp
+++ b/components/dispatch/unanswered_starts.hpp
@@ -3,6 +3,8 @@
 
 #include "components/fleet/identifiers.hpp"
 
+#include <cstddef>
+
 namespace jobs
 {
 struct RunId;
@@ -19,6 +21,7 @@
 {
 
 struct Context;
+struct State;
 struct UnansweredStart;
 
 void recordUnansweredStart(Context &context, const workers::StartOrder &order);
@@ -32,6 +35,9 @@
 /// refuse the order when it arrives.
 void sendStopsOfUnansweredStarts(Context &context);
 
+/// Number of start orders without an answer that are remembered, for the metrics.
+std::size_t countUnansweredStarts(const State &state);
+
 }
 
 #endif
--- a/components/node/instance_metrics.cpp
+++ b/components/node/instance_metrics.cpp
@@ -233,9 +233,41 @@
     set("foxtailcross_run_times_coverage_pct", "Holder: runs that took at most the expected high time, in percent.", stats.m_calibration.coverage());
     set("foxtailcross_run_times_workers", "Holder: workers whose speed was learned.", stats.m_runTimeWorkers);
     set("foxtailcross_run_times_classes", "Holder: classes of tasks whose run time was learned.", stats.m_runTimeClasses);
+    set("foxtailcross_unanswered_starts", "Holder: start orders without an answer that may still be carried out.", stats.m_unansweredStarts);
+    if (stats.m_runCounts != m_lastStats.m_runCounts || !m_hasPublishedRunCounts) {
+        publishRunCounts(stats.m_runCounts);
+        m_hasPublishedRunCounts = true;
+    }
     m_lastStats = stats;
 }
 
+void InstanceMetrics::publishRunCounts(const dispatch::RunCounts &counts)
+{
+    const dispatch::RunCounts &last = m_lastStats.m_runCounts;
+    const auto addIncrease = [this](const char *name, const char *help, const std::string &labels, std::uint64_t count, std::uint64_t before) {
+        m_registry.counter(name, help, labels).add(count - before);
+    };
+    addIncrease(
+        "foxtailcross_worker_restarts_total", "Holder: workers seen to have restarted under the same id.", {}, counts.m_workerRestarts, last.m_workerRestarts);
+    addIncrease(
+        "foxtailcross_stray_runs_total", "Holder: runs that a worker reported although they were not open there.", {}, counts.m_strayRuns, last.m_strayRuns);
+    addIncrease(
+        "foxtailcross_two_runs_total", "Holder: stray runs beside another run of their task that was ordered to start.", {}, counts.m_twoRuns, last.m_twoRuns);
+    const auto countOf = [](const dispatch::RunCounts &of, dispatch::RunEndProof proof) {
+        const auto found = of.m_givenUp.find(proof);
+        return found == of.m_givenUp.end() ? 0 : found->second;
+    };
+    for (const dispatch::RunEndProof proof : dispatch::allRunEndProofs) {
+        if (proof != dispatch::RunEndProof::ReportedByWorker) {
+            addIncrease("foxtailcross_runs_given_up_total",
+                        "Holder: runs that ended without a report of their worker, by what showed that they are over.",
+                        label("proof", dispatch::nameOf(proof)),
+                        countOf(counts, proof),
+                        countOf(last, proof));
+        }
+    }
+}
+
 void InstanceMetrics::publishAccounts(const std::vector<dispatch::AccountStats> &accounts)
 {
     // Accounts without new figures are set to 0: they have left the catalog, or the instance no longer holds the duty.
--- a/components/node/instance_metrics.hpp
+++ b/components/node/instance_metrics.hpp
@@ -35,6 +35,7 @@
 private:
     void countCall(const char *call, const char *outcome, fleet::Duration took);
     void countRefusedEntries(const workers::WorkerListRead &read);
+    void publishRunCounts(const dispatch::RunCounts &counts);
     void publishAccounts(const std::vector<dispatch::AccountStats> &accounts);
     void countOrder(const char *order, const char *outcome);
 
@@ -44,6 +45,7 @@
     std::set<fleet::AccountId> m_publishedAccounts;
     /// More accounts had figures than have metrics of their own.
     bool m_hasOtherAccounts = false;
+    bool m_hasPublishedRunCounts = false;
 };
 
 }
--- a/components/node/instance_stats.hpp
+++ b/components/node/instance_stats.hpp
@@ -2,6 +2,7 @@
 #define COMPONENTS_NODE_INSTANCE_STATS_HPP
 
 #include "components/dispatch/account_stats.hpp"
+#include "components/dispatch/run_counts.hpp"
 #include "components/dispatch/run_time_calibration.hpp"
 #include "components/node/caller_connections.hpp"
 
@@ -42,6 +43,10 @@
     /// Workers and classes of tasks of which run times were learned.
     std::size_t m_runTimeWorkers = 0;
     std::size_t m_runTimeClasses = 0;
+    /// Start orders without an answer that may still be carried out.
+    std::size_t m_unansweredStarts = 0;
+    /// Since the start of the process; kept when the duty ends.
+    dispatch::RunCounts m_runCounts;
 
     bool operator==(const InstanceStats &) const = default;
 };
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -1,6 +1,7 @@
 #include "components/node/scheduling_duty.hpp"
 
 #include "components/dispatch/scheduler_events.hpp"
+#include "components/dispatch/unanswered_starts.hpp"
 #include "components/dispatch/waiting.hpp"
 #include "components/journal/snapshot.hpp"
 #include "components/node/instance_stats.hpp"
@@ -187,16 +188,19 @@
         m_journal.m_missingBefore.reset();
         m_lastSnapshotAt = now.m_boot - snapshotInterval(m_settings, m_journal);
     }
+    const bool mayFormerHolderRenew = !m_journal.m_journalState.m_formerHolders.empty();
+    const fleet::BootTime predecessorLeaseEnd
+        = now.m_boot + (mayFormerHolderRenew ? m_settings.m_dispatch.m_holderAuthority : fleet::Duration(0)) + m_settings.m_dispatch.longestLease();
+    dispatch::Outbox outbox = dispatch::takeOver(m_state, environment(), predecessorLeaseEnd, now);
     m_ports.log(logging::Line("duty", "hold")
                     .add("token", m_state.m_token.m_value)
                     .add("journal_end", m_journal.m_nextOffset)
                     .add("jobs", m_journal.m_journalState.m_jobs.size())
-                    .add("former_holders", m_journal.m_journalState.m_formerHolders.size()),
+                    .add("former_holders", m_journal.m_journalState.m_formerHolders.size())
+                    .add("open_runs", m_state.m_runs.size())
+                    .add("former_leases_ms", predecessorLeaseEnd - now.m_boot),
                 now);
-    const bool mayFormerHolderRenew = !m_journal.m_journalState.m_formerHolders.empty();
-    const fleet::BootTime predecessorLeaseEnd
-        = now.m_boot + (mayFormerHolderRenew ? m_settings.m_dispatch.m_holderAuthority : fleet::Duration(0)) + m_settings.m_dispatch.longestLease();
-    processOutbox(dispatch::takeOver(m_state, environment(), predecessorLeaseEnd, now), now);
+    processOutbox(std::move(outbox), now);
 }
 
 void SchedulingDuty::stepDown(const std::string &why, fleet::Now now)
@@ -601,6 +605,7 @@
     for (const logging::Line &line : outbox.m_log) {
         m_ports.log(line, now);
     }
+    m_runCounts += outbox.m_counts;
     if (outbox.m_isFenced) {
         stepDown("fenced by a worker", now);
         return;
@@ -649,6 +654,8 @@
     stats.m_calibration = m_state.m_calibration;
     stats.m_runTimeWorkers = m_state.m_runTimes.m_workers.size();
     stats.m_runTimeClasses = m_state.m_runTimes.m_classes.size();
+    stats.m_unansweredStarts = dispatch::countUnansweredStarts(m_state);
+    stats.m_runCounts = m_runCounts;
 }
 
 std::vector<dispatch::AccountStats> SchedulingDuty::accountStats() const
--- a/components/node/scheduling_duty.hpp
+++ b/components/node/scheduling_duty.hpp
@@ -152,6 +152,8 @@
     /// The process is stopping and doesn't claim the duty any more.
     bool m_isStopping = false;
     std::map<jobs::JobId, std::uint64_t> m_unconfirmedEnds;
+    /// Since the start of the process, over all times as the holder.
+    dispatch::RunCounts m_runCounts;
     bool m_hasReadJournal = false;
 };
 
