--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -186,11 +186,10 @@
     RunState *run = findRun(context, task.m_run);
     if (run == nullptr || run->m_incarnation != incarnation) {
         // A delayed start order was carried out after the run had been given up.
-        const workers::WorkerIncarnation workerIncarnation = incarnation;
-        logStrayRun(context, workerIncarnation, task.m_run);
-        const WorkerState *worker = findWorker(context, workerIncarnation);
+        logStrayRun(context, incarnation, task.m_run);
+        const WorkerState *worker = findWorker(context, incarnation);
         recordStrayRun(context, *worker, task.m_run);
-        context.m_out.m_stops.push_back({workerIncarnation, worker->m_registration.m_address, task.m_run, context.m_state.m_token});
+        context.m_out.m_stops.push_back({incarnation, worker->m_registration.m_address, task.m_run, context.m_state.m_token});
         return;
     }
     if (run->m_phase != RunPhase::Running) {
