--- a/components/dispatch/run_log.cpp
+++ b/components/dispatch/run_log.cpp
@@ -24,6 +24,11 @@
     line.append(name, std::to_string(value));
 }
 
+const char *toText(bool value)
+{
+    return value ? "true" : "false";
+}
+
 void appendTime(logging::Line &line, const char *name, fleet::Duration value)
 {
     appendNumber(line, name, value.count());
@@ -62,7 +67,7 @@
     appendNumber(line, "lease_end_ms", worker.m_grantedLeaseEndMs);
     appendNumber(line, "clock_ms", minWorkerClock(worker, now).value_or(-1));
     appendTime(line, "clock_age_ms", worker.m_clockMs ? now - worker.m_clockAt : fleet::Duration(-1));
-    line.append("token_accepted", worker.m_hasAcceptedToken ? "true" : "false");
+    line.append("token_accepted", toText(worker.m_hasAcceptedToken));
     if (!worker.m_hasAcceptedToken) {
         appendTime(line, "former_lease_over_ms", now - worker.m_predecessorLeaseUntil);
     }
@@ -78,11 +83,17 @@
     /// Another open run of the task; one that was ordered to start comes first.
     std::map<jobs::RunId, RunState>::const_iterator m_other;
     bool m_hasOther = false;
+    /// What the journal has of the task; empty if the job is forgotten. The tasks of a job that is over may be.
+    const journal::JobRecord *m_job = nullptr;
+    const journal::TaskRecord *m_task = nullptr;
 };
 
-StrayFacts factsOf(const State &state, const fleet::WorkerId &worker, const jobs::RunId &id)
+StrayFacts factsOf(const Context &context, const fleet::WorkerId &worker, const jobs::RunId &id)
 {
+    const State &state = context.m_state;
     StrayFacts facts;
+    facts.m_job = journal::findJob(context.m_journalState, id.m_task.m_step.m_job);
+    facts.m_task = facts.m_job == nullptr ? nullptr : journal::findTask(*facts.m_job, id.m_task);
     facts.m_closed = findClosedRun(state, worker, id);
     facts.m_unanswered = findUnansweredStart(state, worker, id);
     if (facts.m_closed != nullptr) {
@@ -104,7 +115,18 @@
     if (facts.m_launchedOnMs == 0) {
         return "unknown";
     }
-    return incarnation.m_startedAtMs > facts.m_launchedOnMs ? "true" : "false";
+    return toText(incarnation.m_startedAtMs > facts.m_launchedOnMs);
+}
+
+const char *taskState(const StrayFacts &facts)
+{
+    if (facts.m_task != nullptr && facts.m_task->m_isDone) {
+        return "done";
+    }
+    if (facts.m_job != nullptr && facts.m_job->isOver()) {
+        return "job-over";
+    }
+    return facts.m_task == nullptr ? "unknown" : "not-done";
 }
 
 const char *nameOf(RunPhase phase)
@@ -130,10 +152,12 @@
         appendTime(line, "closed_ms", now - facts.m_closed->m_closedAt);
         appendNumber(line, "closed_born", facts.m_closed->m_incarnation.m_startedAtMs);
     }
-    line.append("unanswered_start", facts.m_unanswered == nullptr ? "false" : "true");
+    line.append("unanswered_start", toText(facts.m_unanswered != nullptr));
     if (facts.m_unanswered != nullptr) {
         appendTime(line, "start_sent_ms", now - facts.m_unanswered->m_sentAt);
     }
+    line.append("task_state", taskState(facts));
+    appendNumber(line, "last_run", facts.m_task == nullptr ? 0 : facts.m_task->m_lastRun);
     appendNumber(line, "other_run", facts.m_hasOther ? facts.m_other->first.m_run : 0);
     if (facts.m_hasOther) {
         const RunState &other = facts.m_other->second;
@@ -226,7 +250,7 @@
 void logStrayRun(Context &context, const workers::WorkerIncarnation &incarnation, const jobs::RunId &id)
 {
     const fleet::BootTime now = context.m_now.m_boot;
-    const StrayFacts facts = factsOf(context.m_state, incarnation.m_worker, id);
+    const StrayFacts facts = factsOf(context, incarnation.m_worker, id);
     const auto makeLine = [&](const char *event) {
         logging::Line line = logging::Line("dispatch", event, logging::Level::Warning)
                                  .add("task", toString(id.m_task))
@@ -247,7 +271,7 @@
 
 void logEndAfterClose(Context &context, const workers::WorkerIncarnation &incarnation, const workers::EndedTask &ended)
 {
-    const StrayFacts facts = factsOf(context.m_state, incarnation.m_worker, ended.m_run);
+    const StrayFacts facts = factsOf(context, incarnation.m_worker, ended.m_run);
     if (facts.m_closed == nullptr && facts.m_unanswered == nullptr) {
         // A former holder closed it, or has stored this end.
         return;
--- a/components/dispatch/run_log_test.cpp
+++ b/components/dispatch/run_log_test.cpp
@@ -179,6 +179,8 @@
     cr_assert(fixture.isLogged("stray-run", "closed=refused-for-room"));
     cr_assert(fixture.isLogged("stray-run", "restarted=false"));
     cr_assert(fixture.isLogged("stray-run", "other_run=0"));
+    cr_assert(fixture.isLogged("stray-run", "task_state=not-done"));
+    cr_assert(fixture.isLogged("stray-run", "last_run=1"));
     cr_assert_eq(fixture.m_counts.m_strayRuns, 1U);
     cr_assert_eq(fixture.m_counts.m_twoRuns, 0U);
     fixture.launch(2, "b");
@@ -224,6 +226,23 @@
     cr_assert(fixture.isLogged("stray-run", "closed=other-instance-answered"));
 }
 
+/// A new holder knows neither the order nor the restart: only the journal says that it must not run any more.
+Test(runLog, finishedTaskThatAFormerHolderOrdered_isNamedAsOver)
+{
+    RunLogFixture fixture;
+    dispatch::Context context {fixture.m_state, fixture.m_journal, fixture.m_catalog, fixture.m_zonesOut, fixture.m_waves, now, {}, {}, {}, {}, {}, {}, {}};
+    dispatch::endRun(context, fixture.run(1), jobs::RunEnd::Done, {}, RunEndProof::ReportedByWorker);
+    fixture.m_state = dispatch::State();
+    fixture.m_state.m_token.m_value = 2;
+    fixture.keep(dispatch::takeOver(fixture.m_state, fixture.environment(), now.m_boot, now));
+    fixture.list(2);
+    cr_assert_eq(fixture.count("worker-restarted"), 0);
+    fixture.poll("a", {1});
+    cr_assert(fixture.isLogged("stray-run", "restarted=unknown"));
+    cr_assert(fixture.isLogged("stray-run", "closed=unknown"));
+    cr_assert(fixture.isLogged("stray-run", "task_state=job-over"));
+}
+
 /// If a zone is lost, many runs are closed at once.
 Test(runLog, manyClosedRuns_areBounded)
 {
