Dispatch: the end of a run that a former holder closed is logged too

It is written for each end of a run that is not open now. Its born above that of the run-end of the same run shows the second run and its cause.

--- a/components/dispatch/run_log.cpp
+++ b/components/dispatch/run_log.cpp
@@ -272,10 +272,6 @@
 void logEndAfterClose(Context &context, const workers::WorkerIncarnation &incarnation, const workers::EndedTask &ended)
 {
     const StrayFacts facts = factsOf(context, incarnation.m_worker, ended.m_run);
-    if (facts.m_closed == nullptr && facts.m_unanswered == nullptr) {
-        // A former holder closed it, or has stored this end.
-        return;
-    }
     logging::Line line = logging::Line("dispatch", "end-after-close")
                              .add("task", toString(ended.m_run.m_task))
                              .add("run", ended.m_run.m_run)
--- a/components/dispatch/run_log.hpp
+++ b/components/dispatch/run_log.hpp
@@ -34,7 +34,8 @@
 /// Logs a run that a worker reports as running although it is not open there, and whether its task has another open run.
 void logStrayRun(Context &context, const workers::WorkerIncarnation &incarnation, const jobs::RunId &id);
 
-/// Logs a worker's report of how a run ended that this holder had given up.
+/// Logs a worker's report of how a run ended that is not open there: it was given up, a former holder has stored the end, or a start order was
+/// carried out late.
 void logEndAfterClose(Context &context, const workers::WorkerIncarnation &incarnation, const workers::EndedTask &ended);
 
 void logUnansweredStart(Context &context, const workers::StartOrder &order, const UnansweredStart &start);
--- a/components/dispatch/run_log_test.cpp
+++ b/components/dispatch/run_log_test.cpp
@@ -94,6 +94,17 @@
         keep(dispatch::onPollEnded(m_state, environment(), order, now.m_boot + 1ms, result, now));
     }
 
+    void reportEnd(const std::string &id, jobs::RunEnd end)
+    {
+        workers::PollOrder order;
+        order.m_target = worker(id);
+        workers::PollResult result;
+        result.m_outcome = workers::PollOutcome::Answered;
+        result.m_startedAtMs = order.m_target.m_startedAtMs;
+        result.m_ended.push_back({1, run(1), end, {}});
+        keep(dispatch::onPollEnded(m_state, environment(), order, now.m_boot + 1ms, result, now));
+    }
+
     void keep(const dispatch::Outbox &outbox)
     {
         m_log.insert(m_log.end(), outbox.m_log.begin(), outbox.m_log.end());
@@ -241,6 +252,9 @@
     cr_assert(fixture.isLogged("stray-run", "restarted=unknown"));
     cr_assert(fixture.isLogged("stray-run", "closed=unknown"));
     cr_assert(fixture.isLogged("stray-run", "task_state=job-over"));
+    fixture.reportEnd("a", jobs::RunEnd::Done);
+    cr_assert(fixture.isLogged("end-after-close", "task_state=job-over"));
+    cr_assert(fixture.isLogged("end-after-close", "born=2"));
 }
 
 /// If a zone is lost, many runs are closed at once.
