Simulation: polls carried out late, lost answers, workers that restart again and again or unseen

The models knew late orders and cuts of whole workers only. They now have polls that have their effects seconds later with the acknowledgement and the lease that they carried, orders and polls that are carried out at once without an answer and again seconds later, workers that one instance cannot reach, workers that do not reach the store and so restart unseen, workers that are down and up by turns, workers whose machine gets another one with another id, and entries that lapse while the store is out.

--- a/components/simulation/faults.hpp
+++ b/components/simulation/faults.hpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <set>
+#include <utility>
 
 namespace simulation
 {
@@ -27,8 +28,19 @@
     std::set<fleet::WorkerId> m_unreachableWorkers;
     /// Zones partitioned from the others: no datagrams and no calls to workers cross their boundaries.
     std::set<fleet::ZoneId> m_partitionedZones;
+    /// Workers that a certain instance cannot reach.
+    std::set<std::pair<int, fleet::WorkerId>> m_unreachableFrom;
+    /// Workers that do not reach the store, so that their entries of the worker list are written once they do.
+    std::set<fleet::WorkerId> m_workersCutFromStore;
     /// Share (0 to 1) of orders to workers that are not answered and are carried out seconds later.
     double m_delayedOrders = 0;
+    /// Share (0 to 1) of polls that are not answered and have their effects seconds later, with the lease and the acknowledgement that they
+    /// carried when they were sent.
+    double m_delayedPolls = 0;
+    /// Share (0 to 1) of orders and polls that are carried out at once and are not answered, and share of those that are carried out again
+    /// seconds later.
+    double m_unansweredOrders = 0;
+    double m_repeatedOrders = 0;
     /// The next orders to start a run that throw in the instance which sends them, as an error in its code would.
     int m_throwingStarts = 0;
     /// The next appends, reads and datagrams of all instances that throw where they are sent.
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -24,10 +24,19 @@
 constexpr std::uint32_t strongInstanceMilliCores = 500;
 constexpr std::uint32_t weakInstanceMilliCores = 120;
 constexpr fleet::Duration listDelay {300};
+/// Pause before a worker without the store tries to write its entry again, and time after which the entry of a silent one lapses.
+constexpr fleet::Duration listRetryDelay {100};
+constexpr fleet::Duration lapseDelay {1500};
 const std::string queueHost = "queues.example";
 const std::string queuePath = "/jobs/";
 constexpr std::int64_t wallClockStartMs = 1'700'000'000'000;
 
+/// Id of the worker that follows on the machine if this one is replaced.
+fleet::WorkerId successorOf(const fleet::WorkerId &worker)
+{
+    return fleet::WorkerId(worker.value() + "-next");
+}
+
 bool reachesStore(const Faults &faults, int instance)
 {
     return faults.m_store != StoreMode::Unresponsive && !faults.m_cutFromStore.contains(instance);
@@ -176,10 +185,31 @@
 
     void poll(const workers::PollOrder &order, fleet::BootTime now) override
     {
+        if (isAnsweredByAnother(m_world, m_instance, order.m_target.m_worker)) {
+            workers::PollResult other;
+            other.m_outcome = workers::PollOutcome::OtherIncarnation;
+            deliverAfter(m_world.oneWayLatency() * 2, node::PollEnded {order, now, other});
+            return;
+        }
         if (!isReachable(m_world, m_instance, order.m_target.m_worker)) {
             deliverAfter(orderTimeout + order.m_wait, node::PollEnded {order, now, {}});
             return;
         }
+        const bool isLate = isDue(m_world, m_world.m_faults.m_delayedPolls);
+        const bool isUnanswered = !isLate && isDue(m_world, m_world.m_faults.m_unansweredOrders);
+        if (isLate || isUnanswered) {
+            const auto execute = [](FleetModel &fleet, const workers::PollOrder &sent, fleet::BootTime at) {
+                simulation::poll(fleet, sent, at);
+            };
+            if (isUnanswered) {
+                executeAfter(m_world.oneWayLatency(), order, execute);
+            }
+            if (isLate || isDue(m_world, m_world.m_faults.m_repeatedOrders)) {
+                executeAfter(lateness(m_world), order, execute);
+            }
+            deliverAfter(orderTimeout + order.m_wait, node::PollEnded {order, now, {}});
+            return;
+        }
         m_world.schedule(m_world.oneWayLatency(), [world = &m_world, instance = m_instance, incarnation = m_incarnation, order, now] {
             const auto worker = world->m_fleet.m_workers.find(order.m_target.m_worker);
             if (worker != world->m_fleet.m_workers.end()) {
@@ -347,9 +377,43 @@
     {
         const auto found = world.m_fleet.m_workers.find(worker);
         return found != world.m_fleet.m_workers.end() && found->second.m_isUp && !world.m_faults.m_unreachableWorkers.contains(worker)
+            && !world.m_faults.m_unreachableFrom.contains({instance, worker})
             && !isPartitioned(world.m_faults, world.zoneOf(instance), found->second.m_registration.m_zone);
     }
 
+    /// Draws whether a fault of the given share happens. Draws nothing while there is none, so that the other draws of a seed stay as they are.
+    static bool isDue(World &world, double share)
+    {
+        return share > 0 && world.randomFraction() < share;
+    }
+
+    static fleet::Duration lateness(World &world)
+    {
+        return fleet::Duration(2000 + world.random()() % 10'000);
+    }
+
+    /// Has whichever incarnation of the worker is up after the delay carry out the order, without an answer.
+    template<class Order, class CarryOut>
+    void executeAfter(fleet::Duration delay, const Order &order, CarryOut execute)
+    {
+        m_world.schedule(delay, [world = &m_world, order, execute] {
+            const auto worker = world->m_fleet.m_workers.find(order.m_target.m_worker);
+            if (worker == world->m_fleet.m_workers.end() || !worker->second.m_isUp) {
+                return;
+            }
+            advance(world->m_fleet, world->m_now);
+            execute(world->m_fleet, order, world->m_now);
+            advance(world->m_fleet, world->m_now);
+        });
+    }
+
+    /// True if another worker has the address of this one, and can be reached.
+    static bool isAnsweredByAnother(const World &world, int instance, const fleet::WorkerId &worker)
+    {
+        const auto next = world.m_fleet.m_workers.find(successorOf(worker));
+        return next != world.m_fleet.m_workers.end() && isReachable(world, instance, next->first);
+    }
+
     void deliverAfter(fleet::Duration delay, const node::Event &event)
     {
         m_world.schedule(delay, [world = &m_world, instance = m_instance, incarnation = m_incarnation, event] {
@@ -398,10 +462,22 @@
     template<class Order, class CarryOut>
     void sendOrder(const Order &order, CarryOut execute)
     {
+        if (isAnsweredByAnother(m_world, m_instance, order.m_target.m_worker)) {
+            deliverAfter(m_world.oneWayLatency() * 2, endedEvent(order, {workers::OrderOutcome::OtherIncarnation, std::nullopt, {}}));
+            return;
+        }
         if (!isReachable(m_world, m_instance, order.m_target.m_worker)) {
             deliverAfter(orderTimeout, endedEvent(order, {}));
             return;
         }
+        if (isDue(m_world, m_world.m_faults.m_unansweredOrders)) {
+            executeAfter(m_world.oneWayLatency(), order, execute);
+            if (isDue(m_world, m_world.m_faults.m_repeatedOrders)) {
+                executeAfter(lateness(m_world), order, execute);
+            }
+            deliverAfter(orderTimeout, endedEvent(order, {}));
+            return;
+        }
         const bool isLate = m_world.randomFraction() < m_world.m_faults.m_delayedOrders;
         const fleet::Duration delay = isLate ? fleet::Duration(2000 + m_world.random()() % 10'000) : m_world.oneWayLatency();
         m_world.schedule(delay, [world = &m_world, instance = m_instance, incarnation = m_incarnation, order, execute, isLate] {
@@ -792,15 +868,64 @@
 
 void World::crashWorker(const fleet::WorkerId &worker, bool restarts)
 {
+    if (m_fleet.m_workers.contains(successorOf(worker))) {
+        return;
+    }
     advance(m_fleet, m_now);
     crash(m_fleet, worker, restarts, m_now);
     if (restarts) {
         schedule(listDelay, [this, worker] {
-            appendToWorkerList(worker);
+            announce(worker);
         });
     }
 }
 
+void World::announce(const fleet::WorkerId &worker)
+{
+    if (m_faults.m_workersCutFromStore.contains(worker)) {
+        schedule(listRetryDelay, [this, worker] {
+            announce(worker);
+        });
+    } else if (m_fleet.m_workers.at(worker).m_isUp) {
+        appendToWorkerList(worker);
+    }
+}
+
+void World::crashRepeatedly(const fleet::WorkerId &worker, int times, fleet::Duration downTime, fleet::Duration upTime)
+{
+    if (times <= 0) {
+        return;
+    }
+    crashWorker(worker, false);
+    schedule(downTime, [this, worker, times, downTime, upTime] {
+        // It starts here, with a clock that begins anew.
+        crashWorker(worker, true);
+        schedule(upTime, [this, worker, times, downTime, upTime] {
+            crashRepeatedly(worker, times - 1, downTime, upTime);
+        });
+    });
+}
+
+void World::replaceWorker(const fleet::WorkerId &worker)
+{
+    if (m_fleet.m_workers.contains(successorOf(worker))) {
+        return;
+    }
+    crashWorker(worker, false);
+    ModelWorker next = m_fleet.m_workers.at(worker);
+    next.m_isUp = true;
+    next.m_registration.m_incarnation.m_worker = successorOf(worker);
+    m_fleet.m_workers.emplace(next.m_registration.m_incarnation.m_worker, next);
+    schedule(listDelay, [this, id = next.m_registration.m_incarnation.m_worker] {
+        announce(id);
+    });
+    schedule(lapseDelay, [this, worker] {
+        if (!m_fleet.m_workers.at(worker).m_isUp) {
+            unlist(worker);
+        }
+    });
+}
+
 void World::setDraining(const fleet::WorkerId &worker, bool isDraining)
 {
     m_fleet.m_workers.at(worker).m_registration.m_isDraining = isDraining;
@@ -832,6 +957,24 @@
     appendToWorkerList(worker);
 }
 
+void World::lapseEntry(const fleet::WorkerId &worker, fleet::Duration delay)
+{
+    unlist(worker);
+    restoreEntry(worker, delay);
+}
+
+void World::restoreEntry(const fleet::WorkerId &worker, fleet::Duration delay)
+{
+    const bool isServed = m_faults.m_store == StoreMode::Available;
+    schedule(isServed ? delay : listRetryDelay, [this, worker, delay, isServed] {
+        if (isServed) {
+            announce(worker);
+        } else {
+            restoreEntry(worker, delay);
+        }
+    });
+}
+
 std::vector<fleet::WorkerId> World::workers() const
 {
     std::vector<fleet::WorkerId> ids;
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -79,6 +79,10 @@
 
     // Workers.
     void crashWorker(const fleet::WorkerId &worker, bool restarts);
+    /// Crashes the worker the given number of times; it is down and up by turns for these times, and keeps its id.
+    void crashRepeatedly(const fleet::WorkerId &worker, int times, fleet::Duration downTime, fleet::Duration upTime);
+    /// Crashes the worker. Its machine and its address get a new worker with another id; the entry of the old one lapses a little later.
+    void replaceWorker(const fleet::WorkerId &worker);
     void setDraining(const fleet::WorkerId &worker, bool isDraining);
     /// The worker reports that it drains and shuts down after this time, and does so.
     void shutDownAfter(const fleet::WorkerId &worker, fleet::Duration length);
@@ -86,6 +90,8 @@
     /// Writes an entry of the worker list, or removes one, as any writer may.
     void writeEntry(const workers::WorkerListChange &change);
     void relist(const fleet::WorkerId &worker);
+    /// Removes the entry of a worker as after its silence, and has the worker write it again this time after the store has served again.
+    void lapseEntry(const fleet::WorkerId &worker, fleet::Duration delay);
     std::vector<fleet::WorkerId> workers() const;
 
     fleet::BootTime now() const;
@@ -133,6 +139,9 @@
     fleet::Duration oneWayLatency() const;
     int sendCall(int instance, callers::Call content);
     void appendToWorkerList(const fleet::WorkerId &worker);
+    void restoreEntry(const fleet::WorkerId &worker, fleet::Duration delay);
+    /// Has a worker that has just started write its entry, once it reaches the store.
+    void announce(const fleet::WorkerId &worker);
     machines::UpkeepOutcome beginUpkeep(const machines::UpkeepOrder &order);
     void recordReport(const machines::WaveReport &report);
     node::Settings settingsOf(int instance);
