Random runs: troubles of workers that overlap

A property of its own draws the new faults beside the old ones, so that the seeds of randomRun/faults* keep their meaning.

--- a/components/simulation/random_run_test.cpp
+++ b/components/simulation/random_run_test.cpp
@@ -56,6 +56,8 @@
 
     void submit(const Action &action);
     void injectFault(const Action &action);
+    void disturbWorkers(const Action &action);
+    fleet::WorkerId busyWorker(unsigned number) const;
     std::string findJobViolation(jobs::JobId id, const RandomJob &job);
 
     WorldFixture m_fixture;
@@ -131,6 +133,71 @@
     }
 }
 
+/// Returns the worker of one of the latest runs, if there is one.
+fleet::WorkerId RandomRun::busyWorker(unsigned number) const
+{
+    const std::vector<RunRecord> &history = m_fixture.m_world.m_fleet.m_history;
+    return history.empty() ? worker(number) : history[history.size() - 1 - number % std::min<std::size_t>(history.size(), 3)].m_incarnation.m_worker;
+}
+
+void RandomRun::disturbWorkers(const Action &action)
+{
+    Faults &faults = world().m_faults;
+    const fleet::WorkerId target = busyWorker(action.m_first);
+    switch (action.m_kind) {
+    case 18:
+        faults.m_delayedOrders = 0.3;
+        faults.m_delayedPolls = 0.3;
+        break;
+    case 19:
+        faults.m_unansweredOrders = 0.2;
+        faults.m_repeatedOrders = 0.5;
+        break;
+    case 20:
+        faults.m_delayedOrders = 0;
+        faults.m_delayedPolls = 0;
+        faults.m_unansweredOrders = 0;
+        break;
+    case 21:
+        world().crashWorker(target, true);
+        break;
+    case 22:
+        world().crashRepeatedly(
+            target, 2 + static_cast<int>(action.m_first % 4), fleet::Duration(50 + action.m_second % 1000), fleet::Duration(100 + action.m_first % 3000));
+        break;
+    case 23:
+        faults.m_unreachableWorkers.insert(target);
+        faults.m_workersCutFromStore.insert(target);
+        break;
+    case 24:
+        // Restarts behind the cut.
+        faults.m_unreachableWorkers.insert(target);
+        faults.m_workersCutFromStore.insert(target);
+        world().crashWorker(target, true);
+        break;
+    case 25:
+        faults.m_unreachableFrom.insert({std::max(0, world().holder()), target});
+        break;
+    case 26:
+        faults.m_unreachableWorkers.clear();
+        faults.m_unreachableFrom.clear();
+        faults.m_workersCutFromStore.clear();
+        faults.m_store = StoreMode::Available;
+        break;
+    case 27:
+        faults.m_store = StoreMode::Unresponsive;
+        world().lapseEntry(target, fleet::Duration(action.m_first % 2000));
+        world().lapseEntry(worker(action.m_second), fleet::Duration(action.m_second % 2000));
+        break;
+    case 28:
+        world().replaceWorker(target);
+        break;
+    default:
+        faults.m_store = action.m_first % 2 == 0 ? StoreMode::Available : StoreMode::Busy;
+        break;
+    }
+}
+
 void RandomRun::perform(const Action &action)
 {
     if (action.m_kind < 5) {
@@ -140,8 +207,10 @@
         std::advance(job, action.m_first % m_jobs.size());
         world().cancel(instance(action.m_second), job->first);
         job->second.m_isCancelled = true;
-    } else {
+    } else if (action.m_kind < actionKinds) {
         injectFault(action);
+    } else {
+        disturbWorkers(action);
     }
     world().run(fleet::Duration(action.m_pause));
 }
@@ -209,6 +278,17 @@
     return *rc::gen::container<std::vector<Action>>(30, action);
 }
 
+std::vector<Action> workerTroubles()
+{
+    const auto kind = rc::gen::weightedOneOf<int>(
+        {{4, rc::gen::inRange(0, 5)}, {1, rc::gen::inRange(5, actionKinds)}, {5, rc::gen::inRange(actionKinds, workerActionKinds)}});
+    const auto action = rc::gen::build<Action>(rc::gen::set(&Action::m_kind, kind),
+                                               rc::gen::set(&Action::m_first, rc::gen::inRange(0U, 100'000U)),
+                                               rc::gen::set(&Action::m_second, rc::gen::inRange(0U, 100'000U)),
+                                               rc::gen::set(&Action::m_pause, rc::gen::inRange(0U, 1500U)));
+    return *rc::gen::container<std::vector<Action>>(40, action);
+}
+
 std::string performActions(unsigned seed, const std::vector<Action> &actions, const WorldSettings &settings)
 {
     RandomRun run(seed, settings);
@@ -236,6 +316,20 @@
     cr_assert(holds);
 }
 
+/// Late orders and polls beside workers that restart, are cut off, or lose their entries, by turns and at once.
+Test(randomRun, workerTroublesAtAnyTime_everyAcceptedJobIsDoneOnce)
+{
+    const bool holds = rc::check("no job is lost, runs twice or after a refusal", [] {
+        const auto seed = *rc::gen::arbitrary<unsigned>();
+        const auto actions = simulation::test::workerTroubles();
+        const std::string violation = simulation::test::performActions(seed, actions);
+        if (!violation.empty()) {
+            RC_FAIL(violation);
+        }
+    });
+    cr_assert(holds);
+}
+
 /// A poll acknowledges ends to the process that receives it, and not to the next one of the worker, which numbers its ends anew.
 Test(randomRun, workerRestartsWhileAPollWithAnAcknowledgementWaits_taskRunsOnce)
 {
--- a/components/simulation/random_run_test.hpp
+++ b/components/simulation/random_run_test.hpp
@@ -25,6 +25,8 @@
 std::ostream &operator<<(std::ostream &out, const Action &action);
 
 constexpr int actionKinds = 18;
+/// Kinds from actionKinds on, which anyActions() does not draw so that its seeds keep their meaning.
+constexpr int workerActionKinds = 30;
 
 /// A job of a random run.
 struct RandomJob
@@ -39,6 +41,8 @@
 std::string performActions(unsigned seed, const std::vector<Action> &actions, const WorldSettings &settings = {});
 /// Returns actions of any kind, for a property.
 std::vector<Action> anyActions();
+/// Returns actions of which half are troubles of workers that last for a while, so that they overlap.
+std::vector<Action> workerTroubles();
 
 }
 
