Dispatch: after a call without an answer, a poll names the worker's incarnation before anything else is sent

In the models a task ran twice at once without any late order: a start gets no answer, the worker restarts under its id with nobody seeing it (behind a cut, or while the list cannot be read), and the repeated start is carried out by the next incarnation. The holder went on by the clock and the lease of the one before, took the lease for expired up to 3 s too early, and launched the task elsewhere. In the same way the acknowledgement of an end, sent again, made the next incarnation forget an end of its own with the same number, so that a done task ran again. The class: knowledge of one incarnation applied to the next.

Change: a call without an answer leaves the incarnation in doubt until a poll is answered, which names it. Until then starts wait, and polls carry neither an acknowledgement nor a lease; that costs one exchange of a few ms. A start's answer with a clock below what the known incarnation can show is a restart too: the lease then counts as a whole one from now.

--- a/components/dispatch/order_answers_test.cpp
+++ b/components/dispatch/order_answers_test.cpp
@@ -54,24 +54,40 @@
         return {m_journal, m_catalog, m_zonesOut, m_waves};
     }
 
-    void endStart(OrderOutcome outcome)
+    void endStart(OrderOutcome outcome, std::int64_t clockMs = 2000)
     {
         workers::StartOrder order;
         order.m_target = m_worker;
         order.m_run = m_run;
-        dispatch::onStartEnded(m_state, environment(), order, {outcome, 2000, {}}, {m_now, {}});
+        dispatch::onStartEnded(m_state, environment(), order, {outcome, clockMs, {}}, {m_now, {}});
     }
 
-    void listAsRunning()
+    void endPoll(const workers::PollResult &result)
     {
         workers::PollOrder order;
         order.m_target = m_worker;
+        dispatch::onPollEnded(m_state, environment(), order, m_now, result, {m_now, {}});
+    }
+
+    workers::PollResult answer(std::int64_t clockMs) const
+    {
         workers::PollResult result;
         result.m_outcome = workers::PollOutcome::Answered;
         result.m_startedAtMs = m_worker.m_startedAtMs;
-        result.m_clockMs = 2000;
+        result.m_clockMs = clockMs;
+        return result;
+    }
+
+    void listAsRunning()
+    {
+        workers::PollResult result = answer(2000);
         result.m_running.push_back({m_run, {}, 10, -1});
-        dispatch::onPollEnded(m_state, environment(), order, m_now, result, {m_now, {}});
+        endPoll(result);
+    }
+
+    void listAsNotRunning(std::int64_t clockMs)
+    {
+        endPoll(answer(clockMs));
     }
 
     bool isOpen() const
@@ -124,3 +140,22 @@
     cr_assert_not(fixture.isOpen());
     cr_expect(fixture.m_journal.m_jobs.at(fixture.m_run.m_task.m_step.m_job).m_hasBegun);
 }
+
+/// The lease was taken for expired by the clock of the worker before its restart, while the run went on, and the task ran twice at once.
+Test(orderAnswers, startAnsweredByARestartedWorker_runIsKeptForAWholeLease)
+{
+    UnansweredStartFixture fixture;
+    fixture.listAsNotRunning(500'000);
+    fixture.m_state.m_workers.at(fixture.m_worker.m_worker).m_grantedLeaseEndMs = 503'000;
+    fixture.m_state.m_runs.at(fixture.m_run).m_startSentAt = fixture.m_now;
+    fixture.endStart(OrderOutcome::Done, 300);
+    for (int i = 0; i < 3; ++i) {
+        fixture.endPoll({});
+    }
+    fixture.m_now += fixture.m_state.m_settings.m_leaseLimit;
+    dispatch::onTick(fixture.m_state, fixture.environment(), {}, {fixture.m_now, {}});
+    cr_assert(fixture.isOpen());
+    fixture.m_now += 1s;
+    dispatch::onTick(fixture.m_state, fixture.environment(), {}, {fixture.m_now, {}});
+    cr_assert_not(fixture.isOpen());
+}
--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -53,10 +53,10 @@
     context.m_out.m_stops.push_back({run.m_incarnation, worker.m_registration.m_address, id, context.m_state.m_token});
 }
 
-bool isStartDue(const Context &context, const RunState &run)
+bool isStartDue(const Context &context, const RunState &run, const WorkerState &worker)
 {
-    return context.m_state.m_mayRenewLeases && !run.m_isUnconfirmedAfterRestart && run.m_phase == RunPhase::Starting && !run.m_isStopRequested
-        && !run.m_startInFlight && !run.m_isOverOnWorker && context.m_now.m_boot >= run.m_nextStartAt;
+    return context.m_state.m_mayRenewLeases && !worker.m_isIncarnationInDoubt && !run.m_isUnconfirmedAfterRestart && run.m_phase == RunPhase::Starting
+        && !run.m_isStopRequested && !run.m_startInFlight && !run.m_isOverOnWorker && context.m_now.m_boot >= run.m_nextStartAt;
 }
 
 /// A holder that has not been confirmed for too long may have been replaced. It stops nothing, since its successor may keep the run.
@@ -79,9 +79,9 @@
     const bool hasEndsToAcknowledge = worker.m_endsStored > worker.m_endsAcknowledged;
     // A worker that did not answer is polled, since it gets new runs only after it has answered.
     const bool isUnresponsive = worker.m_unansweredCalls > 0 && worker.m_isListed;
-    // No start can be sent before the worker's clock is known, which an answer shows.
-    const bool isClockNeeded = !worker.m_clockMs && !worker.m_runs.empty();
-    if (hasEndsToAcknowledge || isUnresponsive || worker.m_isProbeDue || isClockNeeded || mayReportEnds(worker, context.m_now.m_boot)
+    // No start can be sent before the worker's clock and its incarnation are known, which an answer shows.
+    const bool isStartHeldBack = (!worker.m_clockMs || worker.m_isIncarnationInDoubt) && !worker.m_runs.empty();
+    if (hasEndsToAcknowledge || isUnresponsive || worker.m_isProbeDue || isStartHeldBack || mayReportEnds(worker, context.m_now.m_boot)
         || hasStrayRuns(context, worker)) {
         return true;
     }
@@ -105,8 +105,9 @@
     order.m_address = worker.m_registration.m_address;
     order.m_token = context.m_state.m_token;
     // A worker numbers its ends anew after a restart, and would take an acknowledgement that is repeated for one of its new ends.
-    order.m_acknowledgedUpTo = worker.m_endsStored > worker.m_endsAcknowledged ? worker.m_endsStored : 0;
-    if (!worker.m_runs.empty()) {
+    const bool mayAcknowledge = worker.m_endsStored > worker.m_endsAcknowledged && !worker.m_isIncarnationInDoubt;
+    order.m_acknowledgedUpTo = mayAcknowledge ? worker.m_endsStored : 0;
+    if (!worker.m_runs.empty() && !worker.m_isIncarnationInDoubt) {
         order.m_leaseUntilMs = leaseEnd(context, worker, context.m_state.m_settings.m_leaseLimit);
         // An end that is listed but may not be forgotten yet would end the wait at once. A worker that does not answer is polled without a
         // wait, so that the call times out sooner and the next one shows that the worker can be reached again.
@@ -160,7 +161,7 @@
         if (worker == nullptr || worker->m_registration.m_address.empty()) {
             continue;
         }
-        if (isStartDue(context, run)) {
+        if (isStartDue(context, run, *worker)) {
             sendStart(context, id, run, *worker);
         } else if (isStopDue(context, run)) {
             sendStop(context, id, run, *worker);
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -69,9 +69,23 @@
                                           .add("runs", worker.m_runs.size()));
     }
     ++worker.m_unansweredCalls;
+    worker.m_isIncarnationInDoubt = true;
     avoid(worker, now + unavailablePause);
 }
 
+/// Handles the answer of a start order whose reading of the clock is too low for the known incarnation: the worker has restarted. The answer
+/// does not name the new incarnation, whose lease ends by its own clock.
+void detectRestart(Context &context, WorkerState &worker, std::optional<std::int64_t> clockMs, fleet::BootTime sentAt)
+{
+    const auto least = sentAt < worker.m_clockAt ? std::nullopt : minWorkerClock(worker, sentAt);
+    if (!clockMs || !least || *clockMs >= *least) {
+        return;
+    }
+    worker.m_isIncarnationInDoubt = true;
+    worker.m_hasAcceptedToken = false;
+    worker.m_predecessorLeaseUntil = context.m_now.m_boot + context.m_state.m_settings.longestLease();
+}
+
 void resetForNewIncarnation(WorkerState &worker, const workers::Registration &registration)
 {
     const WorkerState before = worker;
@@ -333,6 +347,7 @@
     }
     recordAnswer(context, *worker, result.m_clockMs);
     worker->m_gaveUpRunsAt.reset();
+    worker->m_isIncarnationInDoubt = false;
     if (!worker->m_hasAcceptedToken) {
         // Leases granted by earlier holders end at most one lease length from now.
         worker->m_grantedLeaseEndMs = std::max(worker->m_grantedLeaseEndMs, result.m_clockMs + context.m_state.m_settings.m_leaseLimit.count());
@@ -376,6 +391,7 @@
         }
         return;
     }
+    detectRestart(context, *worker, result.m_clockMs, run->m_startSentAt);
     recordAnswer(context, *worker, result.m_clockMs);
     switch (result.m_outcome) {
     case workers::OrderOutcome::Done:
--- a/components/dispatch/worker_state.hpp
+++ b/components/dispatch/worker_state.hpp
@@ -39,6 +39,9 @@
     /// Orders and polls without an answer since the last answer, and when the first of them ended.
     int m_unansweredCalls = 0;
     fleet::BootTime m_silentSince;
+    /// A call had no answer, or one came from another process by its clock: the worker may have restarted under its id. Cleared by the answer of
+    /// a poll, which names the incarnation. Until then nothing is sent that would mean something else to the next incarnation.
+    bool m_isIncarnationInDoubt = false;
     /// When runs were last given up because the worker did not answer. Empty once it has answered a poll, which reports how they ended.
     std::optional<fleet::BootTime> m_gaveUpRunsAt;
     /// The worker has answered a poll with this holder's fencing token, and refuses orders with lower ones.
