Dispatch: a worker that may still carry out a start is polled, and its stops are sent without the store

The holder polled idle workers not at all, so that it learned of the restart from the list, up to a second later or not at all while the store was out, and it held back the stop that has the worker refuse the order while it was not confirmed. Now such a worker is polled without a pause for the 30 s in which the order may arrive; a poll that waits ends with the process that received it. The stops go out in any case: they are for runs that have ended, which no successor keeps.

restartedWorker/restartsWhileTheStoreIsOut_orderOfAFinishedRunIsRefused failed before.

--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -2,6 +2,7 @@
 
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/runs.hpp"
+#include "components/dispatch/unanswered_starts.hpp"
 
 #include <algorithm>
 
@@ -82,7 +83,7 @@
     // No start can be sent before the worker's clock and its incarnation are known, which an answer shows.
     const bool isStartHeldBack = (!worker.m_clockMs || worker.m_isIncarnationInDoubt) && !worker.m_runs.empty();
     if (hasEndsToAcknowledge || isUnresponsive || worker.m_isProbeDue || isStartHeldBack || mayReportEnds(worker, context.m_now.m_boot)
-        || hasStrayRuns(context, worker)) {
+        || hasStrayRuns(context, worker) || hasUnansweredStarts(context, worker)) {
         return true;
     }
     return std::any_of(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
@@ -107,8 +108,10 @@
     // A worker numbers its ends anew after a restart, and would take an acknowledgement that is repeated for one of its new ends.
     const bool mayAcknowledge = worker.m_endsStored > worker.m_endsAcknowledged && !worker.m_isIncarnationInDoubt;
     order.m_acknowledgedUpTo = mayAcknowledge ? worker.m_endsStored : 0;
-    if (!worker.m_runs.empty() && !worker.m_isIncarnationInDoubt) {
-        order.m_leaseUntilMs = leaseEnd(context, worker, context.m_state.m_settings.m_leaseLimit);
+    if ((!worker.m_runs.empty() || hasUnansweredStarts(context, worker)) && !worker.m_isIncarnationInDoubt) {
+        if (!worker.m_runs.empty()) {
+            order.m_leaseUntilMs = leaseEnd(context, worker, context.m_state.m_settings.m_leaseLimit);
+        }
         // An end that is listed but may not be forgotten yet would end the wait at once. A worker that does not answer is polled without a
         // wait, so that the call times out sooner and the next one shows that the worker can be reached again.
         const bool mayWait
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -73,6 +73,12 @@
     avoid(worker, now + unavailablePause);
 }
 
+/// True if it matters when the worker can be reached again: it has runs, ends to report, or may still carry out a start.
+bool isWatched(const Context &context, const WorkerState &worker)
+{
+    return !worker.m_runs.empty() || mayReportEnds(worker, context.m_now.m_boot) || hasUnansweredStarts(context, worker);
+}
+
 /// Handles the answer of a start order whose reading of the clock is too low for the known incarnation: the worker has restarted. The answer
 /// does not name the new incarnation, whose lease ends by its own clock.
 void detectRestart(Context &context, WorkerState &worker, std::optional<std::int64_t> clockMs, fleet::BootTime sentAt)
@@ -335,7 +341,7 @@
         if (result.m_outcome == workers::PollOutcome::OtherIncarnation) {
             worker->m_gaveUpRunsAt.reset();
         }
-        worker->m_nextPollAt = now + (worker->m_runs.empty() && !mayReportEnds(*worker, now) ? probeInterval : pollRetryDelay);
+        worker->m_nextPollAt = now + (isWatched(context, *worker) ? pollRetryDelay : probeInterval);
         return;
     case workers::PollOutcome::Answered:
         break;
--- a/components/dispatch/unanswered_starts.cpp
+++ b/components/dispatch/unanswered_starts.cpp
@@ -90,6 +90,11 @@
     return !hasLeaseEnded && !hasStopped;
 }
 
+bool hasUnansweredStarts(const Context &context, const WorkerState &worker)
+{
+    return context.m_state.m_unansweredStarts.contains(worker.m_registration.m_incarnation.m_worker);
+}
+
 void sendStopsOfUnansweredStarts(Context &context)
 {
     for (auto &[id, starts] : context.m_state.m_unansweredStarts) {
@@ -97,7 +102,7 @@
             return context.m_now.m_boot - entry.second.m_unansweredAt >= longestDelay;
         });
         const auto found = context.m_state.m_workers.find(id);
-        if (found == context.m_state.m_workers.end() || found->second.m_registration.m_address.empty() || !context.m_state.m_mayRenewLeases) {
+        if (found == context.m_state.m_workers.end() || found->second.m_registration.m_address.empty()) {
             continue;
         }
         const WorkerState &worker = found->second;
--- a/components/dispatch/unanswered_starts.hpp
+++ b/components/dispatch/unanswered_starts.hpp
@@ -23,6 +23,7 @@
 struct Context;
 struct State;
 struct UnansweredStart;
+struct WorkerState;
 
 void recordUnansweredStart(Context &context, const workers::StartOrder &order);
 void recordStopAnswer(Context &context, const workers::StopOrder &order, const workers::OrderResult &result);
@@ -31,6 +32,10 @@
 /// worker has restarted and not confirmed a stop of the run since.
 bool mayStillBeCarriedOut(const Context &context, const fleet::WorkerId &worker, const jobs::RunId &run, const UnansweredStart &start);
 
+/// True if a start order without an answer may be carried out by the worker, also after the run has ended, if it restarts. Such a worker is polled
+/// without a pause: a poll that waits ends with the process that has received it, so that a restart is known at once.
+bool hasUnansweredStarts(const Context &context, const WorkerState &worker);
+
 /// Sends stops to workers that have restarted since a start order without an answer whose run is no longer open there, so that they
 /// refuse the order when it arrives.
 void sendStopsOfUnansweredStarts(Context &context);
