Simulation: the answer of an order is lost if its worker is cut off before it is sent

A poll whose worker is cut off meanwhile has had no answer before; the answer of a start or stop order still arrived. A start that is carried out and not answered could so not be played without its being late.

--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -413,8 +413,10 @@
             const workers::OrderResult result = execute(world->m_fleet, order, world->m_now);
             advance(world->m_fleet, world->m_now);
             if (!isLate) {
-                world->schedule(world->oneWayLatency(), [world, instance, incarnation, order, result] {
-                    world->deliver(instance, incarnation, endedEvent(order, result));
+                // The answer of a worker that was cut off meanwhile is lost.
+                const bool isAnswered = isReachable(*world, instance, order.m_target.m_worker);
+                world->schedule(isAnswered ? world->oneWayLatency() : orderTimeout, [world, instance, incarnation, order, result, isAnswered] {
+                    world->deliver(instance, incarnation, endedEvent(order, isAnswered ? result : workers::OrderResult()));
                 });
             }
         });
