Simulation: failing test, a run is given up by the clock of an earlier life of its worker

Cause: a start order to a worker that has restarted unnoticed is carried out by the new life, whose clock began anew. The lease end of the order lies far in its future and is shortened to the longest lease, 6 s, while the holder counts the 3 s that it granted (dispatch/orders.cpp sendStart, runs.cpp hasLeaseExpired). If the answer is lost and the worker cut off, the run is given up and started elsewhere 3 s before it ends.

--- /dev/null
+++ b/components/simulation/double_runs_test.cpp
@@ -0,0 +1,142 @@
+#include "components/simulation/world_fixture_test.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+#include <criterion/criterion.h>
+
+using namespace std::chrono_literals;
+using namespace simulation;
+using namespace simulation::test;
+
+namespace
+{
+
+/// One task is launched on m_worker; the other workers get no new runs until useOthers().
+struct OneWorkerFixture : WorldFixture
+{
+    explicit OneWorkerFixture(unsigned seed = 1)
+        : WorldFixture(settingsFor(seed))
+    {
+        chooseWorkerIn(m_world.zoneOf(m_world.holder()));
+    }
+
+    static WorldSettings settingsFor(unsigned seed)
+    {
+        WorldSettings settings;
+        settings.m_seed = seed;
+        return settings;
+    }
+
+    void chooseWorkerIn(const fleet::ZoneId &zone)
+    {
+        for (const fleet::WorkerId &worker : m_world.workers()) {
+            if (model(worker).m_registration.m_zone == zone) {
+                m_worker = worker;
+            }
+        }
+        for (const fleet::WorkerId &worker : m_world.workers()) {
+            m_world.setDraining(worker, worker != m_worker);
+        }
+        m_world.run(1s);
+    }
+
+    void useOthers()
+    {
+        for (const fleet::WorkerId &worker : m_world.workers()) {
+            if (worker != m_worker) {
+                m_world.setDraining(worker, false);
+            }
+        }
+    }
+
+    ModelWorker &model(const fleet::WorkerId &worker)
+    {
+        return m_world.m_fleet.m_workers.at(worker);
+    }
+
+    /// The worker starts again under its id, and nobody learns of it before it answers.
+    void restartUnnoticed()
+    {
+        crash(m_world.m_fleet, m_worker, true, m_world.now());
+    }
+
+    bool waitForRuns(jobs::JobId job, int count, fleet::Duration limit)
+    {
+        for (fleet::Duration waited {0}; waited < limit && runCount(job) < count; waited += 1ms) {
+            m_world.run(1ms);
+        }
+        return runCount(job) >= count;
+    }
+
+    jobs::JobId submitUntilLaunched(const Behaviour &behaviour)
+    {
+        const int launches = m_world.m_logCounts["dispatch/launch"];
+        const jobs::JobId job = submit(makeTasks(1), behaviour);
+        for (fleet::Duration waited {0}; waited < 100ms && m_world.m_logCounts["dispatch/launch"] == launches; waited += 1ms) {
+            m_world.run(1ms);
+        }
+        return job;
+    }
+
+    /// Submits a job of one task, and returns while the first order to start it is on its way, 1 ms before it arrives.
+    jobs::JobId submitUntilStartIsSent(const Behaviour &behaviour)
+    {
+        const jobs::JobId job = submitUntilLaunched(behaviour);
+        // The launch is stored first: the store's time and the way there and back.
+        m_world.run(6ms);
+        cr_assert_eq(runCount(job), 0);
+        return job;
+    }
+
+    /// Ends the holder while only the given instance is served by the store, so that it takes the duty.
+    void makeHolder(int instance)
+    {
+        m_world.run(200ms);
+        for (int i = 0; i < m_world.instanceCount(); ++i) {
+            if (i != instance) {
+                m_world.m_faults.m_cutFromStore.insert(i);
+            }
+        }
+        m_world.kill(m_world.holder());
+        cr_assert(m_world.runUntil(
+            [&] {
+                return m_world.holder() == instance;
+            },
+            3s));
+        m_world.m_faults.m_cutFromStore.clear();
+    }
+
+    /// Cuts off the zone of the worker: from the other zones, and its instances from the store.
+    void cutOffZone()
+    {
+        const fleet::ZoneId zone = model(m_worker).m_registration.m_zone;
+        m_world.m_faults.m_partitionedZones.insert(zone);
+        for (int i = 0; i < m_world.instanceCount(); ++i) {
+            if (m_world.zoneOf(i) == zone) {
+                m_world.m_faults.m_cutFromStore.insert(i);
+            }
+        }
+    }
+
+    fleet::WorkerId m_worker;
+};
+
+}
+
+/// A start order grants 3 s by the clock of the life that was known. A later life, whose clock began anew, shortens that to the longest
+/// lease, 6 s, so that the run outlived the time at which it was given up.
+Test(doubleRun, workerRestartsUnnoticedBeforeAStartAndIsCutOffAfterIt_runIsNotGivenUpWhileItWorks)
+{
+    OneWorkerFixture fixture;
+    fixture.m_world.run(6s);
+    fixture.restartUnnoticed();
+    const jobs::JobId job = fixture.submitUntilStartIsSent({20s});
+    fixture.m_world.m_faults.m_unreachableWorkers.insert(fixture.m_worker);
+    fixture.m_world.run(1ms);
+    cr_assert(fixture.isRunning(job));
+    fixture.useOthers();
+    fixture.m_world.run(8s);
+    cr_assert_eq(fixture.runCount(job), 2);
+    fixture.expectNoViolation();
+}
