Simulation: failing test, a successor forgets the authority of the former holder when a worker has restarted

Cause: reports.cpp moveToNewIncarnation replaces m_predecessorLeaseUntil, the takeover and 10.18 s, by now and 6.18 s. A run whose launch names an earlier life of its worker makes the successor do so when it first reads the list, for all runs of that worker. The former holder, cut off with the worker, renews the lease for 4 s more.

--- a/components/simulation/double_runs_test.cpp
+++ b/components/simulation/double_runs_test.cpp
@@ -140,3 +140,23 @@
     cr_assert_eq(fixture.runCount(job), 2);
     fixture.expectNoViolation();
 }
+
+/// The run was launched before the worker restarted, and its start order was carried out afterwards. The former holder, cut off with the
+/// worker, renews the lease while it has authority. Its successor learned of the restart from the list and gave the run up one lease later.
+Test(doubleRun, holderCutOffWithAWorkerThatHasRestarted_successorWaitsForTheEndOfItsAuthority)
+{
+    OneWorkerFixture fixture;
+    const jobs::JobId job = fixture.submitUntilStartIsSent({30s});
+    fixture.m_world.crashWorker(fixture.m_worker, true);
+    fixture.m_world.run(1ms);
+    cr_assert(fixture.isRunning(job));
+    fixture.m_world.run(1s);
+    cr_assert(fixture.isRunning(job));
+    const int before = fixture.m_world.holder();
+    fixture.cutOffZone();
+    fixture.useOthers();
+    fixture.m_world.run(13s);
+    cr_assert_neq(fixture.m_world.holder(), before);
+    cr_assert_eq(fixture.runCount(job), 2);
+    fixture.expectNoViolation();
+}
