Simulation: failing test, a late record of an ended process takes the authority from the next one

Cause: journal_state.cpp takes each InstanceStarted record for a proof that every other process of the instance has ended. One that an earlier process sent and the store carried out seconds later removes the living holder from m_formerHolders (and shows the duty as free), so that recordFormerHoldersEnded shortens the successor's wait to one lease.

--- a/components/simulation/double_runs_test.cpp
+++ b/components/simulation/double_runs_test.cpp
@@ -160,3 +160,36 @@
     cr_assert_eq(fixture.runCount(job), 2);
     fixture.expectNoViolation();
 }
+
+/// The first record of a process that had been killed was stored seconds later, after that of the next process of the same instance. It was
+/// taken for a proof that the next process, which held the duty, had ended, so that its successor did not wait for its authority to end.
+Test(doubleRun, startOfAnEarlierProcessIsRecordedLate_successorWaitsForTheEndOfTheHoldersAuthority)
+{
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        OneWorkerFixture fixture(seed);
+        World &world = fixture.m_world;
+        const int first = world.holder();
+        const int next = fixture.nonHolder();
+        fixture.chooseWorkerIn(world.zoneOf(next));
+        world.kill(next);
+        world.m_faults.m_unansweredAppends = 1;
+        world.m_faults.m_unansweredAppendsAreDelayed = true;
+        world.restart(next);
+        world.run(30ms);
+        world.m_faults = Faults();
+        world.kill(next);
+        world.restart(next);
+        fixture.makeHolder(next);
+        world.restart(first);
+        world.run(150ms);
+        const jobs::JobId job = fixture.submit(makeTasks(1), {30s});
+        cr_assert(fixture.waitForRuns(job, 1, 500ms));
+        fixture.cutOffZone();
+        fixture.useOthers();
+        world.run(13s);
+        cr_assert_neq(world.holder(), next);
+        cr_assert_eq(fixture.runCount(job), 2);
+        const std::vector<std::string> &violations = world.m_fleet.m_violations;
+        cr_expect(violations.empty(), "seed %u: %s", seed, violations.empty() ? "" : violations.front().c_str());
+    }
+}
