Simulation: failing test, a run that was just answered is given up by the clock of an earlier life

Cause: start orders are repeated to a silent worker with the first lease end. The next life carries one out with a lease of its own; the holder ignores the clock in its answer, which went back, and gives the run up when the old lease end passes, before a poll shows the restart (orders.cpp endExpiredRuns, canGiveUpRuns: a token that the earlier life accepted is enough). One holder, nothing late or cut off.

--- a/components/simulation/double_runs_test.cpp
+++ b/components/simulation/double_runs_test.cpp
@@ -193,3 +193,22 @@
         cr_expect(violations.empty(), "seed %u: %s", seed, violations.empty() ? "" : violations.front().c_str());
     }
 }
+
+/// A start order was repeated to a worker that was down, with the lease end of the first one. The next life of the worker carried it out with
+/// a lease of its own, and the run was given up when the old lease end passed, although it had just been answered.
+Test(doubleRun, workerRestartsWhileAStartIsRepeated_runIsNotGivenUpByTheClockOfTheEarlierLife)
+{
+    for (fleet::Duration down {3000}; down < 5s; down += 50ms) {
+        OneWorkerFixture fixture;
+        fixture.m_world.run(700ms);
+        fixture.submitUntilLaunched({20s});
+        fixture.m_world.m_faults.m_unreachableWorkers.insert(fixture.m_worker);
+        fixture.useOthers();
+        fixture.m_world.run(down);
+        fixture.m_world.crashWorker(fixture.m_worker, true);
+        fixture.m_world.m_faults.m_unreachableWorkers.clear();
+        fixture.m_world.run(3s);
+        const std::vector<std::string> &violations = fixture.m_world.m_fleet.m_violations;
+        cr_expect(violations.empty(), "down for %d ms: %s", static_cast<int>(down.count()), violations.empty() ? "" : violations.front().c_str());
+    }
+}
