Dispatch: a restart of a worker doesn't shorten the wait for the former holder's authority

A task ran twice at once in the model: the former holder, cut off together with a worker, goes on renewing the lease there for as long as it has authority (4 s), while its successor, which reads from the list that the worker had restarted before, gives the run up one lease after that reading (6.18 s instead of 10.18 s). Cause: the state of the new incarnation replaced the time until which a former holder may renew. The later of the two times counts now.

doubleRun/holderCutOffWithAWorkerThatHasRestarted_successorWaitsForTheEndOfItsAuthority failed before with "two runs of/0/0/0 at 1009116".

--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -89,7 +89,7 @@
     }
     worker.m_isIncarnationInDoubt = true;
     worker.m_hasAcceptedToken = false;
-    worker.m_predecessorLeaseUntil = context.m_now.m_boot + context.m_state.m_settings.longestLease();
+    worker.m_predecessorLeaseUntil = std::max(worker.m_predecessorLeaseUntil, context.m_now.m_boot + context.m_state.m_settings.longestLease());
 }
 
 void resetForNewIncarnation(WorkerState &worker, const workers::Registration &registration)
@@ -100,6 +100,8 @@
     worker.m_allocated = before.m_allocated;
     worker.m_servingRuns = before.m_servingRuns;
     worker.m_bestEffortRuns = before.m_bestEffortRuns;
+    // A former holder that still has authority may renew leases of the new incarnation too.
+    worker.m_predecessorLeaseUntil = before.m_predecessorLeaseUntil;
     worker.m_registration = registration;
 }
 
@@ -112,7 +114,7 @@
     resetForNewIncarnation(worker, registration);
     // Once it has seen this holder's token, it refuses the orders of former holders.
     worker.m_isProbeDue = true;
-    worker.m_predecessorLeaseUntil = context.m_now.m_boot + context.m_state.m_settings.longestLease();
+    worker.m_predecessorLeaseUntil = std::max(worker.m_predecessorLeaseUntil, context.m_now.m_boot + context.m_state.m_settings.longestLease());
     const std::set<jobs::RunId> runs = worker.m_runs;
     for (const jobs::RunId &id : runs) {
         RunState &run = context.m_state.m_runs.at(id);
