Dispatch: a start order's lease counts as a whole one if the worker may have restarted unnoticed

A task ran twice at once in the model: an idle worker restarts and nobody has asked it since; it carries out a start, whose answer is lost because the worker is cut off right then. The lease end of the order is a time on the clock of the incarnation before and far ahead of the new one, so that the worker shortens it to the longest lease, 6 s, while the holder gave the run up after the 3 s that it had granted. Cause: a time on a worker's clock was compared without knowing whose clock it is. The lease of a start now also lasts the longest lease by this machine's clock.

Price: a start without an answer on a worker without other runs is given up after 6.2 s and not 3.1 s, as on workers with other runs. doubleRun/workerRestartsUnnoticedBeforeAStartAndIsCutOffAfterIt_runIsNotGivenUpWhileItWorks failed before with "two runs of/0/0/0 at 1010574".

--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -38,6 +38,7 @@
     }
     const journal::JobRecord &job = context.m_journalState.m_jobs.at(id.m_task.m_step.m_job);
     worker.m_grantedLeaseEndMs = std::max(worker.m_grantedLeaseEndMs, *lease);
+    worker.m_startLeaseUntil = context.m_now.m_boot + context.m_state.m_settings.longestLease();
     run.m_startInFlight = true;
     run.m_startSentAt = context.m_now.m_boot;
     ++run.m_startTries;
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -246,7 +246,7 @@
 
 bool hasLeaseExpired(const WorkerState &worker, fleet::BootTime now)
 {
-    if (!worker.m_hasAcceptedToken && now < worker.m_predecessorLeaseUntil) {
+    if ((!worker.m_hasAcceptedToken && now < worker.m_predecessorLeaseUntil) || now < worker.m_startLeaseUntil) {
         return false;
     }
     if (worker.m_grantedLeaseEndMs == 0) {
--- a/components/dispatch/worker_state.hpp
+++ b/components/dispatch/worker_state.hpp
@@ -30,6 +30,10 @@
     /// machine's clock. Not used once the worker has accepted this holder's token.
     fleet::BootTime m_predecessorLeaseUntil;
 
+    /// Until when the lease of a start order may last, on this machine's clock, if the worker had restarted unnoticed: its clock begins anew, so that
+    /// the lease is only limited by its maximum.
+    fleet::BootTime m_startLeaseUntil;
+
     bool m_pollInFlight = false;
     fleet::BootTime m_pollSentAt;
     fleet::BootTime m_nextPollAt;
