Test: the lease of a first start order is read by the clock of a worker before its restart

An idle worker restarts and nobody has seen it. The first start order is carried out and gets no answer, and the worker is cut off. No repetition is needed, so the doubt about the incarnation comes too late: the order's lease of 3 s ends far ahead by the new clock, and the worker shortens it to the maximum of 6 s. The holder gives the run up after 3 s.

--- a/components/simulation/restarted_workers_test.cpp
+++ b/components/simulation/restarted_workers_test.cpp
@@ -313,3 +313,28 @@
     world.run(10s);
     fixture.expectNoViolation();
 }
+
+/// Guards against the lease of a first start order that is read by the clock of the incarnation before: nobody has seen the restart yet, the order
+/// gets no answer, and the next incarnation gives it a whole lease.
+Test(restartedWorker, carriesOutAFirstOrderBeforeItsRestartIsKnown_runIsNotGivenUpWithinAWholeLease)
+{
+    WorldFixture fixture(makeSettings(1, 2));
+    World &world = fixture.m_world;
+    const fleet::WorkerId worker = world.workers().front();
+    useOnly(fixture, worker, true);
+    world.m_faults.m_workersCutFromStore.insert(worker);
+    world.crashWorker(worker, true);
+    world.m_faults.m_unansweredOrders = 1;
+    const jobs::JobId job = fixture.submit(makeTasks(1), {20s});
+    cr_assert(world.runUntil(
+        [&] {
+            return fixture.isRunning(job);
+        },
+        1s));
+    world.m_faults.m_unreachableWorkers.insert(worker);
+    world.m_faults.m_unansweredOrders = 0;
+    useOnly(fixture, worker, false);
+    world.run(9s);
+    fixture.expectNoViolation();
+    cr_assert(fixture.isRunning(job));
+}
