Test: a start that waits behind a waiting poll breaks up its gang

After a call without an answer no start goes out before a poll is answered. The holder gives a gang up after 1.5 s.

--- a/components/simulation/restarted_workers_test.cpp
+++ b/components/simulation/restarted_workers_test.cpp
@@ -338,3 +338,36 @@
     fixture.expectNoViolation();
     cr_assert(fixture.isRunning(job));
 }
+
+/// Guards against a gang that is started anew since a start order was lost: the order is sent again only after the worker has been polled, and that poll
+/// waits for the one that was waiting for an end on the worker. The holder gives a gang up after half of the time that its members wait.
+Test(restartedWorker, startOfAMemberIsLostBesideAWaitingPoll_gangRunsOnce)
+{
+    for (fleet::Duration phase {0}; phase < fleet::Duration {1500}; phase += fleet::Duration {100}) {
+        WorldFixture fixture(makeSettings(1, 2));
+        World &world = fixture.m_world;
+        // Two accelerators of each worker are taken, so that both are polled with a wait.
+        const jobs::JobId first = fixture.submit(makeTasks(1, 5), {60s});
+        const jobs::JobId second = fixture.submit(makeTasks(1, 5), {60s});
+        cr_assert(world.runUntil(
+            [&] {
+                return fixture.isRunning(first) && fixture.isRunning(second);
+            },
+            1s));
+        cr_assert_neq(fixture.runningWorker(first).value(), fixture.runningWorker(second).value());
+        world.run(2s + phase);
+        // The first order to start one of the members is lost.
+        world.m_faults.m_unreachableWorkers.insert(fixture.runningWorker(second));
+        const jobs::JobId gang = fixture.submit(makeGang(2, 3), {500ms});
+        world.run(60ms);
+        world.m_faults.m_unreachableWorkers.clear();
+        world.runUntil(
+            [&] {
+                return fixture.isRunning(gang);
+            },
+            5s);
+        cr_assert(fixture.completes(gang, 10s));
+        cr_expect_eq(fixture.runCount(gang), 2, "phase %d: %d runs", static_cast<int>(phase.count()), fixture.runCount(gang));
+        fixture.expectNoViolation();
+    }
+}
