Test: a stray run counts as over by a lease that a late order has extended

The holder reads the end of a stray run's lease from what it granted to the restarted worker: 6 s from its first answer. A late order of the incarnation before gives the worker a whole lease from its execution on.

--- a/components/dispatch/order_answers_test.cpp
+++ b/components/dispatch/order_answers_test.cpp
@@ -1,9 +1,11 @@
+#include "components/dispatch/account_limits.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/environment.hpp"
 #include "components/dispatch/reports.hpp"
 #include "components/dispatch/runs.hpp"
 #include "components/dispatch/scheduler_events.hpp"
 #include "components/dispatch/state.hpp"
+#include "components/dispatch/unanswered_starts.hpp"
 #include "components/journal/changes.hpp"
 #include "components/workers/poll_order.hpp"
 #include "components/workers/poll_result.hpp"
@@ -11,6 +13,7 @@
 
 #include <array>
 #include <chrono>
+#include <utility>
 
 #include <criterion/criterion.h>
 
@@ -90,6 +93,45 @@
         endPoll(answer(clockMs));
     }
 
+    workers::Registration entry(std::int64_t startedAtMs) const
+    {
+        workers::Registration registration;
+        registration.m_incarnation = {m_worker.m_worker, startedAtMs};
+        registration.m_address = "w";
+        registration.m_capacity = {8000, 8000, 8};
+        registration.m_clockMs = 1000;
+        return registration;
+    }
+
+    void readList(const std::vector<workers::Registration> &entries)
+    {
+        dispatch::onListRead(m_state, environment(), entries, {m_now, {}});
+    }
+
+    /// The worker has restarted under its id, and this is the first answer of the next incarnation.
+    void restart(std::int64_t startedAtMs, std::int64_t clockMs, bool hasRun)
+    {
+        workers::PollResult result = answer(clockMs);
+        result.m_startedAtMs = startedAtMs;
+        if (hasRun) {
+            result.m_running.push_back({m_run, {}, 10, -1});
+        }
+        endPoll(result);
+        m_worker.m_startedAtMs = startedAtMs;
+    }
+
+    void giveUpRun()
+    {
+        dispatch::Context context {m_state, m_journal, m_catalog, m_zonesOut, m_waves, {m_now, {}}, {}, {}, {}, {}, {}, {}, {}};
+        dispatch::endRun(context, m_run, jobs::RunEnd::LeaseExpired, {}, dispatch::RunEndProof::LeaseOver);
+    }
+
+    bool isHeldBackByAStrayRun()
+    {
+        const dispatch::Context context {m_state, m_journal, m_catalog, m_zonesOut, m_waves, {m_now, {}}, {}, {}, {}, {}, {}, {}, {}};
+        return dispatch::tasksWithStrayRuns(context).contains(m_run.m_task);
+    }
+
     bool isOpen() const
     {
         return m_state.m_runs.contains(m_run);
@@ -159,3 +201,17 @@
     dispatch::onTick(fixture.m_state, fixture.environment(), {}, {fixture.m_now, {}});
     cr_assert_not(fixture.isOpen());
 }
+
+/// A late order gives a worker that has restarted a whole lease from then on, since its deadline is a time on the clock of the incarnation before.
+/// The task was launched elsewhere while the worker's latest list had it as running.
+Test(orderAnswers, restartedWorkerListsAStrayRunAfterItsFirstLease_taskIsNotLaunched)
+{
+    UnansweredStartFixture fixture;
+    fixture.giveUpRun();
+    fixture.restart(2, 100, false);
+    fixture.m_now += 7s;
+    workers::PollResult result = fixture.answer(7100);
+    result.m_running.push_back({fixture.m_run, {}, 10, -1});
+    fixture.endPoll(result);
+    cr_assert(fixture.isHeldBackByAStrayRun());
+}
