Test: what a worker was known to run is forgotten when its entry lapses

A worker without open runs leaves the state with its entry. Once it is listed again no lease is known, and hasLeaseExpired() takes that for over, so that its stray run holds back nothing, although 6.2 s had to pass while the worker was unknown.

Fails at the last assertion.

--- a/components/dispatch/order_answers_test.cpp
+++ b/components/dispatch/order_answers_test.cpp
@@ -215,3 +215,16 @@
     fixture.endPoll(result);
     cr_assert(fixture.isHeldBackByAStrayRun());
 }
+
+/// An entry may lapse and come back while the store is out. What the worker was known to run was forgotten with the entry.
+Test(orderAnswers, workerWithAStrayRunIsListedAgain_taskIsNotLaunched)
+{
+    UnansweredStartFixture fixture;
+    fixture.giveUpRun();
+    fixture.listAsRunning();
+    cr_assert(fixture.isHeldBackByAStrayRun());
+    fixture.readList({});
+    cr_assert(fixture.isHeldBackByAStrayRun());
+    fixture.readList({fixture.entry(1)});
+    cr_assert(fixture.isHeldBackByAStrayRun());
+}
