Test: an unanswered order to the incarnation before is forgotten once the run was listed

The answer of an order that was sent before a restart arrives after it, as none. applyStartResult() leaves m_hasUnansweredStart as it was, since the run is on the next incarnation by then. After a further restart the run ends as lost at once, though the order may still be carried out.

Fails: the run is closed by the first list of the third incarnation.

--- a/components/dispatch/order_answers_test.cpp
+++ b/components/dispatch/order_answers_test.cpp
@@ -228,3 +228,23 @@
     fixture.readList({fixture.entry(1)});
     cr_assert(fixture.isHeldBackByAStrayRun());
 }
+
+/// An order that is answered as lost after the worker's restart was known may be carried out by a further incarnation too. Once the run had been
+/// listed it no longer counted as in doubt, and the task was launched elsewhere before a stop had the worker refuse the order.
+Test(orderAnswers, orderToTheIncarnationBeforeGetsNoAnswer_runIsStoppedAfterAFurtherRestart)
+{
+    UnansweredStartFixture fixture;
+    fixture.listAsRunning();
+    dispatch::RunState &run = fixture.m_state.m_runs.at(fixture.m_run);
+    run.m_hasUnansweredStart = false;
+    run.m_startInFlight = true;
+    const workers::WorkerIncarnation first = fixture.m_worker;
+    fixture.restart(2, 100, true);
+    cr_assert(fixture.isOpen());
+    const workers::WorkerIncarnation second = std::exchange(fixture.m_worker, first);
+    fixture.endStart(OrderOutcome::Unknown);
+    fixture.m_worker = second;
+    fixture.restart(3, 100, false);
+    cr_assert(fixture.isOpen());
+    cr_expect(fixture.m_state.m_runs.at(fixture.m_run).m_isStopRequested);
+}
