Test: a worker that may still carry out a start is forgotten when it leaves the list

hasUnansweredStarts() has such a worker polled, but applyWorkerList() keeps unlisted workers only if they may report ends. A worker that is down for longer is polled no more, and its restart is known by the list again.

--- a/components/dispatch/order_answers_test.cpp
+++ b/components/dispatch/order_answers_test.cpp
@@ -248,3 +248,14 @@
     cr_assert(fixture.isOpen());
     cr_expect(fixture.m_state.m_runs.at(fixture.m_run).m_isStopRequested);
 }
+
+/// A worker that is down for longer leaves the list. It was forgotten then, so that its restart was only seen by the list and not by a poll.
+Test(orderAnswers, workerThatMayCarryOutAStartLeavesTheList_isPolledOn)
+{
+    UnansweredStartFixture fixture;
+    fixture.giveUpRun();
+    fixture.readList({});
+    cr_assert(fixture.m_state.m_workers.contains(fixture.m_worker.m_worker));
+    const dispatch::Outbox out = dispatch::runSchedulingCycle(fixture.m_state, fixture.environment(), {fixture.m_now + 1s, {}});
+    cr_assert_eq(out.m_polls.size(), 1);
+}
