Test: a successor does not know of start orders without an answer

Unanswered starts are known only to the holder that sent them. Its successor neither polls the idle worker nor sends it a stop, so a finished run begins again on the restarted worker if the former holder's order arrives before the list shows the restart.

--- a/components/simulation/restarted_workers_test.cpp
+++ b/components/simulation/restarted_workers_test.cpp
@@ -371,3 +371,25 @@
         fixture.expectNoViolation();
     }
 }
+
+/// Guards against a finished run that an order of a former holder starts again: its successor does not know of the order, polls the idle worker
+/// no more, and learns of its restart only from the list.
+Test(restartedWorker, restartsUnderASuccessorWhileTheStoreIsOut_orderOfAFinishedRunIsRefused)
+{
+    WorldFixture fixture(makeSettings(1, 2));
+    World &world = fixture.m_world;
+    const StartedJob started = startWithoutAnswer(fixture, {300ms});
+    const RunRecord first = world.m_fleet.m_history.back();
+    const workers::StartOrder late = makeLateOrder(fixture, first, world.m_fleet.m_workers.at(started.m_worker).m_fencingToken);
+    cr_assert(fixture.completes(started.m_job, 3s));
+    world.kill(world.holder());
+    cr_assert(fixture.waitForHolder(10s));
+    world.run(1s);
+    world.m_faults.m_store = StoreMode::Unresponsive;
+    world.run(200ms);
+    world.crashWorker(started.m_worker, true);
+    world.run(2s);
+    start(world.m_fleet, late, world.now());
+    cr_assert_eq(fixture.runCount(started.m_job), 1);
+    fixture.expectNoViolation();
+}
