--- a/components/simulation/restarted_workers_test.cpp
+++ b/components/simulation/restarted_workers_test.cpp
@@ -313,3 +313,83 @@
     world.run(10s);
     fixture.expectNoViolation();
 }
+
+/// Guards against the lease of a first start order that is read by the clock of the incarnation before: nobody has seen the restart yet, the order
+/// gets no answer, and the next incarnation gives it a whole lease.
+Test(restartedWorker, carriesOutAFirstOrderBeforeItsRestartIsKnown_runIsNotGivenUpWithinAWholeLease)
+{
+    WorldFixture fixture(makeSettings(1, 2));
+    World &world = fixture.m_world;
+    const fleet::WorkerId worker = world.workers().front();
+    useOnly(fixture, worker, true);
+    world.m_faults.m_workersCutFromStore.insert(worker);
+    world.crashWorker(worker, true);
+    world.m_faults.m_unansweredOrders = 1;
+    const jobs::JobId job = fixture.submit(makeTasks(1), {20s});
+    cr_assert(world.runUntil(
+        [&] {
+            return fixture.isRunning(job);
+        },
+        1s));
+    world.m_faults.m_unreachableWorkers.insert(worker);
+    world.m_faults.m_unansweredOrders = 0;
+    useOnly(fixture, worker, false);
+    world.run(9s);
+    fixture.expectNoViolation();
+    cr_assert(fixture.isRunning(job));
+}
+
+/// Guards against a gang that is started anew since a start order was lost: the order is sent again only after the worker has been polled, and that poll
+/// waits for the one that was waiting for an end on the worker. The holder gives a gang up after half of the time that its members wait.
+Test(restartedWorker, startOfAMemberIsLostBesideAWaitingPoll_gangRunsOnce)
+{
+    for (fleet::Duration phase {0}; phase < fleet::Duration {1500}; phase += fleet::Duration {100}) {
+        WorldFixture fixture(makeSettings(1, 2));
+        World &world = fixture.m_world;
+        // Two accelerators of each worker are taken, so that both are polled with a wait.
+        const jobs::JobId first = fixture.submit(makeTasks(1, 5), {60s});
+        const jobs::JobId second = fixture.submit(makeTasks(1, 5), {60s});
+        cr_assert(world.runUntil(
+            [&] {
+                return fixture.isRunning(first) && fixture.isRunning(second);
+            },
+            1s));
+        cr_assert_neq(fixture.runningWorker(first).value(), fixture.runningWorker(second).value());
+        world.run(2s + phase);
+        // The first order to start one of the members is lost.
+        world.m_faults.m_unreachableWorkers.insert(fixture.runningWorker(second));
+        const jobs::JobId gang = fixture.submit(makeGang(2, 3), {500ms});
+        world.run(60ms);
+        world.m_faults.m_unreachableWorkers.clear();
+        world.runUntil(
+            [&] {
+                return fixture.isRunning(gang);
+            },
+            5s);
+        cr_assert(fixture.completes(gang, 10s));
+        cr_expect_eq(fixture.runCount(gang), 2, "phase %d: %d runs", static_cast<int>(phase.count()), fixture.runCount(gang));
+        fixture.expectNoViolation();
+    }
+}
+
+/// Guards against a finished run that an order of a former holder starts again: its successor does not know of the order, polls the idle worker
+/// no more, and learns of its restart only from the list.
+Test(restartedWorker, restartsUnderASuccessorWhileTheStoreIsOut_orderOfAFinishedRunIsRefused)
+{
+    WorldFixture fixture(makeSettings(1, 2));
+    World &world = fixture.m_world;
+    const StartedJob started = startWithoutAnswer(fixture, {300ms});
+    const RunRecord first = world.m_fleet.m_history.back();
+    const workers::StartOrder late = makeLateOrder(fixture, first, world.m_fleet.m_workers.at(started.m_worker).m_fencingToken);
+    cr_assert(fixture.completes(started.m_job, 3s));
+    world.kill(world.holder());
+    cr_assert(fixture.waitForHolder(10s));
+    world.run(1s);
+    world.m_faults.m_store = StoreMode::Unresponsive;
+    world.run(200ms);
+    world.crashWorker(started.m_worker, true);
+    world.run(2s);
+    start(world.m_fleet, late, world.now());
+    cr_assert_eq(fixture.runCount(started.m_job), 1);
+    fixture.expectNoViolation();
+}
