Simulation: failing test, an acknowledgement that is repeated has the next life forget an end

Cause: a poll that is not answered is repeated with its acknowledgement (orders.cpp sendPoll: endsStored > endsAcknowledged), so that it can reach the next life of the worker, which numbers its ends anew. A start order that is repeated beside it may have had that life run and end a task by then; the end is forgotten and counts as taken note of, and the task starts again. One holder, no late order.

--- a/components/simulation/double_runs_test.cpp
+++ b/components/simulation/double_runs_test.cpp
@@ -212,3 +212,30 @@
         cr_expect(violations.empty(), "down for %d ms: %s", static_cast<int>(down.count()), violations.empty() ? "" : violations.front().c_str());
     }
 }
+
+/// A worker ends numbers anew when it restarts. An acknowledgement that its earlier life had not answered was repeated to the next one, which
+/// forgot an end that nobody had read, so that the task ran again.
+Test(doubleRun, workerRestartsWhileAnAcknowledgementIsRepeated_endOfTheNextLifeIsNotForgotten)
+{
+    for (fleet::Duration down {500}; down < 2s; down += 20ms) {
+        OneWorkerFixture fixture;
+        World &world = fixture.m_world;
+        const jobs::StepSpec whole = makeTasks(1, 8);
+        const jobs::JobId first = fixture.submit(whole, {1s});
+        cr_assert(fixture.waitForRuns(first, 1, 500ms));
+        fixture.submit(whole, {100ms});
+        world.m_faults.m_storeDelay = 100ms;
+        const int launches = world.m_logCounts["dispatch/launch"];
+        for (fleet::Duration waited {0}; waited < 2s && world.m_logCounts["dispatch/launch"] == launches; waited += 1ms) {
+            world.run(1ms);
+        }
+        // The acknowledgement and the start are sent together once the store has answered.
+        world.m_faults.m_unreachableWorkers.insert(fixture.m_worker);
+        world.run(down);
+        world.crashWorker(fixture.m_worker, true);
+        world.m_faults = Faults();
+        world.run(4s);
+        const std::vector<std::string> &violations = world.m_fleet.m_violations;
+        cr_expect(violations.empty(), "down for %d ms: %s", static_cast<int>(down.count()), violations.empty() ? "" : violations.front().c_str());
+    }
+}
