Simulation: failing test, a late order of a former holder starts a run that its successor has given up

The start order of a holder that was killed is carried out by the next life of its worker, which has seen no fencing token, and whose clock makes the lease end of the order a time in its future.

--- a/components/simulation/double_runs_test.cpp
+++ b/components/simulation/double_runs_test.cpp
@@ -239,3 +239,22 @@
         cr_expect(violations.empty(), "down for %d ms: %s", static_cast<int>(down.count()), violations.empty() ? "" : violations.front().c_str());
     }
 }
+
+/// The former holder's order was carried out by the next life of a worker that nobody reaches, after the run had been given up.
+Test(doubleRun, lateOrderOfAFormerHolderReachesAWorkerThatHasRestartedAndIsCutOff_runIsNotStartedElsewhere)
+{
+    OneWorkerFixture fixture;
+    World &world = fixture.m_world;
+    const jobs::JobId job = fixture.submitUntilLaunched({20s});
+    world.m_faults.m_delayedOrders = 1;
+    world.run(7ms);
+    world.m_faults.m_delayedOrders = 0;
+    world.m_faults.m_unreachableWorkers.insert(fixture.m_worker);
+    world.kill(world.holder());
+    fixture.useOthers();
+    world.run(200ms);
+    fixture.restartUnnoticed();
+    world.run(20s);
+    cr_assert_eq(fixture.runCount(job), 2);
+    fixture.expectNoViolation();
+}
