Dispatch: a stray run is over only once no lease that it may have can last

Found in review: the holder read the end of a stray run's lease from what it had granted to the restarted worker, 6 s from its first answer, and took it for over at once for a worker whose entry had lapsed and come back. A late order of the incarnation before gives the worker a whole lease from its execution on, so that the task was launched beside a run that the latest poll had listed. A stray run now counts until the worker no longer lists it, a stop has taken effect, the process has ended, or the longest lease has passed since it was last seen.

--- a/components/dispatch/account_limits.cpp
+++ b/components/dispatch/account_limits.cpp
@@ -68,6 +68,8 @@
         && isBelow(budget.m_use.m_accelerators, budget.m_maximum.m_accelerators);
 }
 
+/// A worker reports a run until it has ended. If it doesn't answer, each lease that it may have had when it was last asked is over after the longest
+/// lease; what this holder granted may be less, since a late order extends the lease of a worker that has restarted.
 bool isStrayRunOver(const Context &context, const fleet::WorkerId &id, const StrayRun &stray)
 {
     const fleet::BootTime now = context.m_now.m_boot;
@@ -75,10 +77,12 @@
         return true;
     }
     const auto worker = context.m_state.m_workers.find(id);
-    if (worker == context.m_state.m_workers.end()) {
-        return now - stray.m_seenAt >= context.m_state.m_settings.longestLease();
+    const bool isKnown = worker != context.m_state.m_workers.end();
+    if (isKnown && worker->second.m_registration.m_incarnation != stray.m_incarnation) {
+        return true;
     }
-    return worker->second.m_registration.m_incarnation != stray.m_incarnation || hasLeaseExpired(worker->second, now);
+    const bool isLeaseOver = !isKnown || hasLeaseExpired(worker->second, now);
+    return isLeaseOver && now - stray.m_seenAt >= context.m_state.m_settings.longestLease();
 }
 
 }
--- a/components/dispatch/account_limits_test.cpp
+++ b/components/dispatch/account_limits_test.cpp
@@ -117,6 +117,8 @@
     cr_assert_eq(fixture.allowed(), 4, "its stop was confirmed");
     stray.m_endsBy.reset();
     worker.m_clockMs = 600;
+    cr_assert_eq(fixture.allowed(), 0, "a late order may have extended the lease since it was seen");
+    stray.m_seenAt = now.m_boot - fixture.m_state.m_settings.longestLease();
     cr_assert_eq(fixture.allowed(), 4, "its lease has expired");
     worker.m_clockMs = 500;
     worker.m_registration.m_incarnation = {id, 2};
