Dispatch: a start order that was under way at a restart counts as unanswered after further restarts

Found in review: the order's answer names the incarnation before, so it was ignored, and once the new one had listed the run nothing said that an order was still under way. After a further restart the run was closed as lost at once, though the order may be carried out by then. It now counts as unanswered from the restart on.

orderAnswers/orderToTheIncarnationBeforeGetsNoAnswer_runIsStoppedAfterAFurtherRestart failed before.

--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -119,7 +119,9 @@
     for (const jobs::RunId &id : runs) {
         RunState &run = context.m_state.m_runs.at(id);
         run.m_incarnation = registration.m_incarnation;
-        run.m_isStartUncertain = run.m_isStartUncertain || run.m_startInFlight || run.m_hasUnansweredStart;
+        // The answer of an order that is under way is lost with the process, so that it counts as unanswered after a further restart too.
+        run.m_hasUnansweredStart = run.m_hasUnansweredStart || run.m_startInFlight;
+        run.m_isStartUncertain = run.m_isStartUncertain || run.m_hasUnansweredStart;
         run.m_startInFlight = false;
         run.m_stopInFlight = false;
         run.m_stopAnswered = false;
