Dispatch: a worker that may still carry out a start isn't forgotten with its entry

Found in review: such a worker is polled so that a restart is known at once, but one without runs left the state together with its entry, and its restart was then known from the list only. It is kept for the 30 s in which the order may arrive.

orderAnswers/workerThatMayCarryOutAStartLeavesTheList_isPolledOn failed before.

--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -320,7 +320,7 @@
     for (auto entry = context.m_state.m_workers.begin(); entry != context.m_state.m_workers.end();) {
         WorkerState &worker = entry->second;
         worker.m_isListed = listed.contains(entry->first);
-        const bool isForgotten = !worker.m_isListed && worker.m_runs.empty() && !worker.m_pollInFlight && !mayReportEnds(worker, context.m_now.m_boot);
+        const bool isForgotten = !worker.m_isListed && !worker.m_pollInFlight && !isWatched(context, worker);
         entry = isForgotten ? context.m_state.m_workers.erase(entry) : std::next(entry);
     }
     endRunsOfReplaced(context);
