Dispatch: a poll without a wait goes out beside one that waits if the incarnation is in doubt

A poll that was already waiting for an end held the starts up for its wait, up to 1.5 s, and the holder gave a gang up after 1.5 s. A second poll without a wait now names the incarnation.

restartedWorker/startOfAMemberIsLostBesideAWaitingPoll_gangRunsOnce failed before in 6 of 15 phases of the poll.

--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -75,9 +75,13 @@
 
 bool isPollDue(const Context &context, const WorkerState &worker)
 {
-    if (worker.m_pollInFlight || context.m_now.m_boot < worker.m_nextPollAt || worker.m_registration.m_address.empty()) {
+    if (context.m_now.m_boot < worker.m_nextPollAt || worker.m_registration.m_address.empty()) {
         return false;
     }
+    if (worker.m_pollInFlight) {
+        // Starts would wait for the end of its wait.
+        return worker.m_isIncarnationInDoubt && worker.m_doesPollWait && !worker.m_probeInFlight && !worker.m_runs.empty();
+    }
     const bool hasEndsToAcknowledge = worker.m_endsStored > worker.m_endsAcknowledged;
     // A worker that did not answer is polled, since it gets new runs only after it has answered.
     const bool isUnresponsive = worker.m_unansweredCalls > 0 && worker.m_isListed;
@@ -123,7 +127,13 @@
         worker.m_grantedLeaseEndMs = std::max(worker.m_grantedLeaseEndMs, *order.m_leaseUntilMs);
     }
     worker.m_isProbeDue = false;
-    worker.m_pollInFlight = true;
+    if (worker.m_pollInFlight) {
+        order.m_isProbe = true;
+        worker.m_probeInFlight = true;
+    } else {
+        worker.m_pollInFlight = true;
+        worker.m_doesPollWait = order.m_wait.count() > 0;
+    }
     worker.m_pollSentAt = context.m_now.m_boot;
     worker.m_nextPollAt = context.m_now.m_boot;
     context.m_out.m_polls.push_back(std::move(order));
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -333,7 +333,7 @@
         return;
     }
     const fleet::BootTime now = context.m_now.m_boot;
-    worker->m_pollInFlight = false;
+    (order.m_isProbe ? worker->m_probeInFlight : worker->m_pollInFlight) = false;
     switch (result.m_outcome) {
     case workers::PollOutcome::Fenced:
         context.m_out.m_isFenced = true;
--- a/components/dispatch/worker_state.hpp
+++ b/components/dispatch/worker_state.hpp
@@ -35,6 +35,9 @@
     fleet::BootTime m_startLeaseUntil;
 
     bool m_pollInFlight = false;
+    /// The poll in flight waits for an end, so that its answer may take long; and a second one without a wait is in flight beside it.
+    bool m_doesPollWait = false;
+    bool m_probeInFlight = false;
     fleet::BootTime m_pollSentAt;
     fleet::BootTime m_nextPollAt;
     fleet::BootTime m_lastAnswerAt;
--- a/components/workers/poll_order.hpp
+++ b/components/workers/poll_order.hpp
@@ -25,6 +25,9 @@
     /// How long the worker may wait for a run to end before it answers.
     fleet::Duration m_wait {0};
 
+    /// Sent beside a poll that waits, to learn which incarnation answers.
+    bool m_isProbe = false;
+
     bool operator==(const PollOrder &) const = default;
 };
 
