Test: a run whose worker fails before its first start order stays open for good

No start goes out while the incarnation is in doubt, and endExpiredRuns() passes over runs without a start order; endRunsWithoutClock() ends those only if the worker's clock is not known. If a call gets no answer between the launch of a run and its first order, and the worker does not come back, the task is never launched again, whether the worker is listed or not. The launch is stored for seconds while the store is out.

Both fail: open after 30 s, and not completed after 60 s.

--- a/components/dispatch/order_answers_test.cpp
+++ b/components/dispatch/order_answers_test.cpp
@@ -45,8 +45,7 @@
         entry.m_clockMs = 1000;
         dispatch::onListRead(m_state, environment(), {entry}, {m_now, {}});
 
-        dispatch::Context context {m_state, m_journal, m_catalog, m_zonesOut, m_waves, {m_now, {}}, {}, {}, {}, {}, {}, {}, {}};
-        dispatch::launch(context, m_run, m_worker, {});
+        launch(m_run);
         m_state.m_runs.at(m_run).m_phase = dispatch::RunPhase::Starting;
         m_state.m_runs.at(m_run).m_startTries = 1;
         endStart(OrderOutcome::Unknown);
@@ -120,6 +119,12 @@
         m_worker.m_startedAtMs = startedAtMs;
     }
 
+    void launch(const jobs::RunId &run)
+    {
+        dispatch::Context context {m_state, m_journal, m_catalog, m_zonesOut, m_waves, {m_now, {}}, {}, {}, {}, {}, {}, {}, {}};
+        dispatch::launch(context, run, m_worker, {});
+    }
+
     void giveUpRun()
     {
         dispatch::Context context {m_state, m_journal, m_catalog, m_zonesOut, m_waves, {m_now, {}}, {}, {}, {}, {}, {}, {}, {}};
@@ -259,3 +264,31 @@
     const dispatch::Outbox out = dispatch::runSchedulingCycle(fixture.m_state, fixture.environment(), {fixture.m_now + 1s, {}});
     cr_assert_eq(out.m_polls.size(), 1);
 }
+
+/// No start goes out while the incarnation is in doubt. A run whose worker fails between its launch and its first start order had no order that could
+/// lapse, and stayed open for good.
+Test(orderAnswers, workerFailsBeforeTheFirstStart_runEnds)
+{
+    for (const bool isListed : {true, false}) {
+        UnansweredStartFixture fixture;
+        fixture.giveUpRun();
+        fixture.listAsNotRunning(2000);
+        const jobs::RunId run {fixture.m_run.m_task, 2};
+        fixture.launch(run);
+        fixture.endPoll({});
+        fixture.m_state.m_runs.at(run).m_phase = dispatch::RunPhase::Starting;
+        for (int i = 0; i < 300; ++i) {
+            fixture.m_now += 100ms;
+            fixture.readList(isListed ? std::vector {fixture.entry(1)} : std::vector<workers::Registration>());
+            dispatch::onTick(fixture.m_state, fixture.environment(), {}, {fixture.m_now, {}});
+            const dispatch::Outbox out = dispatch::runSchedulingCycle(fixture.m_state, fixture.environment(), {fixture.m_now, {}});
+            for (const workers::PollOrder &order : out.m_polls) {
+                dispatch::onPollEnded(fixture.m_state, fixture.environment(), order, fixture.m_now, {}, {fixture.m_now, {}});
+            }
+            for (const workers::StartOrder &order : out.m_starts) {
+                dispatch::onStartEnded(fixture.m_state, fixture.environment(), order, {}, {fixture.m_now, {}});
+            }
+        }
+        cr_expect_not(fixture.m_state.m_runs.contains(run), "listed %d", static_cast<int>(isListed));
+    }
+}
--- a/components/simulation/restarted_workers_test.cpp
+++ b/components/simulation/restarted_workers_test.cpp
@@ -393,3 +393,32 @@
     cr_assert_eq(fixture.runCount(started.m_job), 1);
     fixture.expectNoViolation();
 }
+
+/// Guards against a task that waits for good: its worker is lost while the launch is being stored, so that no start order is ever sent, and a run
+/// without one does not lapse.
+Test(restartedWorker, isLostWhileALaunchIsStored_taskRunsElsewhere)
+{
+    WorldFixture fixture(makeSettings(1, 2));
+    World &world = fixture.m_world;
+    const fleet::WorkerId worker = world.workers().front();
+    useOnly(fixture, worker, true);
+    // The worker is polled for another run while the store is out.
+    fixture.submit(makeTasks(1, 1), {60s});
+    fixture.submit(makeTasks(1, 7), {1s});
+    const jobs::JobId job = fixture.submit(makeTasks(1, 7), {500ms});
+    world.run(500ms);
+    const int launched = world.m_logCounts["dispatch/launch"];
+    world.m_faults.m_store = StoreMode::Unresponsive;
+    cr_assert(world.runUntil(
+        [&] {
+            return world.m_logCounts["dispatch/launch"] > launched;
+        },
+        2s));
+    world.m_faults.m_unreachableWorkers.insert(worker);
+    world.run(2500ms);
+    world.m_faults.m_store = StoreMode::Available;
+    world.crashWorker(worker, false);
+    useOnly(fixture, worker, false);
+    cr_assert(fixture.completes(job, 60s));
+    fixture.expectNoViolation();
+}
