Test: a list of ends that the worker cuts off ends unlisted runs as lost

The protocol has ends returned 500 at a time. A run whose end is not among the first 500 is neither listed as running nor as ended, and resolveUnlistedRuns() closes it as lost with its worker, so that a done task runs again. Needs more than 500 ends without an acknowledgement.

--- a/components/dispatch/order_answers_test.cpp
+++ b/components/dispatch/order_answers_test.cpp
@@ -292,3 +292,18 @@
         cr_expect_not(fixture.m_state.m_runs.contains(run), "listed %d", static_cast<int>(isListed));
     }
 }
+
+/// A worker returns at most 500 ends at a time. A run whose end follows with the next list was taken for lost, and a done task ran again.
+Test(orderAnswers, workerListsAsManyEndsAsItReturnsAtOnce_unlistedRunStaysOpen)
+{
+    constexpr std::uint64_t endsAtOnce = 500;
+    UnansweredStartFixture fixture;
+    fixture.listAsRunning();
+    fixture.m_now += 1s;
+    workers::PollResult result = fixture.answer(3000);
+    for (std::uint64_t i = 1; i <= endsAtOnce; ++i) {
+        result.m_ended.push_back({i, {{{{8}, 0, 0}, static_cast<std::uint16_t>(i)}, 1}, jobs::RunEnd::Done, {}});
+    }
+    fixture.endPoll(result);
+    cr_assert(fixture.isOpen());
+}
