Tests of order answers: polls in doubt, stops without the store, polls for stray runs

With each of these parts taken out, all tests of dispatch and of the simulation (without randomRun) gave the same results as before: the acknowledgement and the lease that polls leave out in doubt, stops of late starts without the store, and the poll of a worker that lists a stray run. The tests of the simulation reach them only together with other parts.

--- a/components/dispatch/order_answers_test.cpp
+++ b/components/dispatch/order_answers_test.cpp
@@ -307,3 +307,44 @@
     fixture.endPoll(result);
     cr_assert(fixture.isOpen());
 }
+
+/// The next incarnation would take the acknowledgement for one of its own ends, and the lease end for a time on its own clock.
+Test(orderAnswers, pollAfterACallWithoutAnswer_hasNeitherAcknowledgementNorLease)
+{
+    UnansweredStartFixture fixture;
+    fixture.listAsRunning();
+    dispatch::WorkerState &worker = fixture.m_state.m_workers.at(fixture.m_worker.m_worker);
+    worker.m_endsReceived = 1;
+    worker.m_endsStored = 1;
+    fixture.endPoll({});
+    fixture.m_now += 1s;
+    const dispatch::Outbox out = dispatch::runSchedulingCycle(fixture.m_state, fixture.environment(), {fixture.m_now, {}});
+    cr_assert_eq(out.m_polls.size(), 1);
+    cr_expect_eq(out.m_polls.front().m_acknowledgedUpTo, 0);
+    cr_expect_not(out.m_polls.front().m_leaseUntilMs);
+}
+
+/// The restarted worker would carry out the order of a finished run while the holder is without the store (issue 13).
+Test(orderAnswers, workerHasRestartedWhileTheHolderIsWithoutTheStore_lateStartIsStopped)
+{
+    UnansweredStartFixture fixture;
+    fixture.giveUpRun();
+    fixture.restart(2, 100, false);
+    fixture.m_state.m_mayRenewLeases = false;
+    const dispatch::Outbox out = dispatch::runSchedulingCycle(fixture.m_state, fixture.environment(), {fixture.m_now + 1s, {}});
+    cr_assert_eq(out.m_stops.size(), 1);
+    cr_expect_eq(out.m_stops.front().m_target, fixture.m_worker);
+}
+
+/// A stop may be refused or lost. The stray run of a worker without other runs was stopped again only if something else had it polled.
+Test(orderAnswers, workerWithoutOtherRunsListsAStrayRun_isPolledAgainSoon)
+{
+    UnansweredStartFixture fixture;
+    fixture.giveUpRun();
+    fixture.m_state.m_unansweredStarts.clear();
+    fixture.m_state.m_workers.at(fixture.m_worker.m_worker).m_isProbeDue = false;
+    fixture.listAsRunning();
+    const dispatch::Outbox out = dispatch::runSchedulingCycle(fixture.m_state, fixture.environment(), {fixture.m_now + 200ms, {}});
+    cr_assert_eq(out.m_polls.size(), 1);
+    cr_expect_eq(out.m_polls.front().m_wait.count(), 0);
+}
