--- a/components/dispatch/order_answers_test.cpp
+++ b/components/dispatch/order_answers_test.cpp
@@ -45,8 +45,7 @@
         entry.m_clockMs = 1000;
         dispatch::onListRead(m_state, environment(), {entry}, {m_now, {}});
 
-        dispatch::Context context {m_state, m_journal, m_catalog, m_zonesOut, m_waves, {m_now, {}}, {}, {}, {}, {}, {}, {}, {}};
-        dispatch::launch(context, m_run, m_worker, {});
+        launch(m_run);
         m_state.m_runs.at(m_run).m_phase = dispatch::RunPhase::Starting;
         m_state.m_runs.at(m_run).m_startTries = 1;
         endStart(OrderOutcome::Unknown);
@@ -120,6 +119,12 @@
         m_worker.m_startedAtMs = startedAtMs;
     }
 
+    void launch(const jobs::RunId &run)
+    {
+        dispatch::Context context {m_state, m_journal, m_catalog, m_zonesOut, m_waves, {m_now, {}}, {}, {}, {}, {}, {}, {}, {}};
+        dispatch::launch(context, run, m_worker, {});
+    }
+
     void giveUpRun()
     {
         dispatch::Context context {m_state, m_journal, m_catalog, m_zonesOut, m_waves, {m_now, {}}, {}, {}, {}, {}, {}, {}, {}};
@@ -259,3 +264,87 @@
     const dispatch::Outbox out = dispatch::runSchedulingCycle(fixture.m_state, fixture.environment(), {fixture.m_now + 1s, {}});
     cr_assert_eq(out.m_polls.size(), 1);
 }
+
+/// No start goes out while the incarnation is in doubt. A run whose worker fails between its launch and its first start order had no order that could
+/// lapse, and stayed open for good.
+Test(orderAnswers, workerFailsBeforeTheFirstStart_runEnds)
+{
+    for (const bool isListed : {true, false}) {
+        UnansweredStartFixture fixture;
+        fixture.giveUpRun();
+        fixture.listAsNotRunning(2000);
+        const jobs::RunId run {fixture.m_run.m_task, 2};
+        fixture.launch(run);
+        fixture.endPoll({});
+        fixture.m_state.m_runs.at(run).m_phase = dispatch::RunPhase::Starting;
+        for (int i = 0; i < 300; ++i) {
+            fixture.m_now += 100ms;
+            fixture.readList(isListed ? std::vector {fixture.entry(1)} : std::vector<workers::Registration>());
+            dispatch::onTick(fixture.m_state, fixture.environment(), {}, {fixture.m_now, {}});
+            const dispatch::Outbox out = dispatch::runSchedulingCycle(fixture.m_state, fixture.environment(), {fixture.m_now, {}});
+            for (const workers::PollOrder &order : out.m_polls) {
+                dispatch::onPollEnded(fixture.m_state, fixture.environment(), order, fixture.m_now, {}, {fixture.m_now, {}});
+            }
+            for (const workers::StartOrder &order : out.m_starts) {
+                dispatch::onStartEnded(fixture.m_state, fixture.environment(), order, {}, {fixture.m_now, {}});
+            }
+        }
+        cr_expect_not(fixture.m_state.m_runs.contains(run), "listed %d", static_cast<int>(isListed));
+    }
+}
+
+/// A worker returns at most 500 ends at a time. A run whose end follows with the next list was taken for lost, and a done task ran again.
+Test(orderAnswers, workerListsAsManyEndsAsItReturnsAtOnce_unlistedRunStaysOpen)
+{
+    constexpr std::uint64_t endsAtOnce = 500;
+    UnansweredStartFixture fixture;
+    fixture.listAsRunning();
+    fixture.m_now += 1s;
+    workers::PollResult result = fixture.answer(3000);
+    for (std::uint64_t i = 1; i <= endsAtOnce; ++i) {
+        result.m_ended.push_back({i, {{{{8}, 0, 0}, static_cast<std::uint16_t>(i)}, 1}, jobs::RunEnd::Done, {}});
+    }
+    fixture.endPoll(result);
+    cr_assert(fixture.isOpen());
+}
+
+/// The next incarnation would take the acknowledgement for one of its own ends, and the lease end for a time on its own clock.
+Test(orderAnswers, pollAfterACallWithoutAnswer_hasNeitherAcknowledgementNorLease)
+{
+    UnansweredStartFixture fixture;
+    fixture.listAsRunning();
+    dispatch::WorkerState &worker = fixture.m_state.m_workers.at(fixture.m_worker.m_worker);
+    worker.m_endsReceived = 1;
+    worker.m_endsStored = 1;
+    fixture.endPoll({});
+    fixture.m_now += 1s;
+    const dispatch::Outbox out = dispatch::runSchedulingCycle(fixture.m_state, fixture.environment(), {fixture.m_now, {}});
+    cr_assert_eq(out.m_polls.size(), 1);
+    cr_expect_eq(out.m_polls.front().m_acknowledgedUpTo, 0);
+    cr_expect_not(out.m_polls.front().m_leaseUntilMs);
+}
+
+/// The restarted worker would carry out the order of a finished run while the holder is without the store (issue 13).
+Test(orderAnswers, workerHasRestartedWhileTheHolderIsWithoutTheStore_lateStartIsStopped)
+{
+    UnansweredStartFixture fixture;
+    fixture.giveUpRun();
+    fixture.restart(2, 100, false);
+    fixture.m_state.m_mayRenewLeases = false;
+    const dispatch::Outbox out = dispatch::runSchedulingCycle(fixture.m_state, fixture.environment(), {fixture.m_now + 1s, {}});
+    cr_assert_eq(out.m_stops.size(), 1);
+    cr_expect_eq(out.m_stops.front().m_target, fixture.m_worker);
+}
+
+/// A stop may be refused or lost. The stray run of a worker without other runs was stopped again only if something else had it polled.
+Test(orderAnswers, workerWithoutOtherRunsListsAStrayRun_isPolledAgainSoon)
+{
+    UnansweredStartFixture fixture;
+    fixture.giveUpRun();
+    fixture.m_state.m_unansweredStarts.clear();
+    fixture.m_state.m_workers.at(fixture.m_worker.m_worker).m_isProbeDue = false;
+    fixture.listAsRunning();
+    const dispatch::Outbox out = dispatch::runSchedulingCycle(fixture.m_state, fixture.environment(), {fixture.m_now + 200ms, {}});
+    cr_assert_eq(out.m_polls.size(), 1);
+    cr_expect_eq(out.m_polls.front().m_wait.count(), 0);
+}
