Dispatch: a run whose worker fails before its first start order ends

If a worker failed between a launch and its first order, the task was never launched again. No order was sent, so that nothing can run.

orderAnswers/workerFailsBeforeTheFirstStart_runEnds (open after 30 s) and restartedWorker/isLostWhileALaunchIsStored_taskRunsElsewhere (not done after 60 s) failed before.

--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -204,12 +204,12 @@
     return worker.m_hasAcceptedToken || isGone || worker.m_unansweredCalls >= unansweredCallsToGiveUp;
 }
 
-/// Ends the runs for which no start was sent because the worker never answered and its clock is not known.
-void endRunsWithoutClock(Context &context)
+/// Ends the runs for which no start was sent because the worker does not answer, so that its clock or its incarnation is not known.
+void endRunsWithoutStart(Context &context)
 {
     std::vector<jobs::RunId> unsent;
     for (const auto &[id, worker] : context.m_state.m_workers) {
-        if (worker.m_clockMs || worker.m_unansweredCalls < unansweredCallsToGiveUp) {
+        if (worker.m_unansweredCalls < unansweredCallsToGiveUp) {
             continue;
         }
         std::copy_if(worker.m_runs.begin(), worker.m_runs.end(), std::back_inserter(unsent), [&](const jobs::RunId &run) {
@@ -217,7 +217,7 @@
         });
     }
     for (const jobs::RunId &run : unsent) {
-        endRun(context, run, jobs::RunEnd::NeverBegan, {}, RunEndProof::ClockUnknown);
+        endRun(context, run, jobs::RunEnd::NeverBegan, {}, RunEndProof::SilentBeforeStart);
     }
 }
 
@@ -225,7 +225,7 @@
 
 void endExpiredRuns(Context &context)
 {
-    endRunsWithoutClock(context);
+    endRunsWithoutStart(context);
     std::vector<jobs::RunId> expired;
     for (const auto &[id, worker] : context.m_state.m_workers) {
         if (!worker.m_runs.empty() && canGiveUpRuns(context, worker) && hasLeaseExpired(worker, context.m_now.m_boot)) {
--- a/components/dispatch/run_end_proof.cpp
+++ b/components/dispatch/run_end_proof.cpp
@@ -32,8 +32,8 @@
         return "not-sent";
     case RunEndProof::NotOrdered:
         return "not-ordered";
-    case RunEndProof::ClockUnknown:
-        return "clock-unknown";
+    case RunEndProof::SilentBeforeStart:
+        return "silent-before-start";
     }
     return "";
 }
--- a/components/dispatch/run_end_proof.hpp
+++ b/components/dispatch/run_end_proof.hpp
@@ -33,8 +33,8 @@
     NotSent,
     /// No start order was made.
     NotOrdered,
-    /// No start order was made, since the worker never answered and its clock is not known.
-    ClockUnknown,
+    /// No start order was made, since the worker does not answer.
+    SilentBeforeStart,
 };
 
 inline constexpr std::array allRunEndProofs {
@@ -51,7 +51,7 @@
     RunEndProof::Refused,
     RunEndProof::NotSent,
     RunEndProof::NotOrdered,
-    RunEndProof::ClockUnknown,
+    RunEndProof::SilentBeforeStart,
 };
 
 /// For logs and metrics, in lower case.
