Dispatch: an answer with as many ends as a worker returns at once closes no unlisted runs

Found in review: ends are returned 500 at a time. A run whose end had no room in the answer was neither listed as running nor as ended, and was closed as lost with its worker, so that a done task would run again. It needs more than 500 ends without an acknowledgement on one worker; no play has shown it.

orderAnswers/workerListsAsManyEndsAsItReturnsAtOnce_unlistedRunStaysOpen failed before.

--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -370,7 +370,10 @@
     for (const workers::RunningTask &task : result.m_running) {
         applyRunningTask(context, workerIncarnation, task);
     }
-    resolveUnlistedRuns(context, *worker, result.m_running, sentAt);
+    if (result.m_ended.size() < workers::maxEndsAtOnce) {
+        // Otherwise the end of a run that is not listed may follow in the next answer.
+        resolveUnlistedRuns(context, *worker, result.m_running, sentAt);
+    }
     if (worker->m_endsReceived > worker->m_endsStored) {
         worker->m_nextPollAt = now + unstoredPollInterval;
     }
--- a/components/workers/poll_result.hpp
+++ b/components/workers/poll_result.hpp
@@ -5,6 +5,7 @@
 #include "components/workers/poll_outcome.hpp"
 #include "components/workers/running_task.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -13,6 +14,9 @@
 namespace workers
 {
 
+/// A worker returns at most this many ends at a time.
+inline constexpr std::size_t maxEndsAtOnce = 500;
+
 struct PollResult
 {
     PollOutcome m_outcome = PollOutcome::NoAnswer;
