--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -133,8 +133,8 @@
     } else {
         worker.m_pollInFlight = true;
         worker.m_doesPollWait = order.m_wait.count() > 0;
+        worker.m_pollSentAt = context.m_now.m_boot;
     }
-    worker.m_pollSentAt = context.m_now.m_boot;
     worker.m_nextPollAt = context.m_now.m_boot;
     context.m_out.m_polls.push_back(std::move(order));
 }
