--- a/components/simulation/double_runs_test.cpp
+++ b/components/simulation/double_runs_test.cpp
@@ -258,3 +258,24 @@
     cr_assert_eq(fixture.runCount(job), 2);
     fixture.expectNoViolation();
 }
+
+/// A lease never shortens: that of the former holder, for a run that is over, still holds for the first run that the successor starts there. The
+/// successor, whose first poll had no answer, knew of no lease on a worker without open runs, and gave the run up when its own had ended.
+Test(doubleRun, workerIsCutOffAfterTheSuccessorsFirstStart_successorWaitsForTheFormerHoldersLease)
+{
+    OneWorkerFixture fixture;
+    World &world = fixture.m_world;
+    const jobs::JobId before = fixture.submit(makeTasks(1), {2500ms});
+    cr_assert(fixture.completes(before, 4s));
+    world.m_faults.m_delayedPolls = 1;
+    fixture.makeHolder(fixture.nonHolder());
+    const jobs::JobId job = fixture.submit(makeTasks(1), {30s});
+    cr_assert(fixture.waitForRuns(job, 1, 500ms));
+    world.run(5ms);
+    world.m_faults.m_delayedPolls = 0;
+    world.m_faults.m_unreachableWorkers.insert(fixture.m_worker);
+    fixture.useOthers();
+    world.run(13s);
+    cr_assert_eq(fixture.runCount(job), 2);
+    fixture.expectNoViolation();
+}
--- a/components/simulation/fleet_model.cpp
+++ b/components/simulation/fleet_model.cpp
@@ -330,9 +330,6 @@
     if (worker.m_running.contains(order.m_run)) {
         return orderResult(worker, workers::OrderOutcome::Done, now);
     }
-    if (worker.m_running.empty()) {
-        worker.m_leaseUntilMs = 0;
-    }
     extendLease(fleet, worker, order.m_leaseUntilMs, now);
     const auto closed = worker.m_highestClosedRuns.find(order.m_run.m_task);
     if (closed != worker.m_highestClosedRuns.end() && order.m_run.m_run <= closed->second) {
