--- a/components/dispatch/order_answers_test.cpp
+++ b/components/dispatch/order_answers_test.cpp
@@ -1,4 +1,6 @@
 #include "components/dispatch/account_limits.hpp"
+#include "components/dispatch/candidate.hpp"
+#include "components/dispatch/candidates.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/environment.hpp"
 #include "components/dispatch/reports.hpp"
@@ -11,6 +13,7 @@
 #include "components/workers/poll_result.hpp"
 #include "components/workers/start_order.hpp"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <utility>
@@ -348,3 +351,36 @@
     cr_assert_eq(out.m_polls.size(), 1);
     cr_expect_eq(out.m_polls.front().m_wait.count(), 0);
 }
+
+/// The members of a gang start together, so that none starts beside the late run of another one.
+Test(orderAnswers, workerListsAStrayRunOfAGangMember_noMemberIsLaunched)
+{
+    UnansweredStartFixture fixture;
+    fixture.giveUpRun();
+    const jobs::JobId gang {8};
+    journal::JobAccepted accepted;
+    accepted.m_spec.m_id = gang;
+    accepted.m_spec.m_queue = fleet::QueueId("q");
+    accepted.m_spec.m_steps.resize(1);
+    accepted.m_spec.m_steps[0].m_tasks = 2;
+    accepted.m_spec.m_steps[0].m_isGang = true;
+    journal::Changes changes;
+    journal::apply(fixture.m_journal, accepted, changes);
+    catalog::Queue queue;
+    queue.m_id = fleet::QueueId("q");
+    fixture.m_catalog.m_queues.push_back(queue);
+    fixture.m_state.m_activeJobs.emplace(gang, fixture.m_now);
+    const auto countCandidates = [&] {
+        const dispatch::Context context {
+            fixture.m_state, fixture.m_journal, fixture.m_catalog, fixture.m_zonesOut, fixture.m_waves, {fixture.m_now, {}}, {}, {}, {}, {}, {}, {}, {}};
+        const std::vector<dispatch::Candidate> candidates = dispatch::findCandidates(context);
+        return std::count_if(candidates.begin(), candidates.end(), [&](const dispatch::Candidate &candidate) {
+            return candidate.m_step.m_job == gang;
+        });
+    };
+    cr_assert_eq(countCandidates(), 1);
+    workers::PollResult result = fixture.answer(2000);
+    result.m_running.push_back({{{{gang, 0, 0}, 1}, 1}, {}, 10, -1});
+    fixture.endPoll(result);
+    cr_assert_eq(countCandidates(), 0);
+}
