Dispatch: stray runs have a file of their own

The functions moved from account_limits unchanged, since they decide on launches and polls as well. A worker counts as having stray runs only while one of them may still work: entries that were over, or a list emptied of them, would have had a silent worker polled every 200 ms without an end.

--- a/components/dispatch/account_limits.hpp
+++ b/components/dispatch/account_limits.hpp
@@ -4,24 +4,12 @@
 #include "components/fleet/identifiers.hpp"
 #include "components/fleet/resources.hpp"
 #include "components/fleet/time.hpp"
-#include "components/jobs/task_id.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <set>
 #include <vector>
 
-namespace jobs
-{
-struct RunId;
-}
-
-namespace workers
-{
-struct StopOrder;
-}
-
 namespace dispatch
 {
 
@@ -29,7 +17,6 @@
 struct Context;
 struct RunState;
 struct State;
-struct WorkerState;
 
 /// Resources in use by account.
 using AccountUse = std::map<fleet::AccountId, fleet::Resources>;
@@ -63,15 +50,6 @@
 /// run has ended.
 AccountUse measureAccountUse(const Context &context);
 
-/// Records that the worker reports a run which is not open, until it no longer does or its lease has expired.
-void recordStrayRun(Context &context, const WorkerState &worker, const jobs::RunId &run);
-/// Forgets the runs that were recorded so for the worker, since a newer report follows.
-void forgetStrayRuns(Context &context, const WorkerState &worker);
-/// Returns the tasks with such a run that may still work.
-std::set<jobs::TaskId> tasksWithStrayRuns(const Context &context);
-/// Records that the worker has confirmed a stop, after which a run ends within the time for stops.
-void recordStrayStop(Context &context, const workers::StopOrder &order);
-
 /// Makes the budgets for one plan. Tasks that join a running gang count as use from the start, so that other steps leave room for them.
 AccountBudgets makeAccountBudgets(const Context &context, const std::vector<Candidate> &candidates);
 
--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -1,12 +1,12 @@
 #include "components/dispatch/candidates.hpp"
 
-#include "components/dispatch/account_limits.hpp"
 #include "components/dispatch/advice.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/guarantees.hpp"
 #include "components/dispatch/objectives.hpp"
 #include "components/dispatch/rack_preference.hpp"
 #include "components/dispatch/runs.hpp"
+#include "components/dispatch/stray_runs.hpp"
 #include "components/dispatch/worker_speed.hpp"
 
 #include <algorithm>
--- a/components/dispatch/order_answers_test.cpp
+++ b/components/dispatch/order_answers_test.cpp
@@ -1,4 +1,3 @@
-#include "components/dispatch/account_limits.hpp"
 #include "components/dispatch/candidate.hpp"
 #include "components/dispatch/candidates.hpp"
 #include "components/dispatch/context.hpp"
@@ -7,6 +6,7 @@
 #include "components/dispatch/runs.hpp"
 #include "components/dispatch/scheduler_events.hpp"
 #include "components/dispatch/state.hpp"
+#include "components/dispatch/stray_runs.hpp"
 #include "components/dispatch/unanswered_starts.hpp"
 #include "components/journal/changes.hpp"
 #include "components/workers/poll_order.hpp"
--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -2,6 +2,7 @@
 
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/runs.hpp"
+#include "components/dispatch/stray_runs.hpp"
 #include "components/dispatch/unanswered_starts.hpp"
 
 #include <algorithm>
@@ -68,11 +69,6 @@
         && context.m_now.m_boot >= run.m_nextStopAt;
 }
 
-bool hasStrayRuns(const Context &context, const WorkerState &worker)
-{
-    return context.m_state.m_strayRuns.contains(worker.m_registration.m_incarnation.m_worker);
-}
-
 bool isPollDue(const Context &context, const WorkerState &worker)
 {
     if (context.m_now.m_boot < worker.m_nextPollAt || worker.m_registration.m_address.empty()) {
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -1,6 +1,5 @@
 #include "components/dispatch/reports.hpp"
 
-#include "components/dispatch/account_limits.hpp"
 #include "components/dispatch/advice.hpp"
 #include "components/dispatch/best_effort.hpp"
 #include "components/dispatch/context.hpp"
@@ -9,6 +8,7 @@
 #include "components/dispatch/run_log.hpp"
 #include "components/dispatch/run_time_samples.hpp"
 #include "components/dispatch/runs.hpp"
+#include "components/dispatch/stray_runs.hpp"
 #include "components/dispatch/unanswered_starts.hpp"
 
 #include <algorithm>
@@ -377,7 +377,7 @@
     if (worker->m_endsReceived > worker->m_endsStored) {
         worker->m_nextPollAt = now + unstoredPollInterval;
     }
-    if (context.m_state.m_strayRuns.contains(workerIncarnation.m_worker)) {
+    if (hasStrayRuns(context, *worker)) {
         // The next poll shows whether the stops that were sent have taken effect.
         worker->m_nextPollAt = now + strayRunPollInterval;
     }
--- a/components/dispatch/unanswered_starts.cpp
+++ b/components/dispatch/unanswered_starts.cpp
@@ -1,9 +1,9 @@
 #include "components/dispatch/unanswered_starts.hpp"
 
-#include "components/dispatch/account_limits.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/run_log.hpp"
 #include "components/dispatch/runs.hpp"
+#include "components/dispatch/stray_runs.hpp"
 #include "components/workers/order_result.hpp"
 #include "components/workers/start_order.hpp"
 #include "components/workers/stop_order.hpp"
--- a/components/dispatch/worker_state.hpp
+++ b/components/dispatch/worker_state.hpp
@@ -30,8 +30,8 @@
     /// machine's clock. Not used once the worker has accepted this holder's token.
     fleet::BootTime m_predecessorLeaseUntil;
 
-    /// Until when the lease of a start order may last, on this machine's clock, if the worker had restarted unnoticed: its clock begins anew, so that
-    /// the lease is only limited by its maximum.
+    /// Until when the worker's lease may last after the latest start order, on this machine's clock, whatever the order granted: a former holder may
+    /// have granted more before, and the clock of a worker that has restarted unnoticed begins anew, so that only the maximum limits the lease.
     fleet::BootTime m_startLeaseUntil;
 
     bool m_pollInFlight = false;
