--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -69,9 +69,29 @@
                                           .add("runs", worker.m_runs.size()));
     }
     ++worker.m_unansweredCalls;
+    worker.m_isIncarnationInDoubt = true;
     avoid(worker, now + unavailablePause);
 }
 
+/// True if it matters when the worker can be reached again: it has runs, ends to report, or may still carry out a start.
+bool isWatched(const Context &context, const WorkerState &worker)
+{
+    return !worker.m_runs.empty() || mayReportEnds(worker, context.m_now.m_boot) || hasUnansweredStarts(context, worker);
+}
+
+/// Handles the answer of a start order whose reading of the clock is too low for the known incarnation: the worker has restarted. The answer
+/// does not name the new incarnation, whose lease ends by its own clock.
+void detectRestart(Context &context, WorkerState &worker, std::optional<std::int64_t> clockMs, fleet::BootTime sentAt)
+{
+    const auto least = sentAt < worker.m_clockAt ? std::nullopt : minWorkerClock(worker, sentAt);
+    if (!clockMs || !least || *clockMs >= *least) {
+        return;
+    }
+    worker.m_isIncarnationInDoubt = true;
+    worker.m_hasAcceptedToken = false;
+    worker.m_predecessorLeaseUntil = std::max(worker.m_predecessorLeaseUntil, context.m_now.m_boot + context.m_state.m_settings.longestLease());
+}
+
 void resetForNewIncarnation(WorkerState &worker, const workers::Registration &registration)
 {
     const WorkerState before = worker;
@@ -80,6 +100,8 @@
     worker.m_allocated = before.m_allocated;
     worker.m_servingRuns = before.m_servingRuns;
     worker.m_bestEffortRuns = before.m_bestEffortRuns;
+    // A former holder that still has authority may renew leases of the new incarnation too.
+    worker.m_predecessorLeaseUntil = before.m_predecessorLeaseUntil;
     worker.m_registration = registration;
 }
 
@@ -92,7 +114,7 @@
     resetForNewIncarnation(worker, registration);
     // Once it has seen this holder's token, it refuses the orders of former holders.
     worker.m_isProbeDue = true;
-    worker.m_predecessorLeaseUntil = context.m_now.m_boot + context.m_state.m_settings.longestLease();
+    worker.m_predecessorLeaseUntil = std::max(worker.m_predecessorLeaseUntil, context.m_now.m_boot + context.m_state.m_settings.longestLease());
     const std::set<jobs::RunId> runs = worker.m_runs;
     for (const jobs::RunId &id : runs) {
         RunState &run = context.m_state.m_runs.at(id);
@@ -321,7 +343,7 @@
         if (result.m_outcome == workers::PollOutcome::OtherIncarnation) {
             worker->m_gaveUpRunsAt.reset();
         }
-        worker->m_nextPollAt = now + (worker->m_runs.empty() && !mayReportEnds(*worker, now) ? probeInterval : pollRetryDelay);
+        worker->m_nextPollAt = now + (isWatched(context, *worker) ? pollRetryDelay : probeInterval);
         return;
     case workers::PollOutcome::Answered:
         break;
@@ -333,6 +355,7 @@
     }
     recordAnswer(context, *worker, result.m_clockMs);
     worker->m_gaveUpRunsAt.reset();
+    worker->m_isIncarnationInDoubt = false;
     if (!worker->m_hasAcceptedToken) {
         // Leases granted by earlier holders end at most one lease length from now.
         worker->m_grantedLeaseEndMs = std::max(worker->m_grantedLeaseEndMs, result.m_clockMs + context.m_state.m_settings.m_leaseLimit.count());
@@ -376,6 +399,7 @@
         }
         return;
     }
+    detectRestart(context, *worker, result.m_clockMs, run->m_startSentAt);
     recordAnswer(context, *worker, result.m_clockMs);
     switch (result.m_outcome) {
     case workers::OrderOutcome::Done:
