--- a/components/dispatch/order_answers_test.cpp
+++ b/components/dispatch/order_answers_test.cpp
@@ -1,9 +1,11 @@
+#include "components/dispatch/account_limits.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/environment.hpp"
 #include "components/dispatch/reports.hpp"
 #include "components/dispatch/runs.hpp"
 #include "components/dispatch/scheduler_events.hpp"
 #include "components/dispatch/state.hpp"
+#include "components/dispatch/unanswered_starts.hpp"
 #include "components/journal/changes.hpp"
 #include "components/workers/poll_order.hpp"
 #include "components/workers/poll_result.hpp"
@@ -11,6 +13,7 @@
 
 #include <array>
 #include <chrono>
+#include <utility>
 
 #include <criterion/criterion.h>
 
@@ -90,6 +93,45 @@
         endPoll(answer(clockMs));
     }
 
+    workers::Registration entry(std::int64_t startedAtMs) const
+    {
+        workers::Registration registration;
+        registration.m_incarnation = {m_worker.m_worker, startedAtMs};
+        registration.m_address = "w";
+        registration.m_capacity = {8000, 8000, 8};
+        registration.m_clockMs = 1000;
+        return registration;
+    }
+
+    void readList(const std::vector<workers::Registration> &entries)
+    {
+        dispatch::onListRead(m_state, environment(), entries, {m_now, {}});
+    }
+
+    /// The worker has restarted under its id, and this is the first answer of the next incarnation.
+    void restart(std::int64_t startedAtMs, std::int64_t clockMs, bool hasRun)
+    {
+        workers::PollResult result = answer(clockMs);
+        result.m_startedAtMs = startedAtMs;
+        if (hasRun) {
+            result.m_running.push_back({m_run, {}, 10, -1});
+        }
+        endPoll(result);
+        m_worker.m_startedAtMs = startedAtMs;
+    }
+
+    void giveUpRun()
+    {
+        dispatch::Context context {m_state, m_journal, m_catalog, m_zonesOut, m_waves, {m_now, {}}, {}, {}, {}, {}, {}, {}, {}};
+        dispatch::endRun(context, m_run, jobs::RunEnd::LeaseExpired, {}, dispatch::RunEndProof::LeaseOver);
+    }
+
+    bool isHeldBackByAStrayRun()
+    {
+        const dispatch::Context context {m_state, m_journal, m_catalog, m_zonesOut, m_waves, {m_now, {}}, {}, {}, {}, {}, {}, {}, {}};
+        return dispatch::tasksWithStrayRuns(context).contains(m_run.m_task);
+    }
+
     bool isOpen() const
     {
         return m_state.m_runs.contains(m_run);
@@ -159,3 +201,61 @@
     dispatch::onTick(fixture.m_state, fixture.environment(), {}, {fixture.m_now, {}});
     cr_assert_not(fixture.isOpen());
 }
+
+/// A late order gives a worker that has restarted a whole lease from then on, since its deadline is a time on the clock of the incarnation before.
+/// The task was launched elsewhere while the worker's latest list had it as running.
+Test(orderAnswers, restartedWorkerListsAStrayRunAfterItsFirstLease_taskIsNotLaunched)
+{
+    UnansweredStartFixture fixture;
+    fixture.giveUpRun();
+    fixture.restart(2, 100, false);
+    fixture.m_now += 7s;
+    workers::PollResult result = fixture.answer(7100);
+    result.m_running.push_back({fixture.m_run, {}, 10, -1});
+    fixture.endPoll(result);
+    cr_assert(fixture.isHeldBackByAStrayRun());
+}
+
+/// An entry may lapse and come back while the store is out. What the worker was known to run was forgotten with the entry.
+Test(orderAnswers, workerWithAStrayRunIsListedAgain_taskIsNotLaunched)
+{
+    UnansweredStartFixture fixture;
+    fixture.giveUpRun();
+    fixture.listAsRunning();
+    cr_assert(fixture.isHeldBackByAStrayRun());
+    fixture.readList({});
+    cr_assert(fixture.isHeldBackByAStrayRun());
+    fixture.readList({fixture.entry(1)});
+    cr_assert(fixture.isHeldBackByAStrayRun());
+}
+
+/// An order that is answered as lost after the worker's restart was known may be carried out by a further incarnation too. Once the run had been
+/// listed it no longer counted as in doubt, and the task was launched elsewhere before a stop had the worker refuse the order.
+Test(orderAnswers, orderToTheIncarnationBeforeGetsNoAnswer_runIsStoppedAfterAFurtherRestart)
+{
+    UnansweredStartFixture fixture;
+    fixture.listAsRunning();
+    dispatch::RunState &run = fixture.m_state.m_runs.at(fixture.m_run);
+    run.m_hasUnansweredStart = false;
+    run.m_startInFlight = true;
+    const workers::WorkerIncarnation first = fixture.m_worker;
+    fixture.restart(2, 100, true);
+    cr_assert(fixture.isOpen());
+    const workers::WorkerIncarnation second = std::exchange(fixture.m_worker, first);
+    fixture.endStart(OrderOutcome::Unknown);
+    fixture.m_worker = second;
+    fixture.restart(3, 100, false);
+    cr_assert(fixture.isOpen());
+    cr_expect(fixture.m_state.m_runs.at(fixture.m_run).m_isStopRequested);
+}
+
+/// A worker that is down for longer leaves the list. It was forgotten then, so that its restart was only seen by the list and not by a poll.
+Test(orderAnswers, workerThatMayCarryOutAStartLeavesTheList_isPolledOn)
+{
+    UnansweredStartFixture fixture;
+    fixture.giveUpRun();
+    fixture.readList({});
+    cr_assert(fixture.m_state.m_workers.contains(fixture.m_worker.m_worker));
+    const dispatch::Outbox out = dispatch::runSchedulingCycle(fixture.m_state, fixture.environment(), {fixture.m_now + 1s, {}});
+    cr_assert_eq(out.m_polls.size(), 1);
+}
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -119,7 +119,9 @@
     for (const jobs::RunId &id : runs) {
         RunState &run = context.m_state.m_runs.at(id);
         run.m_incarnation = registration.m_incarnation;
-        run.m_isStartUncertain = run.m_isStartUncertain || run.m_startInFlight || run.m_hasUnansweredStart;
+        // The answer of an order that is under way is lost with the process, so that it counts as unanswered after a further restart too.
+        run.m_hasUnansweredStart = run.m_hasUnansweredStart || run.m_startInFlight;
+        run.m_isStartUncertain = run.m_isStartUncertain || run.m_hasUnansweredStart;
         run.m_startInFlight = false;
         run.m_stopInFlight = false;
         run.m_stopAnswered = false;
@@ -318,7 +320,7 @@
     for (auto entry = context.m_state.m_workers.begin(); entry != context.m_state.m_workers.end();) {
         WorkerState &worker = entry->second;
         worker.m_isListed = listed.contains(entry->first);
-        const bool isForgotten = !worker.m_isListed && worker.m_runs.empty() && !worker.m_pollInFlight && !mayReportEnds(worker, context.m_now.m_boot);
+        const bool isForgotten = !worker.m_isListed && !worker.m_pollInFlight && !isWatched(context, worker);
         entry = isForgotten ? context.m_state.m_workers.erase(entry) : std::next(entry);
     }
     endRunsOfReplaced(context);
@@ -331,7 +333,7 @@
         return;
     }
     const fleet::BootTime now = context.m_now.m_boot;
-    worker->m_pollInFlight = false;
+    (order.m_isProbe ? worker->m_probeInFlight : worker->m_pollInFlight) = false;
     switch (result.m_outcome) {
     case workers::PollOutcome::Fenced:
         context.m_out.m_isFenced = true;
