--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -2,6 +2,7 @@
 
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/runs.hpp"
+#include "components/dispatch/stray_runs.hpp"
 #include "components/dispatch/unanswered_starts.hpp"
 
 #include <algorithm>
@@ -68,11 +69,6 @@
         && context.m_now.m_boot >= run.m_nextStopAt;
 }
 
-bool hasStrayRuns(const Context &context, const WorkerState &worker)
-{
-    return context.m_state.m_strayRuns.contains(worker.m_registration.m_incarnation.m_worker);
-}
-
 bool isPollDue(const Context &context, const WorkerState &worker)
 {
     if (context.m_now.m_boot < worker.m_nextPollAt || worker.m_registration.m_address.empty()) {
@@ -133,8 +129,8 @@
     } else {
         worker.m_pollInFlight = true;
         worker.m_doesPollWait = order.m_wait.count() > 0;
+        worker.m_pollSentAt = context.m_now.m_boot;
     }
-    worker.m_pollSentAt = context.m_now.m_boot;
     worker.m_nextPollAt = context.m_now.m_boot;
     context.m_out.m_polls.push_back(std::move(order));
 }
@@ -204,12 +200,12 @@
     return worker.m_hasAcceptedToken || isGone || worker.m_unansweredCalls >= unansweredCallsToGiveUp;
 }
 
-/// Ends the runs for which no start was sent because the worker never answered and its clock is not known.
-void endRunsWithoutClock(Context &context)
+/// Ends the runs for which no start was sent because the worker does not answer, so that its clock or its incarnation is not known.
+void endRunsWithoutStart(Context &context)
 {
     std::vector<jobs::RunId> unsent;
     for (const auto &[id, worker] : context.m_state.m_workers) {
-        if (worker.m_clockMs || worker.m_unansweredCalls < unansweredCallsToGiveUp) {
+        if (worker.m_unansweredCalls < unansweredCallsToGiveUp) {
             continue;
         }
         std::copy_if(worker.m_runs.begin(), worker.m_runs.end(), std::back_inserter(unsent), [&](const jobs::RunId &run) {
@@ -217,7 +213,7 @@
         });
     }
     for (const jobs::RunId &run : unsent) {
-        endRun(context, run, jobs::RunEnd::NeverBegan, {}, RunEndProof::ClockUnknown);
+        endRun(context, run, jobs::RunEnd::NeverBegan, {}, RunEndProof::SilentBeforeStart);
     }
 }
 
@@ -225,7 +221,7 @@
 
 void endExpiredRuns(Context &context)
 {
-    endRunsWithoutClock(context);
+    endRunsWithoutStart(context);
     std::vector<jobs::RunId> expired;
     for (const auto &[id, worker] : context.m_state.m_workers) {
         if (!worker.m_runs.empty() && canGiveUpRuns(context, worker) && hasLeaseExpired(worker, context.m_now.m_boot)) {
