--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -306,7 +306,7 @@
         run, _, _ = self.running.pop(task)
         self.finished.append([self.next_end, task, run, how, ""])
         self.next_end += 1
-        self.world.note("runner", self.name, "end", task, run, how)
+        self.world.note_task(task, "runner", self.name, "end", task, run, how)
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -359,7 +359,7 @@
             return answer(409, {**reply, "reason": "room"})
         self.highest[task] = run
         self.running[task] = (run, time.monotonic() + self.world.seconds(task), need)
-        self.world.note("runner", self.name, "start", task, run, "spec", order["task_spec"][:40])
+        self.world.note_task(task, "runner", self.name, "start", task, run, "spec", order["task_spec"][:40])
         self.world.on_start(self, task, run, order)
         return answer(200, reply)
 
@@ -472,6 +472,8 @@
         self.runners, self.nodes, self.tasks = [], [], []
         self.jobs = {}
         self.starts = []
+        self.summed = set()
+        self.sums = (0, {})
         self.note("trouble", int(self.trouble))
 
     def now(self):
@@ -481,6 +483,19 @@
         self.record.write(f"{self.now():8.3f} " + " ".join(str(word) for word in words) + "\n")
         self.record.flush()
 
+    def note_task(self, task, *words):
+        """Notes what a runner did; of a job in `summed` only how often in each second."""
+        if task.split(".")[0] not in self.summed:
+            self.note(*words)
+            return
+        second, counts = self.sums
+        if int(self.now()) != second:
+            if counts:
+                self.note("runners in second", second, "of the wide job:", counts)
+            self.sums = (int(self.now()), {})
+        kind = words[2] if words[2] == "start" else words[-1]
+        self.sums[1][kind] = self.sums[1].get(kind, 0) + 1
+
     def needs(self, task):
         job, _, step, _ = task.split(".")
         return self.jobs.get(job, [{}])[int(step)]
@@ -550,12 +565,14 @@
         return status
 
     async def holder(self):
+        """The only instance that says that it holds the scheduling duty; None while there is none, or more than one."""
+        holders = []
         for node in self.nodes:
             if node.is_up():
                 status, text = await call(node.metrics, "GET", "/metrics", timeout=1.0)
-                if status == 200 and "foxtailcross_duty_held 1" in text:
-                    return node
-        return None
+                if status == 200 and "foxtailcross_duty_held 1" in text.splitlines():
+                    holders.append(node)
+        return holders[0] if len(holders) == 1 else None
 
     def end(self):
         for task in self.tasks:
