--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -273,6 +273,14 @@
         self.world, self.name, self.zone, self.rack = world, name, zone, rack
         self.capacity = {"cpu": 32000, "mem_mb": 65536, "gpu": gpu}
         self.is_cut = False
+        self.is_down = False
+        # Called for each start order; True holds the order back, without an answer.
+        self.holds_back = lambda order: False
+        self.server = Server(self.handle)
+        self.begin()
+
+    def begin(self):
+        """Begins a life that knows nothing of an earlier one."""
         self.seq = 0
         self.born = int(time.time() * 1000)
         self.began = time.monotonic() - 1
@@ -283,7 +291,20 @@
         self.highest = {}
         self.next_end = 1
         self.changed = asyncio.Event()
-        self.server = Server(self.handle)
+
+    async def restart(self, down_s):
+        """A crash, and another life under the same id and at the same address some time later."""
+        self.world.note("runner", self.name, "crashes")
+        self.is_down = True
+        port = self.server.port
+        self.server.server.close()
+        self.server.reset()
+        await asyncio.sleep(down_s)
+        self.begin()
+        await self.server.start(port)
+        self.is_down = False
+        self.world.note("runner", self.name, "has started again under its id")
+        self.world.store.put("keyed.servers", self.name, self.entry())
 
     def clock(self):
         return int((time.monotonic() - self.began) * 1000)
@@ -296,7 +317,8 @@
 
     async def live(self):
         while True:
-            self.world.store.put("keyed.servers", self.name, self.entry())
+            if not self.is_down:
+                self.world.store.put("keyed.servers", self.name, self.entry())
             until = time.monotonic() + PING_S
             while time.monotonic() < until:
                 self.advance()
@@ -328,6 +350,8 @@
         if headers.get("x-target-instance", self.name) != self.name:
             return answer(421, {"clock_ms": self.clock()})
         order = json.loads(body)
+        if path == "/v1/run-start" and self.holds_back(order):
+            return None
         if order["fencing_token"] < self.fence:
             return answer(409, {"clock_ms": self.clock(), "reason": "fence", "born": self.born})
         self.fence = order["fencing_token"]
