Scheduler: count the work of plans and events, and measure it by the size of a job

The metrics counted events and calls, but not what an event reads, so that a busy control thread could not be attributed.

No decision changes.

--- a/cmake/components.cmake
+++ b/cmake/components.cmake
@@ -9,12 +9,12 @@
 # The seed of the property tests is fixed so that every run gives the same result.
 set(FOXTAILCROSS_RC_PARAMS "seed=20261204 max_success=100" CACHE STRING "rapidcheck parameters of the test run")
 
-# foxtailcross_component(name [DEPENDS target...] [KNOWN_RED suite/test...])
+# foxtailcross_component(name [DEPENDS target...] [TEST_DEPENDS target...] [KNOWN_RED suite/test...])
 # Builds components/<name> as a static library from every .cpp beside its CMakeLists.txt;
 # files named *_test.cpp become one Criterion program, <name>_test, and files named
-# *_bench.cpp one Google Benchmark program, <name>_bench. The test run passes over the tests of KNOWN_RED, which KNOWN-RED.txt lists.
+# *_bench.cpp one Google Benchmark program, <name>_bench; both also link TEST_DEPENDS. The test run passes over the tests of KNOWN_RED, which KNOWN-RED.txt lists.
 function(foxtailcross_component name)
-    cmake_parse_arguments(ARG "" "" "DEPENDS;KNOWN_RED" ${ARGN})
+    cmake_parse_arguments(ARG "" "" "DEPENDS;TEST_DEPENDS;KNOWN_RED" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS *.cpp)
     set(tests ${sources})
     list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
@@ -30,7 +30,7 @@
     endif()
     if(tests AND FOXTAILCROSS_TESTS)
         add_executable(${name}_test ${tests})
-        target_link_libraries(${name}_test PRIVATE ${name} rapidcheck criterion)
+        target_link_libraries(${name}_test PRIVATE ${name} ${ARG_TEST_DEPENDS} rapidcheck criterion)
         set(filter)
         if(ARG_KNOWN_RED)
             list(JOIN ARG_KNOWN_RED "|" known_red)
@@ -42,6 +42,6 @@
     endif()
     if(benches AND FOXTAILCROSS_BENCHMARKS)
         add_executable(${name}_bench ${benches})
-        target_link_libraries(${name}_bench PRIVATE ${name} benchmark benchmark_main)
+        target_link_libraries(${name}_bench PRIVATE ${name} ${ARG_TEST_DEPENDS} benchmark benchmark_main)
     endif()
 endfunction()
--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -162,6 +162,7 @@
     for (auto entry = pending.begin(); entry != pending.end();) {
         const jobs::RunId &id = *entry;
         RunState &run = context.m_state.m_runs.at(id);
+        ++context.m_out.m_work.m_examinedRuns;
         if (run.m_phase == RunPhase::Running && !run.m_isStopRequested) {
             entry = pending.erase(entry);
             continue;
--- a/components/dispatch/outbox.hpp
+++ b/components/dispatch/outbox.hpp
@@ -2,6 +2,7 @@
 #define COMPONENTS_DISPATCH_OUTBOX_HPP
 
 #include "components/dispatch/run_counts.hpp"
+#include "components/dispatch/work_counts.hpp"
 #include "components/jobs/job_id.hpp"
 #include "components/journal/record.hpp"
 #include "components/logging/line.hpp"
@@ -38,6 +39,7 @@
     bool m_isFenced = false;
     std::vector<logging::Line> m_log;
     RunCounts m_counts;
+    WorkCounts m_work;
 };
 
 }
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -386,6 +386,15 @@
     }
 }
 
+void countPlan(WorkCounts &work, const std::vector<Candidate> &candidates)
+{
+    ++work.m_plans;
+    work.m_candidates += candidates.size();
+    for (const Candidate &candidate : candidates) {
+        work.m_listedTasks += candidate.m_tasks.size();
+    }
+}
+
 }
 
 bool plan(Context &context)
@@ -395,6 +404,7 @@
     PlanFindings findings;
     bool isAnyLeft = false;
     std::vector<Candidate> candidates = findCandidates(context);
+    countPlan(context.m_out.m_work, candidates);
     orderByShare(context, candidates);
     AccountBudgets budgets = makeAccountBudgets(context, candidates);
     for (Candidate &candidate : candidates) {
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -414,6 +414,7 @@
             const std::vector<jobs::RunId> runs = unneededRuns(context, *job, record, step);
             unneeded.insert(unneeded.end(), runs.begin(), runs.end());
             recordIncompleteGang(context, record, step);
+            context.m_out.m_work.m_reconciledTasks += record.m_tasks.size();
             ++step.m_step;
         }
     }
--- a/components/dispatch/scheduler_events.cpp
+++ b/components/dispatch/scheduler_events.cpp
@@ -146,6 +146,7 @@
 {
     for (const jobs::RunId &id : context.m_state.m_runsWithPendingOrders) {
         RunState &run = context.m_state.m_runs.at(id);
+        ++context.m_out.m_work.m_examinedRuns;
         const fleet::BootTime since = std::max({run.m_overdueLoggedAt, run.m_stopRequestedAt, run.m_launchedAt});
         const bool isDue = run.m_isStopRequested || run.m_phase != RunPhase::Running;
         if (!isDue || context.m_now.m_boot - since < overdueTime) {
--- a/components/node/instance_metrics.cpp
+++ b/components/node/instance_metrics.cpp
@@ -238,9 +238,28 @@
         publishRunCounts(stats.m_runCounts);
         m_hasPublishedRunCounts = true;
     }
+    if (stats.m_workCounts != m_lastStats.m_workCounts) {
+        publishWorkCounts(stats.m_workCounts);
+    }
     m_lastStats = stats;
 }
 
+void InstanceMetrics::publishWorkCounts(const dispatch::WorkCounts &counts)
+{
+    const dispatch::WorkCounts &last = m_lastStats.m_workCounts;
+    const auto addIncrease = [this](const char *name, const char *help, std::uint64_t count, std::uint64_t before) {
+        m_registry.counter(name, help).add(count - before);
+    };
+    addIncrease("foxtailcross_plans_total", "Holder: plans made.", counts.m_plans, last.m_plans);
+    addIncrease("foxtailcross_plan_candidates_total", "Holder: steps examined for placement, over all plans.", counts.m_candidates, last.m_candidates);
+    addIncrease("foxtailcross_plan_tasks_total", "Holder: tasks listed for placement, over all plans.", counts.m_listedTasks, last.m_listedTasks);
+    addIncrease("foxtailcross_reconciled_tasks_total",
+                "Holder: records of tasks read to find runs that are no longer needed.",
+                counts.m_reconciledTasks,
+                last.m_reconciledTasks);
+    addIncrease("foxtailcross_examined_runs_total", "Holder: open runs read to find due orders and overdue ones.", counts.m_examinedRuns, last.m_examinedRuns);
+}
+
 void InstanceMetrics::publishRunCounts(const dispatch::RunCounts &counts)
 {
     const dispatch::RunCounts &last = m_lastStats.m_runCounts;
--- a/components/node/instance_metrics.hpp
+++ b/components/node/instance_metrics.hpp
@@ -36,6 +36,7 @@
     void countCall(const char *call, const char *outcome, fleet::Duration took);
     void countRefusedEntries(const workers::WorkerListRead &read);
     void publishRunCounts(const dispatch::RunCounts &counts);
+    void publishWorkCounts(const dispatch::WorkCounts &counts);
     void publishAccounts(const std::vector<dispatch::AccountStats> &accounts);
     void countOrder(const char *order, const char *outcome);
 
--- a/components/node/instance_stats.hpp
+++ b/components/node/instance_stats.hpp
@@ -4,6 +4,7 @@
 #include "components/dispatch/account_stats.hpp"
 #include "components/dispatch/run_counts.hpp"
 #include "components/dispatch/run_time_calibration.hpp"
+#include "components/dispatch/work_counts.hpp"
 #include "components/node/caller_connections.hpp"
 
 #include <cstddef>
@@ -47,6 +48,7 @@
     std::size_t m_unansweredStarts = 0;
     /// Since the start of the process; kept when the duty ends.
     dispatch::RunCounts m_runCounts;
+    dispatch::WorkCounts m_workCounts;
 
     bool operator==(const InstanceStats &) const = default;
 };
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -606,6 +606,7 @@
         m_ports.log(line, now);
     }
     m_runCounts += outbox.m_counts;
+    m_workCounts += outbox.m_work;
     if (outbox.m_isFenced) {
         stepDown("fenced by a worker", now);
         return;
@@ -656,6 +657,7 @@
     stats.m_runTimeClasses = m_state.m_runTimes.m_classes.size();
     stats.m_unansweredStarts = dispatch::countUnansweredStarts(m_state);
     stats.m_runCounts = m_runCounts;
+    stats.m_workCounts = m_workCounts;
 }
 
 std::vector<dispatch::AccountStats> SchedulingDuty::accountStats() const
--- a/components/node/scheduling_duty.hpp
+++ b/components/node/scheduling_duty.hpp
@@ -154,6 +154,7 @@
     std::map<jobs::JobId, std::uint64_t> m_unconfirmedEnds;
     /// Since the start of the process, over all times as the holder.
     dispatch::RunCounts m_runCounts;
+    dispatch::WorkCounts m_workCounts;
     bool m_hasReadJournal = false;
 };
 
