--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -29,7 +29,9 @@
 {
     std::vector<std::uint16_t> tasks;
     for (std::uint16_t i = 0; i < spec.m_tasks; ++i) {
-        const bool isFree = record == nullptr || (!record->m_tasks[i].m_isDone && record->m_tasks[i].m_open.empty());
+        const auto known = record == nullptr ? decltype(record->m_tasks.end()) {} : record->m_tasks.find(i);
+        const bool isKnown = record != nullptr && known != record->m_tasks.end();
+        const bool isFree = record == nullptr || (isKnown ? known->second.isIdle() : i >= record->m_firstNewTask);
         const bool isStray = strayTasks.contains({id, i});
         if (isStray && spec.m_isGang) {
             return {};
@@ -55,7 +57,7 @@
 {
     candidate.m_joinedRun = journal::joinableRun(record);
     std::set<fleet::RackId> racks;
-    for (const journal::TaskRecord &task : record.m_tasks) {
+    for (const auto &[index, task] : record.m_tasks) {
         if (!task.m_open.empty()) {
             const auto worker = context.m_state.m_workers.find(task.m_open.front().m_target.m_worker);
             if (worker != context.m_state.m_workers.end()) {
--- a/components/dispatch/run_log.cpp
+++ b/components/dispatch/run_log.cpp
@@ -85,7 +85,10 @@
     bool m_hasOther = false;
     /// What the journal has of the task; empty if the job is forgotten. The tasks of a job that is over may be.
     const journal::JobRecord *m_job = nullptr;
-    const journal::TaskRecord *m_task = nullptr;
+    const journal::StepRecord *m_step = nullptr;
+    bool m_isTaskDone = false;
+    /// Highest run number of the task; that of the step if the task has no record.
+    std::uint32_t m_lastRun = 0;
 };
 
 StrayFacts factsOf(const Context &context, const fleet::WorkerId &worker, const jobs::RunId &id)
@@ -93,7 +96,13 @@
     const State &state = context.m_state;
     StrayFacts facts;
     facts.m_job = journal::findJob(context.m_journalState, id.m_task.m_step.m_job);
-    facts.m_task = facts.m_job == nullptr ? nullptr : journal::findTask(*facts.m_job, id.m_task);
+    if (facts.m_job != nullptr) {
+        facts.m_step = journal::findStep(*facts.m_job, id.m_task.m_step);
+        facts.m_isTaskDone = facts.m_step != nullptr && facts.m_step->isDone(id.m_task.m_index);
+        const journal::TaskRecord *task = journal::findTask(*facts.m_job, id.m_task);
+        const std::uint32_t lastOfStep = facts.m_step == nullptr ? 0 : facts.m_step->m_lastRun;
+        facts.m_lastRun = task == nullptr ? lastOfStep : task->m_lastRun;
+    }
     facts.m_closed = findClosedRun(state, worker, id);
     facts.m_unanswered = findUnansweredStart(state, worker, id);
     if (facts.m_closed != nullptr) {
@@ -120,13 +129,13 @@
 
 const char *taskState(const StrayFacts &facts)
 {
-    if (facts.m_task != nullptr && facts.m_task->m_isDone) {
+    if (facts.m_isTaskDone) {
         return "done";
     }
     if (facts.m_job != nullptr && facts.m_job->isOver()) {
         return "job-over";
     }
-    return facts.m_task == nullptr ? "unknown" : "not-done";
+    return facts.m_step == nullptr ? "unknown" : "not-done";
 }
 
 const char *nameOf(RunPhase phase)
@@ -157,7 +166,7 @@
         appendTime(line, "start_sent_ms", now - facts.m_unanswered->m_sentAt);
     }
     line.append("task_state", taskState(facts));
-    appendNumber(line, "last_run", facts.m_task == nullptr ? 0 : facts.m_task->m_lastRun);
+    appendNumber(line, "last_run", facts.m_lastRun);
     appendNumber(line, "other_run", facts.m_hasOther ? facts.m_other->first.m_run : 0);
     if (facts.m_hasOther) {
         const RunState &other = facts.m_other->second;
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -63,12 +63,10 @@
 std::vector<jobs::RunId> openRuns(const journal::StepRecord &record, const jobs::StepId &step)
 {
     std::vector<jobs::RunId> runs;
-    std::uint16_t index = 0;
-    for (const journal::TaskRecord &task : record.m_tasks) {
+    for (const auto &[index, task] : record.m_tasks) {
         for (const journal::OpenRun &open : task.m_open) {
             runs.push_back({{step, index}, open.m_run});
         }
-        ++index;
     }
     return runs;
 }
@@ -132,11 +130,11 @@
         return open;
     }
     if (stepOf(job, step).m_isGang) {
-        const bool isComplete = open.size() == record.m_tasks.size() && !isMemberMissing(context, open);
+        const bool isComplete = open.size() == record.m_taskCount && !isMemberMissing(context, open);
         return isComplete || canStillJoin(context, record, open) ? unneeded : open;
     }
     std::copy_if(open.begin(), open.end(), std::back_inserter(unneeded), [&](const jobs::RunId &run) {
-        return record.m_tasks[run.m_task.m_index].m_isDone;
+        return record.isDone(run.m_task.m_index);
     });
     return unneeded;
 }
@@ -144,7 +142,7 @@
 void recordIncompleteGang(Context &context, const journal::StepRecord &record, const jobs::StepId &step)
 {
     const std::vector<jobs::RunId> open = openRuns(record, step);
-    const bool isAnyMissing = open.size() < record.m_tasks.size() || std::any_of(open.begin(), open.end(), [&](const jobs::RunId &run) {
+    const bool isAnyMissing = open.size() < record.m_taskCount || std::any_of(open.begin(), open.end(), [&](const jobs::RunId &run) {
                                   return context.m_state.m_runs.at(run).m_phase != RunPhase::Running;
                               });
     if (!open.empty() && isAnyMissing && context.m_journalState.m_jobs.at(step.m_job).m_spec.m_steps[step.m_step].m_isGang) {
@@ -313,8 +311,7 @@
     const journal::JobRecord &job = context.m_journalState.m_jobs.at(run.m_task.m_step.m_job);
     RunState state = makeRunState(context, job, run.m_task.m_step.m_step, incarnation);
     state.m_ticket = ticket;
-    const journal::TaskRecord *task = journal::findTask(job, run.m_task);
-    state.m_checkpoint = task == nullptr ? std::string() : task->m_checkpoint;
+    state.m_checkpoint = journal::checkpointOf(job, run.m_task);
     expectRunTime(context, run, state);
     addRun(context.m_state, run, std::move(state));
     context.m_launched.push_back({run, incarnation});
--- a/components/dispatch/scheduler_events.cpp
+++ b/components/dispatch/scheduler_events.cpp
@@ -171,8 +171,12 @@
     }
 }
 
-void takeOverRuns(
-    Context &context, const journal::JobRecord &job, const jobs::TaskId &task, const journal::TaskRecord &record, fleet::BootTime predecessorLeaseUntil)
+void takeOverRuns(Context &context,
+                  const journal::JobRecord &job,
+                  const jobs::TaskId &task,
+                  const std::string &checkpoint,
+                  const journal::TaskRecord &record,
+                  fleet::BootTime predecessorLeaseUntil)
 {
     for (const journal::OpenRun &open : record.m_open) {
         WorkerState &worker = context.m_state.m_workers[open.m_target.m_worker];
@@ -180,7 +184,7 @@
         worker.m_predecessorLeaseUntil = predecessorLeaseUntil;
         RunState run = makeRunState(context, job, task.m_step.m_step, open.m_target);
         run.m_phase = RunPhase::Starting;
-        run.m_checkpoint = record.m_checkpoint;
+        run.m_checkpoint = checkpoint;
         // The previous holder may have sent a start order that is still on its way.
         run.m_isStartUncertain = true;
         run.m_startTries = 1;
@@ -201,14 +205,12 @@
             state.m_activeJobs.try_emplace(id, now.m_boot);
         }
         for (const auto &[number, occurrence] : job.m_occurrences) {
-            jobs::TaskId task {{id, number, 0}, 0};
+            jobs::StepId stepId {id, number, 0};
             for (const journal::StepRecord &step : occurrence.m_steps) {
-                task.m_index = 0;
-                for (const journal::TaskRecord &record : step.m_tasks) {
-                    takeOverRuns(context, job, task, record, predecessorLeaseUntil);
-                    ++task.m_index;
+                for (const auto &[index, record] : step.m_tasks) {
+                    takeOverRuns(context, job, {stepId, index}, journal::checkpointOf(job, {stepId, index}), record, predecessorLeaseUntil);
                 }
-                ++task.m_step.m_step;
+                ++stepId.m_step;
             }
         }
         context.m_changedJobs.insert(id);
--- a/components/journal/job_record.cpp
+++ b/components/journal/job_record.cpp
@@ -34,32 +34,30 @@
 const TaskRecord *findTask(const JobRecord &job, const jobs::TaskId &task)
 {
     const StepRecord *step = findStep(job, task.m_step);
-    return step != nullptr && task.m_index < step->m_tasks.size() ? &step->m_tasks[task.m_index] : nullptr;
+    if (step == nullptr) {
+        return nullptr;
+    }
+    const auto found = step->m_tasks.find(task.m_index);
+    return found == step->m_tasks.end() ? nullptr : &found->second;
 }
 
 std::uint32_t nextRunNumber(const StepRecord &step)
 {
-    std::uint32_t highest = 0;
-    for (const TaskRecord &task : step.m_tasks) {
-        highest = std::max(highest, task.m_lastRun);
-        for (const OpenRun &run : task.m_neverBegan) {
-            highest = std::max(highest, run.m_run);
-        }
-    }
-    return highest + 1;
+    return step.m_lastRun + 1;
 }
 
 std::uint32_t joinableRun(const StepRecord &gang)
 {
     std::uint32_t run = 0;
-    for (const TaskRecord &task : gang.m_tasks) {
+    for (const auto &[index, task] : gang.m_tasks) {
         run = std::max(run, task.m_open.empty() ? 0 : task.m_open.front().m_run);
     }
-    const bool isWhole = std::all_of(gang.m_tasks.begin(), gang.m_tasks.end(), [&](const TaskRecord &task) {
+    const bool isWhole = std::all_of(gang.m_tasks.begin(), gang.m_tasks.end(), [&](const auto &entry) {
+        const TaskRecord &task = entry.second;
         const bool isIn = !task.m_open.empty() && task.m_open.front().m_run == run;
-        return isIn || (task.m_open.empty() && task.m_lastRun < run && !task.m_isDone);
+        return isIn || (task.isIdle() && task.m_lastRun < run);
     });
-    return isWhole ? run : 0;
+    return isWhole && gang.m_doneTasks == 0 ? run : 0;
 }
 
 bool isStepDone(const JobRecord &job, std::uint32_t occurrence, std::uint16_t step)
@@ -71,4 +69,15 @@
     return record != nullptr && record->isDone();
 }
 
+std::string checkpointOf(const JobRecord &job, const jobs::TaskId &task)
+{
+    const StepRecord *step = findStep(job, task.m_step);
+    if (step == nullptr) {
+        return {};
+    }
+    const auto found = step->m_tasks.find(task.m_index);
+    const bool hasOwn = found != step->m_tasks.end() && !found->second.m_checkpoint.empty();
+    return hasOwn ? found->second.m_checkpoint : step->m_checkpoint;
+}
+
 }
--- a/components/journal/job_record.hpp
+++ b/components/journal/job_record.hpp
@@ -5,11 +5,11 @@
 #include "components/jobs/job_spec.hpp"
 #include "components/jobs/job_state.hpp"
 #include "components/jobs/task_id.hpp"
+#include "components/journal/index_set.hpp"
 #include "components/journal/occurrence_record.hpp"
 
 #include <cstdint>
 #include <map>
-#include <set>
 
 namespace journal
 {
@@ -28,7 +28,7 @@
     fleet::TimePoint m_endedAt;
     /// Occurrences with at least one launched run that are not done or still have an open run.
     std::map<std::uint32_t, OccurrenceRecord> m_occurrences;
-    std::set<std::uint32_t> m_doneOccurrences;
+    IndexSet m_doneOccurrences;
     /// Number of runs that are not known to have ended.
     std::uint32_t m_openRuns = 0;
 
@@ -66,7 +66,7 @@
 /// True if a run of the job has begun or is about to, as far as the journal shows.
 bool hasBegun(const JobRecord &job);
 
-/// Returns the record of a task, or nullptr if its occurrence has no record because it has not begun or is done.
+/// Returns the record of a task, or nullptr if it has none because it has not begun, or is done without an open run.
 const TaskRecord *findTask(const JobRecord &job, const jobs::TaskId &task);
 const StepRecord *findStep(const JobRecord &job, const jobs::StepId &step);
 /// Returns a number above those of all runs of the step so far, also of those that never began.
@@ -75,6 +75,8 @@
 /// still join; 0 if there is none.
 std::uint32_t joinableRun(const StepRecord &gang);
 bool isStepDone(const JobRecord &job, std::uint32_t occurrence, std::uint16_t step);
+/// Returns the checkpoint that the next run of the task resumes from; empty if there is none.
+std::string checkpointOf(const JobRecord &job, const jobs::TaskId &task);
 
 }
 
--- a/components/journal/journal_state.cpp
+++ b/components/journal/journal_state.cpp
@@ -15,7 +15,7 @@
     const auto [found, isNew] = job.m_occurrences.try_emplace(number);
     if (isNew) {
         for (const jobs::StepSpec &step : job.m_spec.m_steps) {
-            found->second.m_steps.push_back({std::vector<TaskRecord>(step.m_tasks)});
+            found->second.m_steps.emplace_back().m_taskCount = step.m_tasks;
         }
     }
     return found->second;
@@ -28,6 +28,16 @@
     return isStep && task.m_index < job.m_spec.m_steps[task.m_step.m_step].m_tasks;
 }
 
+/// Returns the record of a task that is not done; adds it, and those of the tasks before it, if it has none.
+TaskRecord &findOrAddTask(StepRecord &step, std::uint16_t index)
+{
+    for (; step.m_firstNewTask <= index; ++step.m_firstNewTask) {
+        step.m_tasks.try_emplace(step.m_firstNewTask);
+        ++step.m_idleTasks;
+    }
+    return step.m_tasks.at(index);
+}
+
 void applyBody(JournalState &state, const JobAccepted &record, Changes &changes)
 {
     const auto [found, isNew] = state.m_jobs.try_emplace(record.m_spec.m_id);
@@ -62,17 +72,24 @@
         return;
     }
     JobRecord &job = found->second;
-    TaskRecord &record = findOrAddOccurrence(job, task.m_step.m_occurrence).m_steps[task.m_step.m_step].m_tasks[task.m_index];
+    StepRecord &step = findOrAddOccurrence(job, task.m_step.m_occurrence).m_steps[task.m_step.m_step];
     const OpenRun open {launch.m_run.m_run, launch.m_target};
-    const bool neverBegan = std::find(record.m_neverBegan.begin(), record.m_neverBegan.end(), open) != record.m_neverBegan.end();
-    if (launch.m_run.m_run <= record.m_lastRun || neverBegan) {
+    const TaskRecord *known = findTask(job, task);
+    // No task is launched once it is done, so this is a record that is read again.
+    const bool isDone = known == nullptr && step.isDone(task.m_index);
+    const bool isKnown = known != nullptr
+        && (launch.m_run.m_run <= known->m_lastRun || std::find(known->m_neverBegan.begin(), known->m_neverBegan.end(), open) != known->m_neverBegan.end());
+    if (isDone || isKnown || launch.m_run.m_run == 0) {
         return;
     }
+    TaskRecord &record = findOrAddTask(step, task.m_index);
     std::erase_if(record.m_neverBegan, [&](const OpenRun &run) {
         return run.m_run < launch.m_run.m_run;
     });
+    step.m_idleTasks -= record.isIdle() ? 1 : 0;
     record.m_lastRun = launch.m_run.m_run;
     record.m_open.push_back(open);
+    step.m_lastRun = std::max(step.m_lastRun, launch.m_run.m_run);
     ++job.m_openRuns;
     changes.m_changed.push_back(task.m_step.m_job);
 }
@@ -103,14 +120,23 @@
     const auto occurrence = job.m_occurrences.find(id.m_step.m_occurrence);
     StepRecord &step = occurrence->second.m_steps[id.m_step.m_step];
     const bool isGang = job.m_spec.m_steps[id.m_step.m_step].m_isGang;
-    // The members of a gang end together, so that one finished member means that all are finished.
-    for (std::size_t i = 0; i < step.m_tasks.size(); ++i) {
-        if ((isGang || i == id.m_index) && !step.m_tasks[i].m_isDone) {
-            step.m_tasks[i].m_isDone = true;
-            ++step.m_doneTasks;
-            occurrence->second.m_doneSteps += step.isDone() ? 1 : 0;
+    const std::uint32_t doneBefore = step.m_doneTasks;
+    if (isGang) {
+        // The members of a gang end together, so that one finished member means that all are finished.
+        for (auto &[index, task] : step.m_tasks) {
+            task.m_isDone = true;
         }
+        std::erase_if(step.m_tasks, [&](const auto &entry) {
+            return entry.second.m_open.empty() && entry.first != id.m_index;
+        });
+        step.m_firstNewTask = step.m_taskCount;
+        step.m_idleTasks = 0;
+        step.m_doneTasks = step.m_taskCount;
+    } else if (!step.m_tasks.at(id.m_index).m_isDone) {
+        step.m_tasks.at(id.m_index).m_isDone = true;
+        ++step.m_doneTasks;
     }
+    occurrence->second.m_doneSteps += step.m_doneTasks > doneBefore && step.isDone() ? 1 : 0;
 }
 
 void completeOccurrence(JobRecord &job, std::uint32_t number)
@@ -121,9 +147,7 @@
     }
     job.m_doneOccurrences.insert(number);
     const bool hasOpenRun = std::any_of(occurrence->second.m_steps.begin(), occurrence->second.m_steps.end(), [](const StepRecord &step) {
-        return std::any_of(step.m_tasks.begin(), step.m_tasks.end(), [](const TaskRecord &task) {
-            return !task.m_open.empty();
-        });
+        return !step.m_tasks.empty();
     });
     if (!hasOpenRun) {
         job.m_occurrences.erase(occurrence);
@@ -144,9 +168,7 @@
     const bool isFresh = ended.m_end == jobs::RunEnd::Stopped || ended.m_end == jobs::RunEnd::GangBroken;
     if (ended.m_run.m_run > step.m_checkpointRun || (isFresh && ended.m_run.m_run == step.m_checkpointRun)) {
         step.m_checkpointRun = ended.m_run.m_run;
-        for (TaskRecord &member : step.m_tasks) {
-            member.m_checkpoint = ended.m_checkpoint;
-        }
+        step.m_checkpoint = ended.m_checkpoint;
     }
 }
 
@@ -163,7 +185,11 @@
         return;
     }
     StepRecord &step = occurrence->second.m_steps[id.m_step.m_step];
-    TaskRecord &task = step.m_tasks[id.m_index];
+    const auto known = step.m_tasks.find(id.m_index);
+    if (known == step.m_tasks.end()) {
+        return;
+    }
+    TaskRecord &task = known->second;
     // Compares the worker, as a gang member may have an open run with the same number on another worker, but not the incarnation, as
     // the worker may have restarted since the launch.
     const auto open = std::find_if(task.m_open.begin(), task.m_open.end(), [&](const OpenRun &run) {
@@ -189,6 +215,10 @@
     } else if (ended.m_end == jobs::RunEnd::Failed) {
         countFailure(job, step, task, ended);
     }
+    step.m_idleTasks += task.isIdle() ? 1 : 0;
+    if (task.m_isDone && task.m_open.empty()) {
+        step.m_tasks.erase(known);
+    }
     completeOccurrence(job, id.m_step.m_occurrence);
     if (!wasOver && job.isOver()) {
         job.m_endedAt = at;
--- a/components/journal/journal_state_test.cpp
+++ b/components/journal/journal_state_test.cpp
@@ -76,6 +76,11 @@
         return *findTask(m_state.m_jobs.at(job), {{job, 0, 0}, index});
     }
 
+    bool isDone(std::uint16_t index) const
+    {
+        return findStep(m_state.m_jobs.at(job), {job, 0, 0})->isDone(index);
+    }
+
 private:
     JournalState m_state;
     Changes m_changes;
@@ -148,8 +153,8 @@
 {
     JournalStateFixture fixture(false);
     fixture.recordDoneAfterClose();
-    cr_assert(fixture.task(0).m_isDone);
-    cr_assert_not(fixture.task(1).m_isDone);
+    cr_assert(fixture.isDone(0));
+    cr_assert_not(fixture.isDone(1));
     cr_assert_eq(fixture.task(0).m_open.size(), 1U);
     cr_assert(fixture.task(0).m_open.front().m_target == secondWorker);
 }
--- a/components/journal/snapshot.cpp
+++ b/components/journal/snapshot.cpp
@@ -1,5 +1,6 @@
 #include "components/journal/snapshot.hpp"
 
+#include "components/journal/job_record_v1.hpp"
 #include "components/wire/codec.hpp"
 
 #include <cereal/types/map.hpp>
@@ -15,15 +16,18 @@
 {
 
 constexpr std::uint8_t formatVersion = 1;
+/// Version of the journal state in a snapshot. Snapshots of version 1 are read too.
+constexpr std::uint8_t bodyVersion = 2;
 /// Maximum snapshot bytes in one record, below the store's own limit.
 constexpr std::size_t partBytes = std::size_t {128} * 1024;
 constexpr const char *headKey = "head";
 
 /// The stored form of a journal state. Uses ordered maps, so that equal states give equal bytes.
+template<class StoredJob>
 struct Body
 {
     std::uint64_t m_next = 0;
-    std::map<jobs::JobId, JobRecord> m_jobs;
+    std::map<jobs::JobId, StoredJob> m_jobs;
     std::map<fleet::InstanceId, InstanceRecord> m_instances;
     HolderRecord m_holder;
     std::vector<FormerHolder> m_formerHolders;
@@ -68,7 +72,7 @@
     return "part/" + std::to_string(slot) + '/' + std::to_string(part);
 }
 
-JournalState toJournalState(Body body)
+JournalState toJournalState(Body<JobRecord> body)
 {
     JournalState state;
     for (auto &[id, job] : body.m_jobs) {
@@ -84,6 +88,20 @@
     return state;
 }
 
+Body<JobRecord> decodeBody(const std::string &bytes)
+{
+    const bool isOfVersion1 = !bytes.empty() && static_cast<std::uint8_t>(bytes.front()) == formatVersion;
+    if (!isOfVersion1) {
+        return wire::decode<Body<JobRecord>>(bodyVersion, bytes);
+    }
+    auto stored = wire::decode<Body<JobRecordV1>>(formatVersion, bytes);
+    Body<JobRecord> body {stored.m_next, {}, std::move(stored.m_instances), stored.m_holder, std::move(stored.m_formerHolders), std::move(stored.m_upkeeps)};
+    for (auto &[id, job] : stored.m_jobs) {
+        body.m_jobs.emplace(id, toJobRecord(std::move(job)));
+    }
+    return body;
+}
+
 std::optional<std::string> joinParts(const std::map<std::string, const store::KeyedRecord *> &records, const Head &head)
 {
     std::string bytes;
@@ -105,14 +123,14 @@
 
 std::vector<store::KeyedRecord> encodeSnapshot(const JournalState &state, std::uint64_t next, unsigned slot)
 {
-    Body body;
+    Body<JobRecord> body;
     body.m_next = next;
     body.m_jobs.insert(state.m_jobs.begin(), state.m_jobs.end());
     body.m_instances = state.m_instances;
     body.m_holder = state.m_holder;
     body.m_formerHolders = state.m_formerHolders;
     body.m_upkeeps = state.m_upkeeps;
-    const std::string bytes = wire::encode(formatVersion, body);
+    const std::string bytes = wire::encode(bodyVersion, body);
     Head head {slot, 0, next};
     std::vector<store::KeyedRecord> records;
     for (std::size_t from = 0; from < bytes.size(); from += partBytes) {
@@ -139,7 +157,7 @@
         if (!bytes) {
             return std::nullopt;
         }
-        Body body = wire::decode<Body>(formatVersion, *bytes);
+        Body<JobRecord> body = decodeBody(*bytes);
         const std::uint64_t next = body.m_next;
         return Snapshot {toJournalState(std::move(body)), next};
     } catch (const wire::CodecError &) {
--- a/components/journal/task_record.hpp
+++ b/components/journal/task_record.hpp
@@ -10,7 +10,7 @@
 namespace journal
 {
 
-/// State of one task according to the journal.
+/// State of one task that has had a run, according to the journal.
 struct TaskRecord
 {
     /// Highest run number so far; the next run gets a higher one.
@@ -20,10 +20,17 @@
     bool m_isDone = false;
     /// At most one, except where speculative runs are allowed.
     std::vector<OpenRun> m_open;
+    /// Empty for the tasks of gangs, which share that of their step.
     std::string m_checkpoint;
     /// Runs with the current number that never began. Their launch records are ignored when they are read again.
     std::vector<OpenRun> m_neverBegan;
 
+    /// True if the task waits for a further run.
+    bool isIdle() const
+    {
+        return !m_isDone && m_open.empty();
+    }
+
     bool operator==(const TaskRecord &) const = default;
 
     template<class Archive>
