Scheduler: an ended run makes only its own task or gang be looked at again

Cause: each end of a run, also each start that was given up, read every task of its job, to stop copies of done tasks and the rest of broken gangs. Tens of thousands of such events followed each other, each of which read 100,000 records.

Change: an end notes its gang, its task if that is done with other runs open, or the job if it is over by that end; only these are read. Jobs are read whole when they are accepted or cancelled, when they end, and at a takeover: their open runs, not their tasks. An incomplete gang is looked at by itself in each tick, not with its whole job.

--- a/components/dispatch/context.hpp
+++ b/components/dispatch/context.hpp
@@ -34,8 +34,11 @@
     std::map<workers::WorkerIncarnation, std::uint64_t> m_endNumbers;
     std::vector<journal::Launch> m_launched;
     std::vector<journal::UpkeepOrdered> m_orderedUpkeeps;
-    /// Jobs to reconcile: a run ended, the job itself changed, or one of its gangs is incomplete.
+    /// Jobs, gangs and tasks whose runs may no longer be needed: jobs that changed as a whole, gangs with a run that ended or that are
+    /// incomplete, and tasks that are done while other runs of them are open.
     std::set<jobs::JobId> m_changedJobs;
+    std::set<jobs::StepId> m_changedGangs;
+    std::set<jobs::TaskId> m_changedTasks;
     Outbox m_out;
 };
 
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -112,31 +112,20 @@
     });
 }
 
-/// Returns the runs of the step that are no longer needed: a gang cannot continue once a member ended without being done, and a
-/// task that is done needs no copies.
-std::vector<jobs::RunId> unneededRuns(const Context &context, const journal::JobRecord &job, const journal::StepRecord &record, const jobs::StepId &step)
+/// Returns the runs of the gang that are no longer needed: it cannot continue once a member ended without being done.
+std::vector<jobs::RunId> unneededGangRuns(const Context &context, const journal::StepRecord &record, const jobs::StepId &step)
 {
-    std::vector<jobs::RunId> unneeded;
     std::vector<jobs::RunId> open = openRuns(record, step);
-    if (stepOf(job, step).m_isGang && record.isDone()) {
+    if (record.isDone()) {
         // The members of the run that is done end on their own. Those of another one work in vain.
         const std::uint32_t last = journal::nextRunNumber(record) - 1;
-        std::copy_if(open.begin(), open.end(), std::back_inserter(unneeded), [&](const jobs::RunId &run) {
-            return run.m_run < last;
+        std::erase_if(open, [&](const jobs::RunId &run) {
+            return run.m_run >= last;
         });
-        return unneeded;
-    }
-    if (job.isOver()) {
         return open;
     }
-    if (stepOf(job, step).m_isGang) {
-        const bool isComplete = open.size() == record.m_taskCount && !isMemberMissing(context, open);
-        return isComplete || canStillJoin(context, record, open) ? unneeded : open;
-    }
-    std::copy_if(open.begin(), open.end(), std::back_inserter(unneeded), [&](const jobs::RunId &run) {
-        return record.isDone(run.m_task.m_index);
-    });
-    return unneeded;
+    const bool isComplete = open.size() == record.m_taskCount && !isMemberMissing(context, open);
+    return isComplete || canStillJoin(context, record, open) ? std::vector<jobs::RunId>() : open;
 }
 
 void recordIncompleteGang(Context &context, const journal::StepRecord &record, const jobs::StepId &step)
@@ -185,6 +174,21 @@
     return found != stopped.end() && found->second == run.m_run ? std::string() : checkpoint;
 }
 
+/// Notes whose other runs may no longer be needed after the end of a run of the task.
+void addChanged(Context &context, const journal::JobRecord &job, const jobs::TaskId &id, bool wasOver)
+{
+    if (job.isOver()) {
+        // All runs of a job that was over before have been asked to stop.
+        if (!wasOver) {
+            context.m_changedJobs.insert(id.m_step.m_job);
+        }
+    } else if (stepOf(job, id.m_step).m_isGang) {
+        context.m_changedGangs.insert(id.m_step);
+    } else if (const journal::TaskRecord *task = journal::findTask(job, id); task != nullptr && task->m_isDone) {
+        context.m_changedTasks.insert(id);
+    }
+}
+
 /// Applies the end of a run to the journal state, and adds it to the changes to record.
 void recordEnd(Context &context, const journal::EndedRun &ended)
 {
@@ -197,10 +201,96 @@
         context.m_out.m_endedJobs.insert(id);
     }
     context.m_ended.push_back(ended);
-    context.m_changedJobs.insert(id);
+    if (job != nullptr) {
+        addChanged(context, *job, ended.m_run.m_task, wasOver);
+    }
     context.m_state.m_planIsDue = true;
 }
 
+void stopUnneeded(Context &context, const std::vector<jobs::RunId> &runs, const char *why)
+{
+    context.m_out.m_work.m_reconciledRuns += runs.size();
+    for (const jobs::RunId &run : runs) {
+        requestStop(context, run, why);
+    }
+}
+
+void reconcileGang(Context &context, const jobs::StepId &step)
+{
+    const journal::JobRecord *job = journal::findJob(context.m_journalState, step.m_job);
+    const journal::StepRecord *record = job == nullptr || job->isOver() ? nullptr : journal::findStep(*job, step);
+    if (record == nullptr) {
+        return;
+    }
+    const std::vector<jobs::RunId> unneeded = unneededGangRuns(context, *record, step);
+    recordIncompleteGang(context, *record, step);
+    context.m_out.m_work.m_reconciledRuns += record->m_tasks.size();
+    stopUnneeded(context, unneeded, "not-needed");
+}
+
+void reconcileTask(Context &context, const jobs::TaskId &id)
+{
+    const journal::JobRecord *job = journal::findJob(context.m_journalState, id.m_step.m_job);
+    const journal::TaskRecord *task = job == nullptr ? nullptr : journal::findTask(*job, id);
+    if (task == nullptr || !task->m_isDone) {
+        return;
+    }
+    std::vector<jobs::RunId> copies;
+    for (const journal::OpenRun &open : task->m_open) {
+        copies.push_back({id, open.m_run});
+    }
+    stopUnneeded(context, copies, "not-needed");
+}
+
+/// Removes the state of a job that is over.
+void forgetJob(Context &context, const journal::JobRecord &job)
+{
+    const jobs::JobId id = job.m_spec.m_id;
+    if (context.m_state.m_activeJobs.erase(id) == 0) {
+        return;
+    }
+    const auto isOfJob = [&](const auto &entry) {
+        return entry.first.m_job == id;
+    };
+    std::erase_if(context.m_state.m_advice, isOfJob);
+    std::erase_if(context.m_state.m_failures, isOfJob);
+    std::erase_if(context.m_state.m_restartNotBefore, isOfJob);
+    std::erase_if(context.m_state.m_stoppedGangRuns, isOfJob);
+    logJobEnd(context, job);
+}
+
+void reconcileJob(Context &context, jobs::JobId id)
+{
+    const journal::JobRecord *job = journal::findJob(context.m_journalState, id);
+    if (job == nullptr) {
+        return;
+    }
+    std::vector<jobs::RunId> runs;
+    for (const auto &[number, occurrence] : job->m_occurrences) {
+        jobs::StepId step {id, number, 0};
+        for (const journal::StepRecord &record : occurrence.m_steps) {
+            const std::vector<jobs::RunId> open = openRuns(record, step);
+            if (job->isOver()) {
+                runs.insert(runs.end(), open.begin(), open.end());
+            } else if (stepOf(*job, step).m_isGang) {
+                context.m_changedGangs.insert(step);
+            } else {
+                for (const jobs::RunId &run : open) {
+                    if (record.isDone(run.m_task.m_index)) {
+                        context.m_changedTasks.insert(run.m_task);
+                    }
+                }
+            }
+            context.m_out.m_work.m_reconciledRuns += open.size();
+            ++step.m_step;
+        }
+    }
+    if (job->isOver()) {
+        stopUnneeded(context, runs, "job-over");
+        forgetJob(context, *job);
+    }
+}
+
 }
 
 void recordHealthyStart(WorkerState &worker, const RunState &run, fleet::BootTime now)
@@ -398,35 +488,18 @@
     }
 }
 
-void reconcileJob(Context &context, jobs::JobId id)
+void reconcileChanged(Context &context)
 {
-    const journal::JobRecord *job = journal::findJob(context.m_journalState, id);
-    if (job == nullptr) {
-        return;
-    }
-    std::vector<jobs::RunId> unneeded;
-    for (const auto &[number, occurrence] : job->m_occurrences) {
-        jobs::StepId step {id, number, 0};
-        for (const journal::StepRecord &record : occurrence.m_steps) {
-            const std::vector<jobs::RunId> runs = unneededRuns(context, *job, record, step);
-            unneeded.insert(unneeded.end(), runs.begin(), runs.end());
-            recordIncompleteGang(context, record, step);
-            context.m_out.m_work.m_reconciledTasks += record.m_tasks.size();
-            ++step.m_step;
+    while (!context.m_changedJobs.empty() || !context.m_changedGangs.empty() || !context.m_changedTasks.empty()) {
+        for (const jobs::JobId &job : std::exchange(context.m_changedJobs, {})) {
+            reconcileJob(context, job);
+        }
+        for (const jobs::StepId &gang : std::exchange(context.m_changedGangs, {})) {
+            reconcileGang(context, gang);
+        }
+        for (const jobs::TaskId &task : std::exchange(context.m_changedTasks, {})) {
+            reconcileTask(context, task);
         }
-    }
-    for (const jobs::RunId &run : unneeded) {
-        requestStop(context, run, job->isOver() ? "job-over" : "not-needed");
-    }
-    if (job->isOver() && context.m_state.m_activeJobs.erase(id) > 0) {
-        const auto isOfJob = [&](const auto &entry) {
-            return entry.first.m_job == id;
-        };
-        std::erase_if(context.m_state.m_advice, isOfJob);
-        std::erase_if(context.m_state.m_failures, isOfJob);
-        std::erase_if(context.m_state.m_restartNotBefore, isOfJob);
-        std::erase_if(context.m_state.m_stoppedGangRuns, isOfJob);
-        logJobEnd(context, *job);
     }
 }
 
--- a/components/dispatch/runs.hpp
+++ b/components/dispatch/runs.hpp
@@ -60,9 +60,9 @@
 /// Requests that a run be stopped. A run for which no start order was sent ends at once.
 void requestStop(Context &context, const jobs::RunId &run, const std::string &why);
 
-/// Stops runs of the job that are no longer needed: the rest of a broken gang, copies of tasks that are done, and runs of a job
-/// that is over. Removes the state kept for a job that is over.
-void reconcileJob(Context &context, jobs::JobId job);
+/// Stops runs that are no longer needed: the rest of a broken gang, copies of tasks that are done, and runs of a job that is over. Removes the
+/// state kept for a job that is over. Reads the open runs of what has changed only, since a job may have any number of others.
+void reconcileChanged(Context &context);
 
 /// Returns how long the run has worked, as far as is known.
 fleet::Duration ranFor(const RunState &run, fleet::BootTime now);
--- a/components/dispatch/scheduler_events.cpp
+++ b/components/dispatch/scheduler_events.cpp
@@ -31,17 +31,7 @@
 
 Context makeContext(State &state, const Environment &environment, fleet::Now now)
 {
-    return {state, environment.m_journalState, environment.m_catalog, environment.m_zonesOut, environment.m_waves, now, {}, {}, {}, {}, {}, {}, {}};
-}
-
-void reconcileChangedJobs(Context &context)
-{
-    while (!context.m_changedJobs.empty()) {
-        const std::set<jobs::JobId> changed = std::exchange(context.m_changedJobs, {});
-        for (const jobs::JobId &job : changed) {
-            reconcileJob(context, job);
-        }
-    }
+    return {state, environment.m_journalState, environment.m_catalog, environment.m_zonesOut, environment.m_waves, now, {}, {}, {}, {}, {}, {}, {}, {}, {}};
 }
 
 void applyStored(State &state, const PendingBatch &batch, fleet::BootTime now)
@@ -136,7 +126,7 @@
 
 Outbox finish(Context &context)
 {
-    reconcileChangedJobs(context);
+    reconcileChanged(context);
     recordBatch(context);
     return std::move(context.m_out);
 }
@@ -306,9 +296,7 @@
     advanceWaves(context);
     stopRunsOnDepartingWorkers(context);
     stopBestEffortBesideServing(context);
-    for (const jobs::StepId &gang : std::exchange(state.m_incompleteGangs, {})) {
-        context.m_changedJobs.insert(gang.m_job);
-    }
+    context.m_changedGangs = std::exchange(state.m_incompleteGangs, {});
     state.m_planIsDue = state.m_planIsDue || now.m_boot - state.m_plannedAt >= idlePlanInterval;
     return finish(context);
 }
@@ -335,7 +323,7 @@
         state.m_plannedAt = now.m_boot;
         const bool isAnyLeft = plan(context);
         state.m_nextPlanAt = now.m_boot + (isAnyLeft ? backlogPlanPause : fleet::Duration(0));
-        reconcileChangedJobs(context);
+        reconcileChanged(context);
     }
     recordBatch(context);
     sendDueOrders(context);
--- a/components/dispatch/work_counts.hpp
+++ b/components/dispatch/work_counts.hpp
@@ -13,8 +13,8 @@
     /// Steps that were examined for placement, and tasks listed for them.
     std::uint64_t m_candidates = 0;
     std::uint64_t m_listedTasks = 0;
-    /// Records of tasks that were read to find runs that are no longer needed.
-    std::uint64_t m_reconciledTasks = 0;
+    /// Open runs that were read to find those that are no longer needed.
+    std::uint64_t m_reconciledRuns = 0;
     /// Open runs that were read to find due orders and overdue ones.
     std::uint64_t m_examinedRuns = 0;
 
@@ -23,7 +23,7 @@
         m_plans += other.m_plans;
         m_candidates += other.m_candidates;
         m_listedTasks += other.m_listedTasks;
-        m_reconciledTasks += other.m_reconciledTasks;
+        m_reconciledRuns += other.m_reconciledRuns;
         m_examinedRuns += other.m_examinedRuns;
         return *this;
     }
--- a/components/node/instance_metrics.cpp
+++ b/components/node/instance_metrics.cpp
@@ -253,10 +253,10 @@
     addIncrease("foxtailcross_plans_total", "Holder: plans made.", counts.m_plans, last.m_plans);
     addIncrease("foxtailcross_plan_candidates_total", "Holder: steps examined for placement, over all plans.", counts.m_candidates, last.m_candidates);
     addIncrease("foxtailcross_plan_tasks_total", "Holder: tasks listed for placement, over all plans.", counts.m_listedTasks, last.m_listedTasks);
-    addIncrease("foxtailcross_reconciled_tasks_total",
-                "Holder: records of tasks read to find runs that are no longer needed.",
-                counts.m_reconciledTasks,
-                last.m_reconciledTasks);
+    addIncrease("foxtailcross_reconciled_runs_total",
+                "Holder: open runs read to find those that are no longer needed.",
+                counts.m_reconciledRuns,
+                last.m_reconciledRuns);
     addIncrease("foxtailcross_examined_runs_total", "Holder: open runs read to find due orders and overdue ones.", counts.m_examinedRuns, last.m_examinedRuns);
 }
 
