Scheduler: a plan lists and launches what can be under way, not what a job asks for

Cause: a plan built an entry, with its tasks, for each due occurrence and each task, and launched all that the capacity allowed, which for tiny tasks is everything. The orders that found no place in the client's queue came back as not sent, one by one, and were launched again.

Change: dispatch::allowance() shares three limits between jobs: starts that are awaited, open runs, and records of begun occurrences. A plan lists of each job what it may have launched and counts the rest. The critical path is found once a job and plan, not once an entry.

--- a/apps/foxtailcross-node/main.cpp
+++ b/apps/foxtailcross-node/main.cpp
@@ -85,6 +85,7 @@
     control.m_dispatch.m_machineLease = settings.m_machineLease;
     control.m_dispatch.m_restoreTime = settings.m_restoreTime;
     control.m_dispatch.m_upkeepTime = settings.m_upkeepTime;
+    control.m_dispatch.m_maxOpenRuns = dispatch::Settings::openRunsWithin(settings.m_memoryMb);
     control.m_dispatch.m_usesLearnedRunTimes = settings.m_usesLearnedRunTimes;
     control.m_keyRevocation = settings.m_keyRevocation;
     control.m_catalogInForce = settings.m_catalogInForce;
--- a/components/allocations/allocation_counts.cpp
+++ b/components/allocations/allocation_counts.cpp
@@ -1,14 +1,16 @@
 #include "components/allocations/allocation_counts.hpp"
 
-#include <malloc.h>
-
 #include <atomic>
+#include <cstddef>
 #include <cstdlib>
+#include <cstring>
 #include <new>
 
 namespace
 {
 
+constexpr std::size_t headerBytes = alignof(std::max_align_t);
+
 std::atomic<std::size_t> allocated = 0;
 std::atomic<std::size_t> freed = 0;
 
@@ -26,18 +28,26 @@
 
 void *operator new(std::size_t size)
 {
-    void *memory = std::malloc(size);
+    // The size is stored before the memory: what the C library gives beyond it differs from call to call.
+    void *memory = std::malloc(headerBytes + size);
     if (memory == nullptr) {
         throw std::bad_alloc();
     }
-    allocated += ::malloc_usable_size(memory);
-    return memory;
+    std::memcpy(memory, &size, sizeof(size));
+    allocated += size;
+    return static_cast<char *>(memory) + headerBytes;
 }
 
 void operator delete(void *memory) noexcept
 {
-    freed += ::malloc_usable_size(memory);
-    std::free(memory);
+    if (memory == nullptr) {
+        return;
+    }
+    void *begin = static_cast<char *>(memory) - headerBytes;
+    std::size_t size = 0;
+    std::memcpy(&size, begin, sizeof(size));
+    freed += size;
+    std::free(begin);
 }
 
 void operator delete(void *memory, std::size_t) noexcept
--- a/components/dispatch/candidate.hpp
+++ b/components/dispatch/candidate.hpp
@@ -8,6 +8,7 @@
 #include "components/jobs/step_id.hpp"
 #include "components/workers/worker_incarnation.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -46,6 +47,11 @@
     /// A best-effort step that no other worker has room for may run beside serving tasks.
     bool m_mayRunBesideServing = false;
     std::vector<std::uint16_t> m_tasks;
+    /// Number of further tasks that are ready, of this step and of later occurrences of the job. They are not listed, since they would not
+    /// be launched in this plan.
+    std::size_t m_unlistedTasks = 0;
+    /// Not all of the listed tasks may be launched yet; see limitLaunches().
+    bool m_isLimited = false;
     /// Tasks that the maximum of the account keeps from starting in this plan.
     std::vector<std::uint16_t> m_withheldTasks;
     /// The run that the tasks join if the rest of their gang has started already; otherwise 0.
--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -3,6 +3,7 @@
 #include "components/dispatch/advice.hpp"
 #include "components/dispatch/context.hpp"
 #include "components/dispatch/guarantees.hpp"
+#include "components/dispatch/launch_limits.hpp"
 #include "components/dispatch/objectives.hpp"
 #include "components/dispatch/rack_preference.hpp"
 #include "components/dispatch/runs.hpp"
@@ -10,6 +11,7 @@
 #include "components/dispatch/worker_speed.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <tuple>
 
@@ -22,32 +24,54 @@
 /// How long a step avoids a worker where it failed.
 constexpr fleet::Duration failedWorkerAvoidance {8000};
 
-/// Returns the tasks of the step that are neither done nor have a run. For a gang these are all tasks, or those that can join the run of
-/// the others; none as long as a member has a stray run.
-std::vector<std::uint16_t>
-startableTasks(const jobs::StepId &id, const jobs::StepSpec &spec, const journal::StepRecord *record, const std::set<jobs::TaskId> &strayTasks)
+/// A job whose steps are listed, with what all of them have in common.
+struct ListedJob
+{
+    const journal::JobRecord &m_record;
+    const catalog::Queue &m_queue;
+    fleet::Duration m_criticalPath {0};
+    LaunchAllowance m_allowance;
+    const std::set<jobs::TaskId> &m_strayTasks;
+};
+
+/// Returns up to `limit` tasks of the step that are neither done nor have a run. For a gang these are all tasks, or those that can join the
+/// run of the others; none as long as a member has a stray run.
+std::vector<std::uint16_t> startableTasks(
+    const jobs::StepId &id, const jobs::StepSpec &spec, const journal::StepRecord *record, std::size_t limit, const std::set<jobs::TaskId> &strayTasks)
 {
     std::vector<std::uint16_t> tasks;
-    for (std::uint16_t i = 0; i < spec.m_tasks; ++i) {
-        const auto known = record == nullptr ? decltype(record->m_tasks.end()) {} : record->m_tasks.find(i);
-        const bool isKnown = record != nullptr && known != record->m_tasks.end();
-        const bool isFree = record == nullptr || (isKnown ? known->second.isIdle() : i >= record->m_firstNewTask);
-        const bool isStray = strayTasks.contains({id, i});
-        if (isStray && spec.m_isGang) {
-            return {};
+    const std::size_t wanted = spec.m_isGang ? spec.m_tasks : limit;
+    bool isAnyStray = false;
+    const auto add = [&](std::uint16_t index) {
+        const bool isStray = !strayTasks.empty() && strayTasks.contains({id, index});
+        isAnyStray = isAnyStray || isStray;
+        if (!isStray) {
+            tasks.push_back(index);
         }
-        if (isFree && !isStray) {
-            tasks.push_back(i);
+    };
+    if (record != nullptr) {
+        std::uint16_t idle = record->m_idleTasks;
+        for (auto task = record->m_tasks.begin(); idle > 0 && tasks.size() < wanted; ++task) {
+            if (task->second.isIdle()) {
+                --idle;
+                add(task->first);
+            }
         }
     }
+    for (std::uint16_t index = record == nullptr ? 0 : record->m_firstNewTask; index < spec.m_tasks && tasks.size() < wanted; ++index) {
+        add(index);
+    }
+    if (spec.m_isGang && isAnyStray) {
+        return {};
+    }
     const bool isPart = spec.m_isGang && tasks.size() < spec.m_tasks;
     return isPart && journal::joinableRun(*record) == 0 ? std::vector<std::uint16_t>() : tasks;
 }
 
-bool areDependenciesDone(const journal::JobRecord &job, std::uint32_t occurrence, const jobs::StepSpec &step)
+bool areDependenciesDone(const journal::OccurrenceRecord &occurrence, const jobs::StepSpec &step)
 {
     return std::all_of(step.m_dependsOn.begin(), step.m_dependsOn.end(), [&](std::uint16_t earlier) {
-        return journal::isStepDone(job, occurrence, earlier);
+        return occurrence.m_steps[earlier].isDone();
     });
 }
 
@@ -97,44 +121,115 @@
     return notBefore == context.m_state.m_restartNotBefore.end() || context.m_now.m_boot >= notBefore->second;
 }
 
-void addOccurrence(const Context &context,
-                   const journal::JobRecord &job,
-                   const catalog::Queue &queue,
-                   std::uint32_t occurrence,
-                   const std::set<jobs::TaskId> &strayTasks,
-                   std::vector<Candidate> &candidates)
+/// Appends the step to the candidates, with up to `limit` of its tasks. Returns the number of listed tasks.
+std::size_t addStep(const Context &context,
+                    const ListedJob &job,
+                    const jobs::StepId &id,
+                    const journal::StepRecord *record,
+                    std::size_t limit,
+                    std::vector<Candidate> &candidates)
 {
-    const auto steps = static_cast<std::uint16_t>(job.m_spec.m_steps.size());
-    for (std::uint16_t i = 0; i < steps; ++i) {
-        const jobs::StepSpec &spec = job.m_spec.m_steps[i];
-        const jobs::StepId id {job.m_spec.m_id, occurrence, i};
-        if (journal::isStepDone(job, occurrence, i) || !areDependenciesDone(job, occurrence, spec) || !isRestartDue(context, id)) {
-            continue;
-        }
-        std::vector<std::uint16_t> tasks = startableTasks(id, spec, journal::findStep(job, id), strayTasks);
-        if (tasks.empty()) {
-            continue;
+    const jobs::StepSpec &spec = job.m_record.m_spec.m_steps[id.m_step];
+    std::vector<std::uint16_t> tasks = startableTasks(id, spec, record, limit, job.m_strayTasks);
+    if (tasks.empty()) {
+        return 0;
+    }
+    Candidate candidate;
+    candidate.m_step = id;
+    candidate.m_spec = &spec;
+    candidate.m_queue = &job.m_queue;
+    candidate.m_account = job.m_record.m_spec.m_account;
+    candidate.m_requiresOneRack = spec.m_isGang && spec.m_prefersOneRack;
+    candidate.m_perTask = allocationFor(spec);
+    candidate.m_objective = objectiveOf(job.m_record, job.m_queue, id.m_occurrence, job.m_criticalPath);
+    candidate.m_tasks = std::move(tasks);
+    if (!spec.m_isGang) {
+        const std::size_t startable = record == nullptr ? spec.m_tasks : record->startableTasks();
+        candidate.m_unlistedTasks = startable - candidate.m_tasks.size();
+    }
+    if (context.m_state.m_settings.m_usesLearnedRunTimes) {
+        candidate.m_speedPreference = speedPreference(spec, candidate.m_objective, context.m_now.m_wall);
+    }
+    addFailures(context, candidate);
+    if (job.m_queue.m_advice) {
+        candidate.m_tickets = usableTickets(context, id);
+    }
+    if (spec.m_isGang && candidate.m_tasks.size() < spec.m_tasks) {
+        joinGang(context, *record, candidate);
+    }
+    candidates.push_back(std::move(candidate));
+    return candidates.back().m_tasks.size();
+}
+
+/// Appends the ready steps of the occurrences that have begun. Of each step of the job, no more tasks are listed than may be launched.
+void addBegunOccurrences(const Context &context, const ListedJob &job, std::vector<Candidate> &candidates)
+{
+    const std::vector<jobs::StepSpec> &steps = job.m_record.m_spec.m_steps;
+    const std::size_t limit = std::max<std::size_t>(1, job.m_allowance.m_tasks);
+    std::vector<std::size_t> listed(steps.size());
+    std::vector<std::size_t> unlisted(steps.size());
+    std::vector<std::optional<std::size_t>> lastOf(steps.size());
+    for (const auto &[number, occurrence] : job.m_record.m_occurrences) {
+        for (std::uint16_t i = 0; i < steps.size(); ++i) {
+            const journal::StepRecord &record = occurrence.m_steps[i];
+            const jobs::StepId id {job.m_record.m_spec.m_id, number, i};
+            const bool isReady = record.startableTasks() > 0 && areDependenciesDone(occurrence, steps[i]) && isRestartDue(context, id);
+            if (!isReady) {
+                continue;
+            }
+            if (listed[i] >= limit) {
+                unlisted[i] += record.startableTasks();
+                continue;
+            }
+            const std::size_t added = addStep(context, job, id, &record, limit - listed[i], candidates);
+            listed[i] += added;
+            if (added > 0) {
+                lastOf[i] = candidates.size() - 1;
+            }
         }
-        Candidate candidate;
-        candidate.m_step = id;
-        candidate.m_spec = &spec;
-        candidate.m_queue = &queue;
-        candidate.m_account = job.m_spec.m_account;
-        candidate.m_requiresOneRack = spec.m_isGang && spec.m_prefersOneRack;
-        candidate.m_perTask = allocationFor(spec);
-        candidate.m_objective = objectiveOf(job, queue, occurrence);
-        candidate.m_tasks = std::move(tasks);
-        if (context.m_state.m_settings.m_usesLearnedRunTimes) {
-            candidate.m_speedPreference = speedPreference(spec, candidate.m_objective, context.m_now.m_wall);
+    }
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        if (lastOf[i]) {
+            candidates[*lastOf[i]].m_unlistedTasks += unlisted[i];
         }
-        addFailures(context, candidate);
-        if (queue.m_advice) {
-            candidate.m_tickets = usableTickets(context, id);
+    }
+}
+
+/// Appends the first steps of due occurrences that have not begun, in their order, until as many tasks are listed as may be launched.
+void addNewOccurrences(const Context &context, const ListedJob &job, std::uint32_t due, std::vector<Candidate> &candidates)
+{
+    const journal::JobRecord &record = job.m_record;
+    const std::vector<jobs::StepSpec> &steps = record.m_spec.m_steps;
+    const std::size_t limit = std::max<std::size_t>(record.m_spec.m_schedule.isTimed() ? 0 : 1, job.m_allowance.m_tasksOfNewOccurrences);
+    const auto begun = static_cast<std::size_t>(std::count_if(record.m_occurrences.begin(), record.m_occurrences.end(), [&](const auto &entry) {
+        return !record.m_doneOccurrences.contains(entry.first);
+    }));
+    std::size_t left = due - std::min<std::size_t>(due, record.m_doneOccurrences.size() + begun);
+    std::vector<std::size_t> added;
+    std::size_t listed = 0;
+    auto next = record.m_occurrences.begin();
+    std::uint32_t number = record.m_doneOccurrences.firstMissing(0);
+    for (std::size_t visited = 0; left > 0 && listed < limit && visited < limit; number = record.m_doneOccurrences.firstMissing(number + 1)) {
+        next = std::find_if(next, record.m_occurrences.end(), [&](const auto &entry) {
+            return entry.first >= number;
+        });
+        if (next != record.m_occurrences.end() && next->first == number) {
+            continue;
         }
-        if (spec.m_isGang && candidate.m_tasks.size() < spec.m_tasks) {
-            joinGang(context, *journal::findStep(job, id), candidate);
+        ++visited;
+        --left;
+        added.clear();
+        for (std::uint16_t i = 0; i < steps.size(); ++i) {
+            const jobs::StepId id {record.m_spec.m_id, number, i};
+            const bool isReady = steps[i].m_dependsOn.empty() && isRestartDue(context, id);
+            if (isReady && addStep(context, job, id, nullptr, limit - std::min(limit - 1, listed), candidates) > 0) {
+                listed += candidates.back().m_tasks.size();
+                added.push_back(candidates.size() - 1);
+            }
         }
-        candidates.push_back(std::move(candidate));
+    }
+    for (const std::size_t last : added) {
+        candidates[last].m_unlistedTasks += left * candidates[last].m_spec->m_tasks;
     }
 }
 
@@ -167,18 +262,17 @@
 {
     std::vector<Candidate> candidates;
     const std::set<jobs::TaskId> strayTasks = tasksWithStrayRuns(context);
+    const std::size_t occurrenceRecords = countOccurrenceRecords(context);
     for (const auto &[id, seenAt] : context.m_state.m_activeJobs) {
-        const journal::JobRecord &job = context.m_journalState.m_jobs.at(id);
-        const catalog::Queue *queue = catalog::findQueue(context.m_catalog, job.m_spec.m_queue);
-        if (queue == nullptr || job.isOver()) {
+        const journal::JobRecord &record = context.m_journalState.m_jobs.at(id);
+        const catalog::Queue *queue = catalog::findQueue(context.m_catalog, record.m_spec.m_queue);
+        if (queue == nullptr || record.isOver()) {
             continue;
         }
-        const std::uint32_t due = dueOccurrences(job, context.m_now.m_wall);
-        for (std::uint32_t occurrence = 0; occurrence < due; ++occurrence) {
-            if (!job.m_doneOccurrences.contains(occurrence)) {
-                addOccurrence(context, job, *queue, occurrence, strayTasks, candidates);
-            }
-        }
+        const ListedJob job {
+            record, *queue, criticalPathLength(record.m_spec), launchAllowance(context, record, queue->m_priority, occurrenceRecords), strayTasks};
+        addBegunOccurrences(context, job, candidates);
+        addNewOccurrences(context, job, dueOccurrences(record, context.m_now.m_wall), candidates);
     }
     markGuaranteed(context, measureUse(context), candidates);
     std::sort(candidates.begin(), candidates.end(), hasHigherPriority);
--- a/components/dispatch/candidates.hpp
+++ b/components/dispatch/candidates.hpp
@@ -10,7 +10,8 @@
 
 struct Context;
 
-/// Returns every step with tasks that are ready to start, in scheduling order.
+/// Returns the steps with tasks that are ready to start, in scheduling order: of each job as many as may be launched, and at least one of each
+/// step. The rest is counted; see Candidate::m_unlistedTasks.
 std::vector<Candidate> findCandidates(const Context &context);
 
 }
--- a/components/dispatch/guarantees.cpp
+++ b/components/dispatch/guarantees.cpp
@@ -17,7 +17,7 @@
 
 std::int64_t neededAccelerators(const Candidate &candidate)
 {
-    return candidate.m_perTask.m_accelerators * static_cast<std::int64_t>(candidate.m_tasks.size());
+    return candidate.m_perTask.m_accelerators * static_cast<std::int64_t>(candidate.m_tasks.size() + candidate.m_unlistedTasks);
 }
 
 }
--- /dev/null
+++ b/components/dispatch/launch_limits.cpp
@@ -0,0 +1,93 @@
+#include "components/dispatch/launch_limits.hpp"
+
+#include "components/dispatch/candidate.hpp"
+#include "components/dispatch/context.hpp"
+#include "components/jobs/step_spec.hpp"
+
+#include <algorithm>
+
+namespace dispatch
+{
+
+namespace
+{
+
+/// Of so many parts of a resource each lower priority leaves one unused, and jobs that have some of it leave one to those that have none.
+constexpr std::size_t parts = 8;
+constexpr int lowestPriority = 3;
+/// A job may have as much as it leaves unused, divided by this.
+constexpr std::size_t unusedToOwn = 3;
+
+std::size_t unused(std::size_t limit, std::size_t inUse, std::size_t own, int priority)
+{
+    const std::size_t kept = static_cast<std::size_t>(std::clamp(priority, 0, lowestPriority)) + (own > 0 ? 1 : 0);
+    const std::size_t usable = limit * (parts - kept) / parts;
+    return usable > inUse ? usable - inUse : 0;
+}
+
+std::size_t recordsOf(const journal::JobRecord &job)
+{
+    return job.m_spec.m_schedule.isTimed() ? job.m_occurrences.size() * job.m_spec.m_steps.size() : 0;
+}
+
+/// A gang is launched as a whole or not at all. One that is wider than the share of its job is launched once the job has nothing else under
+/// way.
+bool mayLaunchGang(std::size_t members, std::size_t allowed, std::size_t own)
+{
+    return members <= allowed || (own == 0 && allowed > 0);
+}
+
+}
+
+std::size_t allowance(std::size_t limit, std::size_t inUse, std::size_t own, int priority)
+{
+    const std::size_t left = unused(limit, inUse, own, priority);
+    if (left <= unusedToOwn * own) {
+        return 0;
+    }
+    return std::max<std::size_t>(1, (left - unusedToOwn * own) / (unusedToOwn + 1));
+}
+
+std::size_t countOccurrenceRecords(const Context &context)
+{
+    std::size_t records = 0;
+    for (const auto &[id, seenAt] : context.m_state.m_activeJobs) {
+        records += recordsOf(context.m_journalState.m_jobs.at(id));
+    }
+    return records;
+}
+
+LaunchAllowance launchAllowance(const Context &context, const journal::JobRecord &job, int priority, std::size_t occurrenceRecords)
+{
+    const State &state = context.m_state;
+    const std::size_t starts = allowance(AwaitedStarts::limit, state.m_awaitedStarts.counted(), state.m_awaitedStarts.of(job.m_spec.m_id), priority);
+    const std::size_t runs = allowance(state.m_settings.m_maxOpenRuns, state.m_runs.size(), job.m_openRuns, priority);
+    const std::size_t records = allowance(state.m_settings.m_maxOpenRuns, occurrenceRecords, recordsOf(job), priority);
+    const std::size_t tasks = std::min(starts, runs);
+    return {tasks, job.m_spec.m_schedule.isTimed() ? std::min(tasks, records) : tasks};
+}
+
+void limitLaunches(const Context &context, Candidate &candidate)
+{
+    if (candidate.m_joinedRun > 0) {
+        return;
+    }
+    const State &state = context.m_state;
+    const journal::JobRecord &job = context.m_journalState.m_jobs.at(candidate.m_step.m_job);
+    const int priority = candidate.m_queue->m_priority;
+    const std::size_t ownStarts = state.m_awaitedStarts.of(candidate.m_step.m_job);
+    const std::size_t starts = allowance(AwaitedStarts::limit, state.m_awaitedStarts.counted(), ownStarts, priority);
+    const std::size_t runs = allowance(state.m_settings.m_maxOpenRuns, state.m_runs.size(), job.m_openRuns, priority);
+    const std::size_t tasks = candidate.m_tasks.size();
+    std::size_t allowed = std::min({tasks, starts, runs});
+    if (candidate.m_spec->m_isGang) {
+        const std::size_t unusedRuns = unused(state.m_settings.m_maxOpenRuns, state.m_runs.size(), job.m_openRuns, priority);
+        const bool mayLaunch = mayLaunchGang(tasks, starts, ownStarts) && mayLaunchGang(tasks, unusedRuns, job.m_openRuns);
+        allowed = mayLaunch ? tasks : 0;
+    }
+    candidate.m_isLimited = allowed < tasks;
+    candidate.m_unlistedTasks += tasks - allowed;
+    candidate.m_tasks.resize(allowed);
+}
+
+}
--- a/components/dispatch/objectives.cpp
+++ b/components/dispatch/objectives.cpp
@@ -32,7 +32,12 @@
 
 fleet::TimePoint objectiveOf(const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence)
 {
-    const double stretched = static_cast<double>(criticalPathLength(job.m_spec).count()) * queue.m_stretch;
+    return objectiveOf(job, queue, occurrence, criticalPathLength(job.m_spec));
+}
+
+fleet::TimePoint objectiveOf(const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence, fleet::Duration criticalPath)
+{
+    const double stretched = static_cast<double>(criticalPath.count()) * queue.m_stretch;
     return beginOf(job, occurrence) + fleet::Duration(static_cast<std::int64_t>(stretched)) + queue.m_slack;
 }
 
--- a/components/dispatch/objectives.hpp
+++ b/components/dispatch/objectives.hpp
@@ -31,6 +31,8 @@
 
 /// Returns the completion time that meets the objective for an occurrence of the job.
 fleet::TimePoint objectiveOf(const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence);
+/// The same with a known length of the critical path, which takes a while to find for a job of many steps.
+fleet::TimePoint objectiveOf(const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence, fleet::Duration criticalPath);
 
 }
 
--- a/components/dispatch/plan.cpp
+++ b/components/dispatch/plan.cpp
@@ -11,6 +11,7 @@
 #include "components/dispatch/evictions.hpp"
 #include "components/dispatch/failures.hpp"
 #include "components/dispatch/guarantees.hpp"
+#include "components/dispatch/launch_limits.hpp"
 #include "components/dispatch/placement_requirements.hpp"
 #include "components/dispatch/placing.hpp"
 #include "components/dispatch/rack_preference.hpp"
@@ -403,12 +404,14 @@
     AvailableWorkers availableWorkers = findAvailableWorkers(context);
     PlanFindings findings;
     bool isAnyLeft = false;
+    context.m_state.m_isPlanLimited = false;
     std::vector<Candidate> candidates = findCandidates(context);
     countPlan(context.m_out.m_work, candidates);
     orderByShare(context, candidates);
     AccountBudgets budgets = makeAccountBudgets(context, candidates);
     for (Candidate &candidate : candidates) {
         WaitingStep &waiting = findWaitingStep(context, candidate);
+        limitLaunches(context, candidate);
         withholdExcess(context, budgets, candidate, availableWorkers);
         makeRoomBelowMaximum(context, budgets, candidate);
         const std::size_t ready = candidate.m_tasks.size();
@@ -419,7 +422,9 @@
             recordPlaced(context, waiting);
         }
         settleTasks(context, budgets, candidate, ready);
-        isAnyLeft = isAnyLeft || !candidate.m_tasks.empty();
+        const bool areAnyUnlisted = candidate.m_unlistedTasks > 0;
+        context.m_state.m_isPlanLimited = context.m_state.m_isPlanLimited || areAnyUnlisted;
+        isAnyLeft = isAnyLeft || areAnyUnlisted || !candidate.m_tasks.empty();
     }
     reportWaitingSteps(context, candidates, availableWorkers);
     return isAnyLeft;
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -127,6 +127,7 @@
         run.m_stopAnswered = false;
         run.m_isUnconfirmedAfterRestart = true;
         run.m_observation = {};
+        settleStart(context.m_state, id, run);
         if (run.m_phase == RunPhase::Recording) {
             requestStop(context, id, "worker-reborn");
         }
@@ -218,6 +219,7 @@
         context.m_out.m_stops.push_back({incarnation, worker->m_registration.m_address, task.m_run, context.m_state.m_token});
         return;
     }
+    settleStart(context.m_state, task.m_run, *run);
     if (run->m_phase != RunPhase::Running) {
         run->m_phase = RunPhase::Running;
         run->m_startedAt = context.m_now.m_boot;
@@ -395,6 +397,9 @@
     }
     const fleet::BootTime now = context.m_now.m_boot;
     run->m_startInFlight = false;
+    if (result.m_outcome != workers::OrderOutcome::LeaseExpired) {
+        settleStart(context.m_state, order.m_run, *run);
+    }
     if (result.m_outcome == workers::OrderOutcome::Unknown || result.m_outcome == workers::OrderOutcome::NotSent) {
         run->m_isStartUncertain = run->m_isStartUncertain || result.m_outcome == workers::OrderOutcome::Unknown;
         run->m_hasUnansweredStart = run->m_hasUnansweredStart || result.m_outcome == workers::OrderOutcome::Unknown;
--- a/components/dispatch/run_state.hpp
+++ b/components/dispatch/run_state.hpp
@@ -34,6 +34,8 @@
     RunPhase m_phase = RunPhase::Recording;
     fleet::BootTime m_launchedAt;
 
+    /// It was launched by this holder and its first start order is not answered yet; see AwaitedStarts.
+    bool m_isStartAwaited = false;
     bool m_startInFlight = false;
     int m_startTries = 0;
     fleet::BootTime m_startSentAt;
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -396,6 +396,16 @@
     state.m_runs.emplace(run, std::move(runState));
 }
 
+void settleStart(State &state, const jobs::RunId &run, RunState &runState)
+{
+    if (!runState.m_isStartAwaited) {
+        return;
+    }
+    runState.m_isStartAwaited = false;
+    state.m_awaitedStarts.remove(run.m_task.m_step.m_job);
+    state.m_planIsDue = state.m_planIsDue || state.m_isPlanLimited;
+}
+
 void launch(Context &context, const jobs::RunId &run, const workers::WorkerIncarnation &incarnation, const std::string &ticket)
 {
     const journal::JobRecord &job = context.m_journalState.m_jobs.at(run.m_task.m_step.m_job);
@@ -403,6 +413,8 @@
     state.m_ticket = ticket;
     state.m_checkpoint = journal::checkpointOf(job, run.m_task);
     expectRunTime(context, run, state);
+    state.m_isStartAwaited = true;
+    context.m_state.m_awaitedStarts.add(run.m_task.m_step.m_job);
     addRun(context.m_state, run, std::move(state));
     context.m_launched.push_back({run, incarnation});
     journal::Changes changes;
@@ -434,6 +446,7 @@
         }
     }
     removeFromAccountUse(context.m_state, found->second);
+    settleStart(context.m_state, run, found->second);
     context.m_state.m_runs.erase(found);
     context.m_state.m_runsWithPendingOrders.erase(run);
     recordEnd(context, ended);
--- a/components/dispatch/runs.hpp
+++ b/components/dispatch/runs.hpp
@@ -47,6 +47,9 @@
 /// Adds the run and allocates its resources on its worker.
 void addRun(State &state, const jobs::RunId &run, RunState runState);
 
+/// Records that the start of the run is no longer awaited: its order was answered or given up.
+void settleStart(State &state, const jobs::RunId &run, RunState &runState);
+
 /// Adds a new run and records its launch.
 void launch(Context &context, const jobs::RunId &run, const workers::WorkerIncarnation &incarnation, const std::string &ticket);
 
--- a/components/dispatch/scheduler_fixture.hpp
+++ b/components/dispatch/scheduler_fixture.hpp
@@ -3,7 +3,11 @@
 
 #include "components/catalog/catalog.hpp"
 #include "components/catalog/upkeep_wave.hpp"
+#include "components/dispatch/candidate.hpp"
+#include "components/dispatch/candidates.hpp"
+#include "components/dispatch/context.hpp"
 #include "components/dispatch/environment.hpp"
+#include "components/dispatch/runs.hpp"
 #include "components/dispatch/scheduler_events.hpp"
 #include "components/dispatch/state.hpp"
 #include "components/journal/changes.hpp"
@@ -130,6 +134,20 @@
         return collect(onStartEnded(m_state, environment(), order, {outcome, clockMs(), {}}, m_now));
     }
 
+    /// The worker reports the end of the run.
+    Outbox endRun(const workers::StartOrder &order, jobs::RunEnd end)
+    {
+        Context context {m_state, m_journal, m_catalog, m_zonesOut, m_waves, m_now};
+        dispatch::endRun(context, order.m_run, end, {}, RunEndProof::ReportedByWorker);
+        reconcileChanged(context);
+        return collect(std::move(context.m_out));
+    }
+
+    std::vector<Candidate> listCandidates()
+    {
+        return findCandidates({m_state, m_journal, m_catalog, m_zonesOut, m_waves, m_now});
+    }
+
     Outbox endStop(const workers::StopOrder &order, workers::OrderOutcome outcome)
     {
         return collect(onStopEnded(m_state, environment(), order, {outcome, clockMs(), {}}, m_now));
--- a/components/dispatch/settings.hpp
+++ b/components/dispatch/settings.hpp
@@ -4,6 +4,8 @@
 #include "components/fleet/time.hpp"
 
 #include <algorithm>
+#include <cstddef>
+#include <cstdint>
 
 namespace dispatch
 {
@@ -29,6 +31,16 @@
     /// that runs survive, and the time that a successor waits for workers that do not answer.
     fleet::Duration m_holderAuthority {4000};
 
+    /// Maximum number of open runs, to which most of the memory of a holder goes; see openRunsWithin().
+    std::size_t m_maxOpenRuns = openRunsWithin(120);
+
+    /// Returns how many open runs a holder with this much memory can keep.
+    static constexpr std::size_t openRunsWithin(std::int64_t memoryMb)
+    {
+        constexpr std::int64_t runsPerMb = 128;
+        return static_cast<std::size_t>(memoryMb * runsPerMb);
+    }
+
     /// Decisions use the run times learned from earlier runs. They are learned in any case.
     bool m_usesLearnedRunTimes = true;
 
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -1,6 +1,7 @@
 #ifndef COMPONENTS_DISPATCH_STATE_HPP
 #define COMPONENTS_DISPATCH_STATE_HPP
 
+#include "components/dispatch/awaited_starts.hpp"
 #include "components/dispatch/closed_run.hpp"
 #include "components/dispatch/pending_batch.hpp"
 #include "components/dispatch/reported_stray.hpp"
@@ -49,6 +50,10 @@
     std::map<jobs::RunId, ReportedStray> m_reportedStrays;
     /// Sum of the resources that the open runs ask for, by account. It changes with m_runs.
     std::map<fleet::AccountId, fleet::Resources> m_accountUse;
+    /// Runs whose start is awaited, by job. It changes with m_runs.
+    AwaitedStarts m_awaitedStarts;
+    /// The last plan left out tasks that may be launched once some of the awaited starts are answered.
+    bool m_isPlanLimited = false;
     /// Runs that have not started or are to be stopped, for which orders may be due.
     std::set<jobs::RunId> m_runsWithPendingOrders;
     /// Jobs that are not over, with the time when this holder first saw them. Their time of acceptance is from the clock of another
--- a/components/dispatch/wait_reason.hpp
+++ b/components/dispatch/wait_reason.hpp
@@ -8,6 +8,8 @@
 
 /// What keeps a step from being placed: the first of these that leaves too little room for it.
 enum class WaitReason : std::uint8_t {
+    /// Enough starts of the job, or of all jobs, are awaited, or enough runs are open.
+    LaunchLimit,
     /// The account would exceed its maximum.
     AccountMaximum,
     /// No listed worker runs the service and has the label.
--- a/components/dispatch/waiting.cpp
+++ b/components/dispatch/waiting.cpp
@@ -25,6 +25,8 @@
 const char *nameOf(WaitReason reason)
 {
     switch (reason) {
+    case WaitReason::LaunchLimit:
+        return "launch-limit";
     case WaitReason::AccountMaximum:
         return "account-maximum";
     case WaitReason::NoWorker:
@@ -82,7 +84,7 @@
                                       .add("step", candidate.m_step.m_step)
                                       .add("reason", nameOf(report.m_reason))
                                       .add("waited_ms", context.m_now.m_boot - waiting.m_since)
-                                      .add("tasks", candidate.m_tasks.size())
+                                      .add("tasks", candidate.m_tasks.size() + candidate.m_unlistedTasks)
                                       .add("gang", candidate.m_spec->m_isGang)
                                       .add("one_rack", candidate.m_requiresOneRack)
                                       .add("free_slots", report.m_freeSlots)
@@ -117,6 +119,9 @@
 
 WaitReport explainWait(const Context &context, const Candidate &candidate, const AvailableWorkers &availableWorkers)
 {
+    if (candidate.m_tasks.empty() && candidate.m_isLimited) {
+        return {WaitReason::LaunchLimit, 0, 0, false};
+    }
     if (!candidate.m_tasks.empty() && candidate.m_withheldTasks.size() == candidate.m_tasks.size()) {
         return {WaitReason::AccountMaximum, 0, 0, false};
     }
@@ -186,7 +191,7 @@
         if (waiting == waitingSteps.end()) {
             continue;
         }
-        if (candidate.m_tasks.empty()) {
+        if (candidate.m_tasks.empty() && !candidate.m_isLimited) {
             waitingSteps.erase(waiting);
         } else if (waiting->second.m_reportDueAt <= now) {
             due.emplace_back(waiting->second.m_reportDueAt, &candidate);
--- a/components/dispatch/wide_jobs_test.cpp
+++ b/components/dispatch/wide_jobs_test.cpp
@@ -1,5 +1,9 @@
+#include "components/allocations/allocation_counts.hpp"
+#include "components/dispatch/awaited_starts.hpp"
 #include "components/dispatch/scheduler_fixture.hpp"
 
+#include <algorithm>
+
 #include <criterion/criterion.h>
 
 namespace
@@ -16,6 +20,56 @@
     return fixture;
 }
 
+struct PlanCost
+{
+    std::uint64_t m_candidates = 0;
+    std::uint64_t m_listedTasks = 0;
+    std::size_t m_launches = 0;
+    std::size_t m_allocatedBytes = 0;
+
+    bool operator==(const PlanCost &) const = default;
+};
+
+/// Cost of the second plan, which meets what the first one has left.
+PlanCost costOfPlan(SchedulerFixture fixture)
+{
+    fixture.runCycle();
+    const std::size_t before = allocations::allocationCounts().m_allocated;
+    const std::size_t openBefore = fixture.m_state.m_runs.size();
+    const dispatch::Outbox outbox = fixture.runCycle();
+    return {outbox.m_work.m_candidates,
+            outbox.m_work.m_listedTasks,
+            fixture.m_state.m_runs.size() - openBefore,
+            allocations::allocationCounts().m_allocated - before};
+}
+
+SchedulerFixture withTimes(std::uint32_t times, const jobs::StepSpec &step, int jobCount = 1)
+{
+    SchedulerFixture fixture;
+    for (int i = 0; i < jobCount; ++i) {
+        fixture.accept({step}, 2, SchedulerFixture::passedTimes(times));
+    }
+    return fixture;
+}
+
+/// Answers all starts that were sent, ends all runs as done, and plans again.
+void finishRuns(SchedulerFixture &fixture)
+{
+    const std::vector<workers::StartOrder> orders = std::exchange(fixture.m_starts, {});
+    for (const workers::StartOrder &order : orders) {
+        fixture.endStart(order, workers::OrderOutcome::Done);
+        fixture.endRun(order, jobs::RunEnd::Done);
+    }
+    fixture.runCycle();
+}
+
+bool hasStarted(const SchedulerFixture &fixture, jobs::JobId job)
+{
+    return std::any_of(fixture.m_starts.begin(), fixture.m_starts.end(), [&](const workers::StartOrder &order) {
+        return order.m_run.m_task.m_step.m_job == job;
+    });
+}
+
 }
 
 /// Guards against reading the whole job for each answer: the refusals of one job's starts kept the control threads of all instances busy.
@@ -42,3 +96,161 @@
     };
     cr_assert_leq(readRuns(1000), readRuns(10));
 }
+
+/// Guards against an entry in each plan for each due time: one client took every holder over its memory with a job of 1,000,000 passed times
+/// that no worker can run.
+Test(wideJobs, millionTimesWithoutWorker_planCostsNoMoreThanForThousands)
+{
+    jobs::StepSpec step = SchedulerFixture::smallTasks(1);
+    step.m_requiredLabel = "label-of-no-worker";
+    cr_assert(costOfPlan(withTimes(1'000'000, step)) == costOfPlan(withTimes(10'000, step)));
+}
+
+Test(wideJobs, millionTimesThatCanRun_planCostsNoMoreThanForThousands)
+{
+    const jobs::StepSpec step = SchedulerFixture::smallTasks(1);
+    cr_assert(costOfPlan(withTimes(1'000'000, step)) == costOfPlan(withTimes(10'000, step)));
+}
+
+Test(wideJobs, millionTimesOfGangs_planCostsNoMoreThanForThousands)
+{
+    jobs::StepSpec gang = SchedulerFixture::smallTasks(4);
+    gang.m_isGang = true;
+    cr_assert(costOfPlan(withTimes(1'000'000, gang)) == costOfPlan(withTimes(10'000, gang)));
+}
+
+Test(wideJobs, tenJobsOfManyTimes_planCostsNoMoreThanForThousandsEach)
+{
+    const jobs::StepSpec step = SchedulerFixture::smallTasks(1);
+    cr_assert(costOfPlan(withTimes(100'000, step, 10)) == costOfPlan(withTimes(10'000, step, 10)));
+}
+
+Test(wideJobs, manyTasks_planCostsNoMoreThanForThousands)
+{
+    const auto cost = [](std::uint16_t tasks) {
+        SchedulerFixture fixture;
+        fixture.accept({SchedulerFixture::smallTasks(tasks), SchedulerFixture::smallTasks(tasks)}, 2);
+        return costOfPlan(fixture);
+    };
+    cr_assert(cost(50'000) == cost(5'000));
+}
+
+/// Guards against launching a step whole: the orders that found no place in the client's queue came back as not sent, each by itself.
+Test(wideJobs, startsAreNotAnswered_noMoreThanTheLimitAreLaunched)
+{
+    SchedulerFixture fixture;
+    for (int priority = 0; priority < 3; ++priority) {
+        fixture.accept({SchedulerFixture::smallTasks(50'000), SchedulerFixture::smallTasks(50'000)}, priority);
+    }
+    for (int plan = 0; plan < 50; ++plan) {
+        fixture.runCycle();
+    }
+    cr_assert_leq(fixture.m_state.m_runs.size(), dispatch::AwaitedStarts::limit);
+}
+
+Test(wideJobs, startsAreAnswered_theNextTasksAreLaunched)
+{
+    SchedulerFixture fixture;
+    const jobs::JobId wide = fixture.accept({SchedulerFixture::smallTasks(5'000)}, 2);
+    for (int plan = 0; plan < 100 && !fixture.m_journal.m_jobs.at(wide).isOver(); ++plan) {
+        finishRuns(fixture);
+    }
+    cr_assert(fixture.m_journal.m_jobs.at(wide).isCompleted());
+}
+
+Test(wideJobs, occurrencesEnd_theNextOnesAreLaunched)
+{
+    SchedulerFixture fixture;
+    const jobs::JobId timed = fixture.accept({SchedulerFixture::smallTasks(1)}, 2, SchedulerFixture::passedTimes(5'000));
+    for (int plan = 0; plan < 100 && !fixture.m_journal.m_jobs.at(timed).isOver(); ++plan) {
+        finishRuns(fixture);
+    }
+    cr_assert(fixture.m_journal.m_jobs.at(timed).isCompleted());
+}
+
+/// Urgent jobs stayed queued beside idle workers behind a job of many times.
+Test(wideJobs, wideJobsAwaitTheirStarts_smallJobsOfAnyPriorityStartAtOnce)
+{
+    SchedulerFixture fixture;
+    for (int i = 0; i < 2; ++i) {
+        fixture.accept({SchedulerFixture::smallTasks(50'000)}, 2);
+        fixture.accept({SchedulerFixture::smallTasks(1)}, 2, SchedulerFixture::passedTimes(1'000'000));
+    }
+    for (int plan = 0; plan < 20; ++plan) {
+        fixture.runCycle();
+    }
+    for (int priority = 0; priority < 3; ++priority) {
+        const jobs::JobId small = fixture.accept({SchedulerFixture::smallTasks(2)}, priority);
+        fixture.runCycle();
+        cr_assert(hasStarted(fixture, small), "priority %d", priority);
+    }
+}
+
+/// The same with open runs that go on for long, and a gang wider than any share.
+Test(wideJobs, wideJobsFillTheOpenRuns_smallJobsStartAtOnce)
+{
+    SchedulerFixture fixture;
+    fixture.m_state.m_settings.m_maxOpenRuns = 2000;
+    fixture.accept({SchedulerFixture::smallTasks(50'000)}, 2);
+    fixture.accept({SchedulerFixture::smallTasks(1)}, 2, SchedulerFixture::passedTimes(1'000'000));
+    jobs::StepSpec gang = SchedulerFixture::smallTasks(900);
+    gang.m_isGang = true;
+    const jobs::JobId wideGang = fixture.accept({gang}, 1);
+    for (int plan = 0; plan < 50; ++plan) {
+        const std::vector<workers::StartOrder> orders = std::exchange(fixture.m_starts, {});
+        for (const workers::StartOrder &order : orders) {
+            fixture.endStart(order, workers::OrderOutcome::Done);
+        }
+        fixture.runCycle();
+    }
+    cr_assert_eq(fixture.m_journal.m_jobs.at(wideGang).m_openRuns, 900U);
+    cr_assert_leq(fixture.m_state.m_runs.size(), fixture.m_state.m_settings.m_maxOpenRuns);
+    for (int priority = 0; priority < 3; ++priority) {
+        const jobs::JobId small = fixture.accept({SchedulerFixture::smallTasks(2)}, priority);
+        fixture.runCycle();
+        cr_assert(hasStarted(fixture, small), "priority %d", priority);
+    }
+}
+
+/// Guards against a share of the plan that is used up by steps that can't be placed.
+Test(wideJobs, oneStepOfEachTimeHasNoWorker_theOtherStepsRun)
+{
+    SchedulerFixture fixture;
+    jobs::StepSpec stuck = SchedulerFixture::smallTasks(1);
+    stuck.m_requiredLabel = "label-of-no-worker";
+    const jobs::JobId timed = fixture.accept({stuck, SchedulerFixture::smallTasks(1)}, 2, SchedulerFixture::passedTimes(1'000'000));
+    for (int plan = 0; plan < 6; ++plan) {
+        finishRuns(fixture);
+        cr_assert_gt(fixture.m_journal.m_jobs.at(timed).m_openRuns, 0U, "plan %d", plan);
+    }
+}
+
+/// The records of occurrences that have begun are limited. Their later steps must not wait for the records that they would free.
+Test(wideJobs, recordsOfBegunOccurrencesAreUsedUp_theirLaterStepsRun)
+{
+    SchedulerFixture fixture;
+    fixture.m_state.m_settings.m_maxOpenRuns = 64;
+    jobs::StepSpec second = SchedulerFixture::smallTasks(1);
+    second.m_dependsOn = {0};
+    const jobs::JobId timed = fixture.accept({SchedulerFixture::smallTasks(1), second}, 2, SchedulerFixture::passedTimes(500));
+    for (int plan = 0; plan < 1000 && !fixture.m_journal.m_jobs.at(timed).isOver(); ++plan) {
+        finishRuns(fixture);
+        cr_assert_leq(fixture.m_journal.m_jobs.at(timed).m_occurrences.size(), 64U);
+    }
+    cr_assert(fixture.m_journal.m_jobs.at(timed).isCompleted());
+}
+
+/// Tasks that are ready but not listed count for the guarantee of their account, which covers all its jobs of priority 0 or none.
+Test(wideJobs, urgentTimesAskForMoreThanTheGuarantee_noneIsGuaranteed)
+{
+    SchedulerFixture fixture;
+    fixture.m_catalog.m_accounts.resize(1);
+    fixture.m_catalog.m_accounts[0].m_id = fleet::AccountId("account");
+    fixture.m_catalog.m_accounts[0].m_guaranteedAccelerators = 5000;
+    jobs::StepSpec step = SchedulerFixture::smallTasks(1);
+    step.m_perTask.m_accelerators = 1;
+    fixture.accept({step}, 0, SchedulerFixture::passedTimes(4000));
+    cr_assert(fixture.listCandidates().front().m_isGuaranteed);
+    fixture.accept({step}, 0, SchedulerFixture::passedTimes(4000));
+    cr_assert_not(fixture.listCandidates().front().m_isGuaranteed);
+}
--- a/components/node/instance_metrics.cpp
+++ b/components/node/instance_metrics.cpp
@@ -213,6 +213,7 @@
     set("foxtailcross_requests_unanswered", "Callers' requests whose answers have not been written yet.", stats.m_callerConnections.m_unanswered);
     set("foxtailcross_jobs_active", "Holder: jobs that are not over.", stats.m_activeJobs);
     set("foxtailcross_runs_open", "Holder: runs that are not over.", stats.m_openRuns);
+    set("foxtailcross_starts_awaited", "Holder: launched runs whose first start order is not answered yet.", stats.m_awaitedStarts);
     set("foxtailcross_workers_known", "Holder: workers in its list or with open runs.", stats.m_workers);
     set("foxtailcross_workers_silent", "Holder: workers that left the last call without an answer.", stats.m_silentWorkers);
     set("foxtailcross_batches_unstored", "Holder: batches of records that the store has not confirmed.", stats.m_unstoredBatches);
--- a/components/node/instance_stats.hpp
+++ b/components/node/instance_stats.hpp
@@ -34,6 +34,7 @@
     /// The members from here on are set on the holder only.
     std::size_t m_activeJobs = 0;
     std::size_t m_openRuns = 0;
+    std::size_t m_awaitedStarts = 0;
     std::size_t m_workers = 0;
     std::size_t m_silentWorkers = 0;
     std::size_t m_unstoredBatches = 0;
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -645,6 +645,7 @@
 {
     stats.m_activeJobs = m_state.m_activeJobs.size();
     stats.m_openRuns = m_state.m_runs.size();
+    stats.m_awaitedStarts = m_state.m_awaitedStarts.counted();
     stats.m_workers = m_state.m_workers.size();
     stats.m_silentWorkers = static_cast<std::size_t>(std::count_if(m_state.m_workers.begin(), m_state.m_workers.end(), [](const auto &entry) {
         return entry.second.m_unansweredCalls > 0;
