Scheduler: bound what many timed jobs, many runs on a worker and failed occurrences cost

- A thousand timed jobs of 100,000 times each listed up to 192,000 occurrences in a plan.
A plan now lists 4,096 over all jobs and one more for each.
- Each answer to a poll lists all runs of the worker, and each end of a run causes an answer, so that the work grew with the square of the runs.
A worker is now polled at most so often that its answers list 20 runs a millisecond; with under 20 runs nothing changes.
- Notes on failures, advice and restarts were kept for each step of each occurrence until the whole job was over; now until the step is done.
- The check for a maximum of tasks on a worker read all of its runs; now those of the step.

--- a/components/dispatch/available_workers.cpp
+++ b/components/dispatch/available_workers.cpp
@@ -76,9 +76,13 @@
 
 std::uint32_t countOpenRuns(const Candidate &candidate, const WorkerState &worker)
 {
-    return static_cast<std::uint32_t>(std::count_if(worker.m_runs.begin(), worker.m_runs.end(), [&](const jobs::RunId &run) {
-        return run.m_task.m_step == candidate.m_step;
-    }));
+    // Runs are ordered by their steps. The worker may have many runs of others.
+    std::uint32_t count = 0;
+    const auto first = worker.m_runs.lower_bound({{candidate.m_step, 0}, 0});
+    for (auto run = first; run != worker.m_runs.end() && run->m_task.m_step == candidate.m_step; ++run) {
+        ++count;
+    }
+    return count;
 }
 
 }
--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -11,7 +11,6 @@
 #include "components/dispatch/worker_speed.hpp"
 
 #include <algorithm>
-#include <optional>
 #include <set>
 #include <tuple>
 
@@ -21,6 +20,9 @@
 namespace
 {
 
+/// Occurrences that one plan lists of a step, over all jobs, beyond one for each job. Bounds the time and the memory of a plan that many timed
+/// jobs wait for.
+constexpr std::size_t maxListedOccurrences = 4096;
 /// How long a step avoids a worker where it failed.
 constexpr fleet::Duration failedWorkerAvoidance {8000};
 
@@ -31,6 +33,7 @@
     const catalog::Queue &m_queue;
     fleet::Duration m_criticalPath {0};
     LaunchAllowance m_allowance;
+    std::size_t m_maxOccurrences = 1;
     const std::set<jobs::TaskId> &m_strayTasks;
 };
 
@@ -161,14 +164,22 @@
     return candidates.back().m_tasks.size();
 }
 
+/// What was listed of a step of a job in several occurrences.
+struct ListedStep
+{
+    std::size_t m_occurrences = 0;
+    std::size_t m_tasks = 0;
+    /// Tasks of further occurrences, and the index of the last listed candidate, which counts them.
+    std::size_t m_unlisted = 0;
+    std::size_t m_last = 0;
+};
+
 /// Appends the ready steps of the occurrences that have begun. Of each step of the job, no more tasks are listed than may be launched.
 void addBegunOccurrences(const Context &context, const ListedJob &job, std::vector<Candidate> &candidates)
 {
     const std::vector<jobs::StepSpec> &steps = job.m_record.m_spec.m_steps;
     const std::size_t limit = std::max<std::size_t>(1, job.m_allowance.m_tasks);
-    std::vector<std::size_t> listed(steps.size());
-    std::vector<std::size_t> unlisted(steps.size());
-    std::vector<std::optional<std::size_t>> lastOf(steps.size());
+    std::vector<ListedStep> listed(steps.size());
     for (const auto &[number, occurrence] : job.m_record.m_occurrences) {
         for (std::uint16_t i = 0; i < steps.size(); ++i) {
             const journal::StepRecord &record = occurrence.m_steps[i];
@@ -177,20 +188,21 @@
             if (!isReady) {
                 continue;
             }
-            if (listed[i] >= limit) {
-                unlisted[i] += record.startableTasks();
+            if (listed[i].m_tasks >= limit || listed[i].m_occurrences >= job.m_maxOccurrences) {
+                listed[i].m_unlisted += record.startableTasks();
                 continue;
             }
-            const std::size_t added = addStep(context, job, id, &record, limit - listed[i], candidates);
-            listed[i] += added;
+            const std::size_t added = addStep(context, job, id, &record, limit - listed[i].m_tasks, candidates);
             if (added > 0) {
-                lastOf[i] = candidates.size() - 1;
+                listed[i].m_tasks += added;
+                ++listed[i].m_occurrences;
+                listed[i].m_last = candidates.size() - 1;
             }
         }
     }
-    for (std::size_t i = 0; i < steps.size(); ++i) {
-        if (lastOf[i]) {
-            candidates[*lastOf[i]].m_unlistedTasks += unlisted[i];
+    for (const ListedStep &step : listed) {
+        if (step.m_unlisted > 0) {
+            candidates[step.m_last].m_unlistedTasks += step.m_unlisted;
         }
     }
 }
@@ -209,7 +221,8 @@
     std::size_t listed = 0;
     auto next = record.m_occurrences.begin();
     std::uint32_t number = record.m_doneOccurrences.firstMissing(0);
-    for (std::size_t visited = 0; left > 0 && listed < limit && visited < limit; number = record.m_doneOccurrences.firstMissing(number + 1)) {
+    for (std::size_t visited = 0; left > 0 && listed < limit && visited < std::min(limit, job.m_maxOccurrences);
+         number = record.m_doneOccurrences.firstMissing(number + 1)) {
         next = std::find_if(next, record.m_occurrences.end(), [&](const auto &entry) {
             return entry.first >= number;
         });
@@ -263,14 +276,19 @@
     std::vector<Candidate> candidates;
     const std::set<jobs::TaskId> strayTasks = tasksWithStrayRuns(context);
     const std::size_t occurrenceRecords = countOccurrenceRecords(context);
+    const std::size_t maxOccurrences = 1 + maxListedOccurrences / std::max<std::size_t>(1, context.m_state.m_activeJobs.size());
     for (const auto &[id, seenAt] : context.m_state.m_activeJobs) {
         const journal::JobRecord &record = context.m_journalState.m_jobs.at(id);
         const catalog::Queue *queue = catalog::findQueue(context.m_catalog, record.m_spec.m_queue);
         if (queue == nullptr || record.isOver()) {
             continue;
         }
-        const ListedJob job {
-            record, *queue, criticalPathLength(record.m_spec), launchAllowance(context, record, queue->m_priority, occurrenceRecords), strayTasks};
+        const ListedJob job {record,
+                             *queue,
+                             criticalPathLength(record.m_spec),
+                             launchAllowance(context, record, queue->m_priority, occurrenceRecords),
+                             maxOccurrences,
+                             strayTasks};
         addBegunOccurrences(context, job, candidates);
         addNewOccurrences(context, job, dueOccurrences(record, context.m_now.m_wall), candidates);
     }
--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -116,7 +116,7 @@
 
 bool isPollDue(const Context &context, const WorkerState &worker)
 {
-    if (context.m_now.m_boot < worker.m_nextPollAt || worker.m_registration.m_address.empty()) {
+    if (context.m_now.m_boot < std::max(worker.m_nextPollAt, worker.m_pollNotBefore) || worker.m_registration.m_address.empty()) {
         return false;
     }
     if (worker.m_pollInFlight) {
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -26,6 +26,10 @@
 constexpr fleet::Duration unstoredPollInterval {1000};
 /// Poll interval while a worker lists runs that are not open.
 constexpr fleet::Duration strayRunPollInterval {200};
+/// A worker is polled at most so often that its answers list this many runs each millisecond. Every answer lists all its runs, and each run
+/// that ends causes one.
+constexpr std::size_t listedRunsPerMillisecond = 20;
+constexpr fleet::Duration maxPollPause {200};
 /// Delay before an idle worker that did not answer is polled again.
 constexpr fleet::Duration probeInterval {1000};
 /// How long a worker gets no new runs after it refused a start for lack of capacity.
@@ -378,6 +382,7 @@
         // Otherwise the end of a run that is not listed may follow in the next answer.
         resolveUnlistedRuns(context, *worker, result.m_running, sentAt);
     }
+    worker->m_pollNotBefore = now + std::min(maxPollPause, fleet::Duration(result.m_running.size() / listedRunsPerMillisecond));
     if (worker->m_endsReceived > worker->m_endsStored) {
         worker->m_nextPollAt = now + unstoredPollInterval;
     }
--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -175,6 +175,15 @@
     return found != stopped.end() && found->second == run.m_run ? std::string() : checkpoint;
 }
 
+/// Removes what is kept for a step that still has tasks to start.
+void forgetStep(State &state, const jobs::StepId &step)
+{
+    state.m_advice.erase(step);
+    state.m_failures.erase(step);
+    state.m_restartNotBefore.erase(step);
+    state.m_stoppedGangRuns.erase(step);
+}
+
 /// Notes whose other runs may no longer be needed after the end of a run of the task.
 void addChanged(Context &context, const journal::JobRecord &job, const jobs::TaskId &id, bool wasOver)
 {
@@ -193,7 +202,8 @@
 /// Applies the end of a run to the journal state, and adds it to the changes to record.
 void recordEnd(Context &context, const journal::EndedRun &ended)
 {
-    const jobs::JobId &id = ended.m_run.m_task.m_step.m_job;
+    const jobs::StepId &step = ended.m_run.m_task.m_step;
+    const jobs::JobId &id = step.m_job;
     const journal::JobRecord *job = journal::findJob(context.m_journalState, id);
     const bool wasOver = job == nullptr || job->isOver();
     journal::Changes changes;
@@ -202,6 +212,9 @@
         context.m_out.m_endedJobs.insert(id);
     }
     context.m_ended.push_back(ended);
+    if (job != nullptr && journal::isStepDone(*job, step.m_occurrence, step.m_step)) {
+        forgetStep(context.m_state, step);
+    }
     if (job != nullptr) {
         addChanged(context, *job, ended.m_run.m_task, wasOver);
     }
--- a/components/dispatch/scheduler_fixture.hpp
+++ b/components/dispatch/scheduler_fixture.hpp
@@ -153,6 +153,21 @@
         return collect(onStopEnded(m_state, environment(), order, {outcome, clockMs(), {}}, m_now));
     }
 
+    /// The worker answers a poll and lists its open runs as running.
+    Outbox answerPoll(const workers::WorkerIncarnation &worker)
+    {
+        workers::PollOrder order;
+        order.m_target = worker;
+        workers::PollResult result;
+        result.m_outcome = workers::PollOutcome::Answered;
+        result.m_startedAtMs = worker.m_startedAtMs;
+        result.m_clockMs = clockMs();
+        for (const jobs::RunId &run : m_state.m_workers.at(worker.m_worker).m_runs) {
+            result.m_running.push_back({run, {}, 0, -1});
+        }
+        return collect(onPollEnded(m_state, environment(), order, m_now.m_boot, result, m_now));
+    }
+
     Outbox tick()
     {
         return collect(onTick(m_state, environment(), {}, m_now));
--- a/components/dispatch/wide_jobs_test.cpp
+++ b/components/dispatch/wide_jobs_test.cpp
@@ -3,12 +3,14 @@
 #include "components/dispatch/scheduler_fixture.hpp"
 
 #include <algorithm>
+#include <chrono>
 
 #include <criterion/criterion.h>
 
 namespace
 {
 
+using namespace std::chrono_literals;
 using dispatch::SchedulerFixture;
 
 /// A holder that has launched what it could of a job of one step.
@@ -135,6 +137,15 @@
     cr_assert(cost(50'000) == cost(5'000));
 }
 
+/// Guards against entries for many times of each of many jobs: with a thousand of them a plan would list hundreds of thousands.
+Test(wideJobs, thousandTimedJobs_planListsNoMoreThanAFewThousandTimes)
+{
+    jobs::StepSpec step = SchedulerFixture::smallTasks(1);
+    step.m_requiredLabel = "label-of-no-worker";
+    cr_assert_leq(costOfPlan(withTimes(100'000, step, 1000)).m_candidates, 6000U);
+    cr_assert_geq(costOfPlan(withTimes(100'000, step, 1000)).m_candidates, 1000U);
+}
+
 /// Guards against launching a step whole: the orders that found no place in the client's queue came back as not sent, each by itself.
 Test(wideJobs, startsAreNotAnswered_noMoreThanTheLimitAreLaunched)
 {
@@ -334,3 +345,41 @@
     cr_assert_leq(fixture.runCycle().m_work.m_examinedRuns, 1024U);
     cr_assert_leq(fixture.tick().m_work.m_examinedRuns, 256U);
 }
+
+/// Each answer to a poll lists all runs of the worker, and each end of one of them causes an answer.
+Test(wideJobs, workerListsManyRuns_nextPollLeavesTimeForOtherWork)
+{
+    const auto pollsAfterAnAnswer = [](std::uint16_t runs, fleet::Duration later) {
+        SchedulerFixture fixture(1, {1'000'000, 1'000'000, 8});
+        jobs::StepSpec gang = SchedulerFixture::smallTasks(runs);
+        gang.m_isGang = true;
+        fixture.accept({gang}, 2);
+        fixture.runCycle();
+        fixture.advance(10ms);
+        fixture.answerPoll(fixture.m_registrations.front().m_incarnation);
+        fixture.advance(later);
+        return fixture.runCycle().m_polls.size();
+    };
+    cr_assert_eq(pollsAfterAnAnswer(10, 0ms), 1U);
+    cr_assert_eq(pollsAfterAnAnswer(2000, 0ms), 0U);
+    cr_assert_eq(pollsAfterAnAnswer(2000, 99ms), 0U);
+    cr_assert_eq(pollsAfterAnAnswer(2000, 100ms), 1U);
+}
+
+/// Guards against notes on the failures of each occurrence until the whole job is over.
+Test(wideJobs, occurrencesFailOnceAndAreDone_noNotesOnThemAreKept)
+{
+    SchedulerFixture fixture;
+    fixture.accept({SchedulerFixture::smallTasks(1)}, 2, SchedulerFixture::passedTimes(1'000'000));
+    fixture.runCycle();
+    for (const workers::StartOrder &order : std::exchange(fixture.m_starts, {})) {
+        fixture.endStart(order, workers::OrderOutcome::Done);
+        fixture.endRun(order, jobs::RunEnd::Failed);
+    }
+    cr_assert_not(fixture.m_state.m_failures.empty());
+    fixture.advance(20s);
+    for (int plan = 0; plan < 4; ++plan) {
+        finishRuns(fixture);
+    }
+    cr_assert(fixture.m_state.m_failures.empty());
+}
--- a/components/dispatch/worker_state.hpp
+++ b/components/dispatch/worker_state.hpp
@@ -67,6 +67,8 @@
     std::set<jobs::RunId> m_runs;
     /// By the priority of the jobs.
     std::map<int, OrderQueue> m_orderQueues;
+    /// Leaves time between two polls of a worker with many runs, each of which every answer lists.
+    fleet::BootTime m_pollNotBefore;
     /// Start and stop orders of its runs that are not answered yet.
     int m_ordersInFlight = 0;
     /// Numbers of serving runs, which have a target for response times, and of best-effort runs, which only use idle processor time.
