Scheduler: occurrences that were due when their job was accepted take turns with other jobs

What callers saw: while capacity was short, a job of times that have passed came before all other work of its priority until its last time; jobs that were accepted later waited for hours.

Cause: the objective of an occurrence counts from its due time, however long that lies before the job was accepted, and plans place the earliest objective first.

The objectives of all other occurrences, and of jobs that run once, are as before.

Evidence: timesHavePassedAndCapacityIsShort_aLaterJobOfTheSamePriorityHasItsTurn fails without the change and passes with it. dispatch_test 100 of 100, simulation_test without the known failures 204 of 204.

--- a/components/dispatch/account_shares.cpp
+++ b/components/dispatch/account_shares.cpp
@@ -37,7 +37,7 @@
 fleet::Duration objectiveLength(const Context &context, const Candidate &candidate)
 {
     const journal::JobRecord &job = context.m_journalState.m_jobs.at(candidate.m_step.m_job);
-    return candidate.m_objective - beginOf(job, candidate.m_step.m_occurrence);
+    return candidate.m_objective - beginOf(job, candidate.m_step.m_occurrence, criticalPathLength(job.m_spec));
 }
 
 bool isOverdueGang(const Context &context, const Candidate &candidate)
--- a/components/dispatch/objectives.cpp
+++ b/components/dispatch/objectives.cpp
@@ -4,10 +4,19 @@
 #include "components/journal/job_record.hpp"
 
 #include <algorithm>
+#include <chrono>
 
 namespace dispatch
 {
 
+namespace
+{
+
+/// Maximum time after which the next of several occurrences that were due from the start is expected to begin.
+constexpr fleet::Duration longestTurn = std::chrono::hours(1);
+
+}
+
 fleet::Duration criticalPathLength(const jobs::JobSpec &spec)
 {
     std::vector<fleet::Duration> ends(spec.m_steps.size());
@@ -24,10 +33,14 @@
     return longest;
 }
 
-fleet::TimePoint beginOf(const journal::JobRecord &job, std::uint32_t occurrence)
+fleet::TimePoint beginOf(const journal::JobRecord &job, std::uint32_t occurrence, fleet::Duration criticalPath)
 {
     const jobs::Schedule &schedule = job.m_spec.m_schedule;
-    return schedule.isTimed() ? schedule.dueTime(occurrence) : job.m_acceptedAt;
+    if (!schedule.isTimed()) {
+        return job.m_acceptedAt;
+    }
+    const fleet::TimePoint due = schedule.dueTime(occurrence);
+    return due < job.m_acceptedAt ? job.m_acceptedAt + occurrence * std::min(criticalPath, longestTurn) : due;
 }
 
 fleet::TimePoint objectiveOf(const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence)
@@ -38,7 +51,7 @@
 fleet::TimePoint objectiveOf(const journal::JobRecord &job, const catalog::Queue &queue, std::uint32_t occurrence, fleet::Duration criticalPath)
 {
     const double stretched = static_cast<double>(criticalPath.count()) * queue.m_stretch;
-    return beginOf(job, occurrence) + fleet::Duration(static_cast<std::int64_t>(stretched)) + queue.m_slack;
+    return beginOf(job, occurrence, criticalPath) + fleet::Duration(static_cast<std::int64_t>(stretched)) + queue.m_slack;
 }
 
 }
--- a/components/dispatch/wide_jobs_test.cpp
+++ b/components/dispatch/wide_jobs_test.cpp
@@ -383,3 +383,20 @@
     }
     cr_assert(fixture.m_state.m_failures.empty());
 }
+
+/// Occurrences that were due long before their job was accepted came before all other work of their priority, until the last of them.
+Test(wideJobs, timesHavePassedAndCapacityIsShort_aLaterJobOfTheSamePriorityHasItsTurn)
+{
+    SchedulerFixture fixture(1, {32'000, 65'536, 2});
+    jobs::StepSpec step = SchedulerFixture::smallTasks(1);
+    step.m_perTask.m_accelerators = 1;
+    fixture.accept({step}, 2, SchedulerFixture::passedTimes(1'000'000));
+    finishRuns(fixture);
+    fixture.advance(2s);
+    const jobs::JobId later = fixture.accept({step}, 2);
+    for (int round = 0; round < 20 && !fixture.m_journal.m_jobs.at(later).isOver(); ++round) {
+        finishRuns(fixture);
+        fixture.advance(1s);
+    }
+    cr_assert(fixture.m_journal.m_jobs.at(later).isOver());
+}
