Scheduler: jobs take turns at the orders of a worker, and small tasks are spread over workers

What callers saw: in trials with ten jobs of 100,000 times, four of twelve small jobs of the same priority still ran 14 s after the end of traffic; their second tasks were never ordered to start.

Cause: the order queue put first tasks before second ones, whatever their job, and the occurrences of timed jobs are an endless row of first tasks. All small tasks were packed on one worker, too, whose answers then list all of them at each end.

Change: an order queue is kept by job, and the jobs take turns. An answer with as many ends as there may be is followed by the next poll at once.

--- a/components/dispatch/order_queue.hpp
+++ b/components/dispatch/order_queue.hpp
@@ -1,20 +1,20 @@
 #ifndef COMPONENTS_DISPATCH_ORDER_QUEUE_HPP
 #define COMPONENTS_DISPATCH_ORDER_QUEUE_HPP
 
-#include "components/dispatch/order_turn.hpp"
+#include "components/jobs/run_id.hpp"
 
-#include <optional>
+#include <map>
 #include <set>
 
 namespace dispatch
 {
 
-/// Runs of one priority on one worker for which an order may have to be sent. Does not contain those whose order is under way.
+/// Runs of one priority on one worker for which an order may have to be sent, by job. Does not contain those whose order is under way.
 struct OrderQueue
 {
-    std::set<jobs::RunId, OrderTurn> m_runs;
-    /// Where the search for due orders goes on if it did not come to the end.
-    std::optional<jobs::RunId> m_next;
+    std::map<jobs::JobId, std::set<jobs::RunId>> m_runs;
+    /// The job whose turn is next.
+    jobs::JobId m_nextJob;
 
     bool operator==(const OrderQueue &) const = default;
 };
--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -85,32 +85,50 @@
     return worker.m_ordersInFlight < maxOrdersInFlight + ordersForHigherPriority * (lowestPriority - std::clamp(run.m_priority, 0, lowestPriority));
 }
 
-/// Sends the orders that are due for runs of one priority. Returns false if one has to wait.
+/// A run that was taken over may be that of an earlier incarnation until the worker has been listed or polled.
+bool isOrderDue(const Context &context, const RunState &run, const WorkerState &worker)
+{
+    return run.m_incarnation == worker.m_registration.m_incarnation && (isStartDue(context, run, worker) || isStopDue(context, run));
+}
+
+void sendOrder(Context &context, const jobs::RunId &id, RunState &run, WorkerState &worker)
+{
+    if (isStartDue(context, run, worker)) {
+        sendStart(context, id, run, worker);
+    } else {
+        sendStop(context, id, run, worker);
+    }
+}
+
+/// Sends the orders that are due for runs of one priority; the jobs take turns. Returns false if one has to wait.
 bool sendDueOrdersOf(Context &context, WorkerState &worker, OrderQueue &queue)
 {
-    auto &runs = queue.m_runs;
-    auto entry = queue.m_next ? runs.lower_bound(*queue.m_next) : runs.begin();
-    for (int examined = 0; entry != runs.end() && examined < maxExaminedRuns; ++examined) {
-        const jobs::RunId id = *entry;
-        RunState &run = context.m_state.m_runs.at(id);
-        ++context.m_out.m_work.m_examinedRuns;
-        // A run that was taken over may be that of an earlier incarnation until the worker has been listed or polled.
-        const bool isCurrent = run.m_incarnation == worker.m_registration.m_incarnation;
-        const bool isStart = isCurrent && isStartDue(context, run, worker);
-        const bool isDue = isStart || (isCurrent && isStopDue(context, run));
-        if (isDue && !hasFreeOrder(worker, run)) {
-            queue.m_next.reset();
-            return false;
-        }
-        const bool isSettled = run.m_phase == RunPhase::Running && !run.m_isStopRequested;
-        entry = isDue || isSettled ? runs.erase(entry) : std::next(entry);
-        if (isStart) {
-            sendStart(context, id, run, worker);
-        } else if (isDue) {
-            sendStop(context, id, run, worker);
+    int examined = 0;
+    std::size_t jobsWithoutOrder = 0;
+    auto job = queue.m_runs.lower_bound(queue.m_nextJob);
+    while (jobsWithoutOrder < queue.m_runs.size() && examined < maxExaminedRuns) {
+        job = job == queue.m_runs.end() ? queue.m_runs.begin() : job;
+        std::set<jobs::RunId> &runs = job->second;
+        const auto due = std::find_if(runs.begin(), runs.end(), [&](const jobs::RunId &id) {
+            return ++examined > maxExaminedRuns || isOrderDue(context, context.m_state.m_runs.at(id), worker);
+        });
+        const bool isAnyDue = due != runs.end() && examined <= maxExaminedRuns;
+        queue.m_nextJob = job->first;
+        if (isAnyDue) {
+            const jobs::RunId id = *due;
+            RunState &run = context.m_state.m_runs.at(id);
+            if (!hasFreeOrder(worker, run)) {
+                context.m_out.m_work.m_examinedRuns += static_cast<std::uint64_t>(examined);
+                return false;
+            }
+            runs.erase(due);
+            sendOrder(context, id, run, worker);
         }
+        jobsWithoutOrder = isAnyDue ? 0 : jobsWithoutOrder + 1;
+        job = runs.empty() ? queue.m_runs.erase(job) : std::next(job);
+        queue.m_nextJob = job == queue.m_runs.end() ? jobs::JobId() : job->first;
     }
-    queue.m_next = entry == runs.end() ? std::nullopt : std::optional(*entry);
+    context.m_out.m_work.m_examinedRuns += static_cast<std::uint64_t>(examined);
     return true;
 }
 
@@ -206,7 +224,7 @@
     const bool needsStart = run.m_phase != RunPhase::Running && !run.m_isOverOnWorker && !run.m_isStopRequested;
     const bool needsStop = run.m_isStopRequested && !run.m_stopAnswered;
     if ((needsStart && !run.m_startInFlight) || (needsStop && !run.m_stopInFlight)) {
-        worker.m_orderQueues[run.m_priority].m_runs.insert(id);
+        worker.m_orderQueues[run.m_priority].m_runs[id.m_task.m_step.m_job].insert(id);
     }
 }
 
@@ -219,8 +237,13 @@
 void removeOrders(WorkerState &worker, const jobs::RunId &id, const RunState &run)
 {
     worker.m_ordersInFlight -= (run.m_startInFlight ? 1 : 0) + (run.m_stopInFlight ? 1 : 0);
-    if (const auto queue = worker.m_orderQueues.find(run.m_priority); queue != worker.m_orderQueues.end()) {
-        queue->second.m_runs.erase(id);
+    const auto queue = worker.m_orderQueues.find(run.m_priority);
+    if (queue == worker.m_orderQueues.end()) {
+        return;
+    }
+    const auto job = queue->second.m_runs.find(id.m_task.m_step.m_job);
+    if (job != queue->second.m_runs.end() && job->second.erase(id) > 0 && job->second.empty()) {
+        queue->second.m_runs.erase(job);
     }
 }
 
--- a/components/dispatch/placing.cpp
+++ b/components/dispatch/placing.cpp
@@ -24,7 +24,10 @@
 /// become faulty for seconds at a time.
 constexpr std::array<fleet::Duration, 3> healthyStartAges {fleet::Duration(500), fleet::Duration(1000), fleet::Duration(2000)};
 
-using PlacementOrder = std::tuple<std::int64_t, std::int64_t, std::int64_t, std::int64_t>;
+/// Workers are filled up in steps of this many runs. Each answer of a worker lists all its runs, so that many on one cost more than on several.
+constexpr std::size_t runsOfAStep = 64;
+
+using PlacementOrder = std::tuple<std::int64_t, std::int64_t, std::int64_t, std::int64_t, std::int64_t>;
 
 /// Sort key of a worker for best-fit placement: among workers of a suitable speed, those with little free capacity come first, so that
 /// empty workers remain for large tasks.
@@ -34,7 +37,8 @@
     const bool isAwayFromData = !candidate.m_spec->m_dataRack.empty() && worker.m_registration.m_rack.value() != candidate.m_spec->m_dataRack;
     const std::int64_t penalty
         = (isAwayFromData ? 1 : 0) + (worker.m_consecutiveFailures > 0 ? 2 : 0) + (worker.m_registration.m_warmUpLeft.count() > 0 ? 1 : 0);
-    return {penalty, speedOrder(candidate.m_speedPreference, available.m_speedClass), free.m_accelerators, free.m_memoryMb};
+    const auto runSteps = static_cast<std::int64_t>(worker.m_runs.size() / runsOfAStep);
+    return {penalty, speedOrder(candidate.m_speedPreference, available.m_speedClass), runSteps, free.m_accelerators, free.m_memoryMb};
 }
 
 struct Option
--- a/components/dispatch/reports.cpp
+++ b/components/dispatch/reports.cpp
@@ -382,7 +382,10 @@
         // Otherwise the end of a run that is not listed may follow in the next answer.
         resolveUnlistedRuns(context, *worker, result.m_running, sentAt);
     }
-    worker->m_pollNotBefore = now + std::min(maxPollPause, fleet::Duration(result.m_running.size() / listedRunsPerMillisecond));
+    // More ends follow an answer with as many as there may be.
+    const bool mayHaveMoreEnds = result.m_ended.size() >= workers::maxEndsAtOnce;
+    const fleet::Duration pause = std::min(maxPollPause, fleet::Duration(result.m_running.size() / listedRunsPerMillisecond));
+    worker->m_pollNotBefore = mayHaveMoreEnds ? now : now + pause;
     if (worker->m_endsReceived > worker->m_endsStored) {
         worker->m_nextPollAt = now + unstoredPollInterval;
     }
--- a/components/dispatch/wide_jobs_test.cpp
+++ b/components/dispatch/wide_jobs_test.cpp
@@ -333,6 +333,25 @@
     cr_assert(hasStarted(fixture, peer));
 }
 
+/// Guards against orders of second tasks that wait for the first tasks of a job that has ever new ones.
+Test(wideJobs, occurrencesFollowEachOther_theSecondTaskOfAPeerIsSentInItsTurn)
+{
+    SchedulerFixture fixture(1, {1'000'000, 1'000'000, 8});
+    for (int i = 0; i < 10; ++i) {
+        fixture.accept({SchedulerFixture::smallTasks(1)}, 2, SchedulerFixture::passedTimes(1'000'000));
+    }
+    fixture.runCycle();
+    const jobs::JobId peer = fixture.accept({SchedulerFixture::smallTasks(2)}, 2);
+    for (int answers = 0; answers < 1000 && fixture.m_journal.m_jobs.at(peer).m_doneOccurrences.size() == 0; ++answers) {
+        const workers::StartOrder order = fixture.m_starts.front();
+        fixture.m_starts.erase(fixture.m_starts.begin());
+        fixture.endStart(order, workers::OrderOutcome::Done);
+        fixture.endRun(order, jobs::RunEnd::Done);
+        fixture.runCycle();
+    }
+    cr_assert(fixture.m_journal.m_jobs.at(peer).isOver());
+}
+
 /// Guards against reading each run with an order to send in each cycle and tick.
 Test(wideJobs, manyRunsAreToBeStopped_aCycleAndATickExamineNoMoreThanTheLimit)
 {
@@ -400,3 +419,22 @@
     }
     cr_assert(fixture.m_journal.m_jobs.at(later).isOver());
 }
+
+/// Guards against thousands of runs on one worker beside idle ones: each end there would have it list all of them.
+Test(wideJobs, smallTasksFitOnOneWorker_theyAreSpreadOverAll)
+{
+    SchedulerFixture fixture;
+    fixture.accept({SchedulerFixture::smallTasks(1)}, 2, SchedulerFixture::passedTimes(1'000'000));
+    for (int plan = 0; plan < 20; ++plan) {
+        fixture.runCycle();
+        for (const workers::StartOrder &order : std::exchange(fixture.m_starts, {})) {
+            fixture.endStart(order, workers::OrderOutcome::Done);
+        }
+    }
+    const auto isFuller = [](const auto &a, const auto &b) {
+        return a.second.m_runs.size() < b.second.m_runs.size();
+    };
+    const auto &workers = fixture.m_state.m_workers;
+    const auto [least, most] = std::minmax_element(workers.begin(), workers.end(), isFuller);
+    cr_assert_leq(most->second.m_runs.size() - least->second.m_runs.size(), 64U);
+}
