--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -181,6 +181,7 @@
     m_workerListNextOffset.reset();
     m_nextWorkerListReadAt = now.m_boot;
     m_snapshotWriter = journal::Writer();
+    m_encodedSnapshot.reset();
     m_snapshotWriter.m_producer = snapshotProducer;
     m_snapshotWriter.m_epoch = m_state.m_token.m_value;
     if (isIncomplete(m_journal)) {
@@ -214,6 +215,7 @@
     m_phase = DutyPhase::Following;
     m_writer = journal::Writer();
     m_snapshotWriter = journal::Writer();
+    m_encodedSnapshot.reset();
     m_state = dispatch::State();
     m_unconfirmedEnds.clear();
     m_claimNotBefore = now.m_boot + (hasHeld ? claimBackoff : lostRaceBackoff);
@@ -289,20 +291,32 @@
     m_ports.log(logging::Line("journal", "snapshot-stored").add("journal_end", next).add("records", outcome.m_stored.size()), now);
 }
 
-/// Writes a snapshot if one is due and no batch is open. Only between batches does the journal state contain exactly what is
-/// stored up to one offset.
-void SchedulingDuty::writeSnapshotIfDue(fleet::Now now)
+/// Encodes a snapshot if one is due. While jobs run without a pause there is always a batch under way, so that the snapshot can't wait for a moment
+/// without one.
+void SchedulingDuty::encodeSnapshotIfDue(fleet::Now now)
 {
     const bool isDue = m_lastSnapshotAt && now.m_boot - *m_lastSnapshotAt >= snapshotInterval(m_settings, m_journal);
-    const bool isJournalStateStored = isIdle() && m_state.m_pendingBatches.empty() && m_knownJournalEnd <= m_journal.m_nextOffset && m_journal.m_readsOpen == 0;
-    if (!isDue || !isJournalStateStored || m_snapshotWriter.m_sent) {
+    if (!isDue || m_encodedSnapshot || m_snapshotWriter.m_sent) {
         return;
     }
     m_lastSnapshotAt = now.m_boot;
     m_snapshotSlot = 1 - m_snapshotSlot;
-    for (store::KeyedRecord &record : journal::encodeSnapshot(m_journal.m_journalState, m_journal.m_nextOffset, m_snapshotSlot)) {
-        journal::enqueueKeyed(m_snapshotWriter, std::move(record.m_key), std::move(record.m_value), m_journal.m_nextOffset);
+    const std::uint64_t batch = m_state.m_pendingBatches.empty() ? 0 : m_state.m_pendingBatches.back().m_batch;
+    const std::uint64_t next = m_journal.m_nextOffset;
+    m_encodedSnapshot = EncodedSnapshot {journal::encodeSnapshot(m_journal.m_journalState, next, m_snapshotSlot), next, batch};
+    writeEncodedSnapshot();
+}
+
+void SchedulingDuty::writeEncodedSnapshot()
+{
+    const bool isStored = m_encodedSnapshot && (m_state.m_pendingBatches.empty() || m_state.m_pendingBatches.front().m_batch > m_encodedSnapshot->m_batch);
+    if (!isStored) {
+        return;
+    }
+    for (store::KeyedRecord &record : m_encodedSnapshot->m_records) {
+        journal::enqueueKeyed(m_snapshotWriter, std::move(record.m_key), std::move(record.m_value), m_encodedSnapshot->m_next);
     }
+    m_encodedSnapshot.reset();
 }
 
 void SchedulingDuty::onAppendEnded(const AppendTag &tag, fleet::BootTime sentAt, const store::AppendResult &result, fleet::Now now)
@@ -344,6 +358,7 @@
     });
     if (m_phase == DutyPhase::Holding && batch > 0) {
         processOutbox(dispatch::onStored(m_state, environment(), batch, now), now);
+        writeEncodedSnapshot();
     }
 }
 
@@ -497,7 +512,7 @@
     processOutbox(dispatch::onTick(m_state, environment(), suspectedZones(now), now), now);
     if (m_phase == DutyPhase::Holding) {
         sendHeartbeats(now);
-        writeSnapshotIfDue(now);
+        encodeSnapshotIfDue(now);
         handOverIfDue(now);
     }
     const bool isAnyPeerSilent = std::any_of(m_lastMessageAt.begin(), m_lastMessageAt.end(), [&](const auto &entry) {
@@ -537,6 +552,7 @@
 {
     journal::enqueue(m_writer, journal::encode(journal::HolderResigned {m_state.m_token, {}}), 0);
     m_state = dispatch::State();
+    m_encodedSnapshot.reset();
     m_phase = DutyPhase::Resigning;
     m_lastBroadcastAt = fleet::BootTime();
     broadcastResignation(now);
--- a/components/node/scheduling_duty.hpp
+++ b/components/node/scheduling_duty.hpp
@@ -8,6 +8,7 @@
 #include "components/dispatch/state.hpp"
 #include "components/fleet/now.hpp"
 #include "components/journal/writer.hpp"
+#include "components/node/encoded_snapshot.hpp"
 #include "components/node/events.hpp"
 #include "components/node/holder_monitor.hpp"
 #include "components/node/journal_view.hpp"
@@ -106,7 +107,8 @@
     void stepDown(const std::string &why, fleet::Now now);
     void processOutbox(dispatch::Outbox &&outbox, fleet::Now now);
     void onSnapshotStored(const journal::WriteOutcome &outcome, fleet::Now now);
-    void writeSnapshotIfDue(fleet::Now now);
+    void encodeSnapshotIfDue(fleet::Now now);
+    void writeEncodedSnapshot();
     void logRefusals(const workers::WorkerListRead &read, fleet::Now now);
 
     const Settings &m_settings;
@@ -119,6 +121,7 @@
     /// When any holder last wrote a snapshot at the earliest, as far as this instance has learned.
     std::optional<fleet::BootTime> m_lastSnapshotAt;
     unsigned m_snapshotSlot = 0;
+    std::optional<EncodedSnapshot> m_encodedSnapshot;
     dispatch::State m_state;
     std::map<fleet::WorkerId, workers::Registration> m_workerList;
     /// Entries of the worker list that name no usable worker, and why.
--- a/components/simulation/expiry_test.cpp
+++ b/components/simulation/expiry_test.cpp
@@ -104,6 +104,35 @@
 
 }
 
+/// Guards against snapshots that wait for a moment without records under way. While a job of many short tasks ran there was none, and all jobs
+/// were lost with the first restart of all instances after the retention.
+Test(expiry, recordsFollowEachOtherWithoutPause_snapshotsAreStoredInTime)
+{
+    WorldSettings settings;
+    settings.m_journalRetention = 4s;
+    settings.m_oneWayLatency = 15ms;
+    settings.m_workersPerZone = 1;
+    WorldFixture fixture(settings);
+    const jobs::JobId done = fixture.submit(makeTasks(1), {300ms});
+    cr_assert(fixture.completes(done, 3s));
+    jobs::JobSpec timed;
+    timed.m_id.m_value = 0x2000;
+    timed.m_queue = fleet::QueueId("q2");
+    timed.m_steps = {makeTasks(1)};
+    timed.m_schedule = {1'000'000, fleet::TimePoint(1s), 1s};
+    const int call = fixture.m_world.submit(fixture.nonHolder(), timed, {20ms});
+    ExpiringJournal journal(fixture.m_world, settings.m_journalRetention);
+    cr_assert_eq(journal.run(9s).count(), 0);
+    cr_assert(fixture.m_world.wasAccepted(call));
+    killAll(fixture.m_world);
+    fixture.m_world.run(500ms);
+    restartAll(fixture.m_world);
+    cr_assert(fixture.waitForHolder(5s));
+    cr_assert(fixture.m_world.stateOf(0, done) == jobs::JobState::Completed);
+    cr_assert(fixture.m_world.stateOf(0, timed.m_id) == jobs::JobState::Running);
+    fixture.expectNoViolation();
+}
+
 /// The holder knows the job and stores a snapshot of it later.
 Test(expiry, recordsExpiredBeforeASnapshotOfThem_startingInstanceDoesNotDenyTheJob)
 {
