Scheduler: no gang is launched that is wider than the open runs allow

Cause: a gang was launched whole whenever its job had nothing else open, whatever its width. 50,000 members would take some 50 MB at once on a machine of 120. Change: a gang waits unless the open runs leave room for all of its members (11,520 at 120 MB, for the lowest priorities). It waits with the reason launch-limit, as one that no workers have room for.

--- a/components/dispatch/launch_limits.cpp
+++ b/components/dispatch/launch_limits.cpp
@@ -30,11 +30,12 @@
     return job.m_spec.m_schedule.isTimed() ? job.m_occurrences.size() * job.m_spec.m_steps.size() : 0;
 }
 
-/// A gang is launched as a whole or not at all. One that is wider than the share of its job is launched once the job has nothing else under
-/// way.
-bool mayLaunchGang(std::size_t members, std::size_t allowed, std::size_t own)
+/// A gang is launched as a whole or not at all. One that is wider than the share of its job is launched once the job awaits no other starts, if the
+/// open runs leave room for all members.
+bool mayLaunchGang(std::size_t members, std::size_t allowedStarts, std::size_t ownStarts, std::size_t unusedRuns)
 {
-    return members <= allowed || (own == 0 && allowed > 0);
+    const bool mayStart = members <= allowedStarts || (ownStarts == 0 && allowedStarts > 0);
+    return mayStart && members <= unusedRuns;
 }
 
 }
@@ -82,8 +83,7 @@
     std::size_t allowed = std::min({tasks, starts, runs});
     if (candidate.m_spec->m_isGang) {
         const std::size_t unusedRuns = unused(state.m_settings.m_maxOpenRuns, state.m_runs.size(), job.m_openRuns, priority);
-        const bool mayLaunch = mayLaunchGang(tasks, starts, ownStarts) && mayLaunchGang(tasks, unusedRuns, job.m_openRuns);
-        allowed = mayLaunch ? tasks : 0;
+        allowed = mayLaunchGang(tasks, starts, ownStarts, unusedRuns) ? tasks : 0;
     }
     candidate.m_isLimited = allowed < tasks;
     candidate.m_unlistedTasks += tasks - allowed;
--- a/components/dispatch/wide_jobs_test.cpp
+++ b/components/dispatch/wide_jobs_test.cpp
@@ -438,3 +438,18 @@
     const auto [least, most] = std::minmax_element(workers.begin(), workers.end(), isFuller);
     cr_assert_leq(most->second.m_runs.size() - least->second.m_runs.size(), 64U);
 }
+
+/// Guards against a gang that takes the holder over its memory: its members would all be open at once.
+Test(wideJobs, gangIsWiderThanTheOpenRunsAllow_itWaitsAndOthersRun)
+{
+    SchedulerFixture fixture;
+    fixture.m_state.m_settings.m_maxOpenRuns = 2000;
+    jobs::StepSpec gang = SchedulerFixture::smallTasks(2500);
+    gang.m_isGang = true;
+    fixture.accept({gang}, 0);
+    fixture.runCycle();
+    cr_assert(fixture.m_state.m_runs.empty());
+    const jobs::JobId small = fixture.accept({SchedulerFixture::smallTasks(2)}, 2);
+    fixture.runCycle();
+    cr_assert(hasStarted(fixture, small));
+}
