--- a/components/journal/snapshot.cpp
+++ b/components/journal/snapshot.cpp
@@ -21,6 +21,8 @@
 /// Maximum snapshot bytes in one record, below the store's own limit.
 constexpr std::size_t partBytes = std::size_t {128} * 1024;
 constexpr const char *headKey = "head";
+/// One for the newest snapshot, one that a former holder may still have under way, and one for the first snapshot of the next holder.
+constexpr unsigned slotCount = 3;
 
 /// The stored form of a journal state. Uses ordered maps, so that equal states give equal bytes.
 template<class StoredJob>
@@ -121,6 +123,11 @@
 
 }
 
+unsigned nextSlot(unsigned slot)
+{
+    return (slot + 1) % slotCount;
+}
+
 std::vector<store::KeyedRecord> encodeSnapshot(const JournalState &state, std::uint64_t next, unsigned slot)
 {
     Body<JobRecord> body;
@@ -141,6 +148,21 @@
     return records;
 }
 
+std::optional<unsigned> newestSlot(const std::vector<store::KeyedRecord> &records)
+{
+    const auto head = std::find_if(records.begin(), records.end(), [](const store::KeyedRecord &record) {
+        return record.m_key == headKey;
+    });
+    if (head == records.end()) {
+        return std::nullopt;
+    }
+    try {
+        return wire::decode<Head>(formatVersion, head->m_value).m_slot;
+    } catch (const wire::CodecError &) {
+        return std::nullopt;
+    }
+}
+
 std::optional<Snapshot> assembleSnapshot(const std::vector<store::KeyedRecord> &records)
 {
     std::map<std::string, const store::KeyedRecord *> byKey;
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -220,6 +220,13 @@
 
 void Control::process(const KeyedReadEnded &event, fleet::Now now)
 {
+    if (event.m_outcome == store::ReadOutcome::Read) {
+        m_duty.onSnapshotsRead(event.m_records, now);
+    }
+    if (!m_journal.m_needsSnapshot) {
+        recordSnapshotReadEnded(m_journal, event.m_outcome, now.m_boot);
+        return;
+    }
     if (applySnapshotRead(m_journal, event.m_outcome, event.m_records, event.m_sentAt, now.m_boot)) {
         m_ports.log(logging::Line("journal", "snapshot-read").add("journal_end", m_journal.m_nextOffset).add("jobs", m_journal.m_journalState.m_jobs.size()),
                     now);
@@ -391,17 +398,18 @@
             },
             OperatorsReadEnded {now.m_boot, {}});
     }
+    const bool isSnapshotRead = m_journal.m_needsSnapshot || m_duty.needsSnapshotHead();
+    if (isSnapshotRead && !m_journal.m_isSnapshotReadOpen && now.m_boot >= m_journal.m_nextSnapshotReadAt) {
+        m_journal.m_isSnapshotReadOpen = true;
+        sendOrEnd(
+            "read",
+            now,
+            [&] {
+                m_ports.readKeyed(snapshotTopic, now.m_boot);
+            },
+            KeyedReadEnded {now.m_boot, store::ReadOutcome::NoAnswer, {}});
+    }
     if (m_journal.m_needsSnapshot) {
-        if (!m_journal.m_isSnapshotReadOpen && now.m_boot >= m_journal.m_nextSnapshotReadAt) {
-            m_journal.m_isSnapshotReadOpen = true;
-            sendOrEnd(
-                "read",
-                now,
-                [&] {
-                    m_ports.readKeyed(snapshotTopic, now.m_boot);
-                },
-                KeyedReadEnded {now.m_boot, store::ReadOutcome::NoAnswer, {}});
-        }
         return;
     }
     // When this instance has just become the holder, m_nextPeriodicReadAt was still set with the longer interval of a follower.
--- a/components/node/journal_view.cpp
+++ b/components/node/journal_view.cpp
@@ -44,8 +44,7 @@
 
 }
 
-bool applySnapshotRead(
-    JournalView &view, store::ReadOutcome outcome, const std::vector<store::KeyedRecord> &records, fleet::BootTime sentAt, fleet::BootTime now)
+bool recordSnapshotReadEnded(JournalView &view, store::ReadOutcome outcome, fleet::BootTime now)
 {
     view.m_isSnapshotReadOpen = false;
     if (outcome != store::ReadOutcome::Read) {
@@ -54,6 +53,15 @@
         return false;
     }
     view.m_lastAnswerAt = now;
+    return true;
+}
+
+bool applySnapshotRead(
+    JournalView &view, store::ReadOutcome outcome, const std::vector<store::KeyedRecord> &records, fleet::BootTime sentAt, fleet::BootTime now)
+{
+    if (!recordSnapshotReadEnded(view, outcome, now)) {
+        return false;
+    }
     view.m_needsSnapshot = false;
     view.m_snapshotAsOf = sentAt;
     auto snapshot = journal::assembleSnapshot(records);
--- a/components/node/journal_view.hpp
+++ b/components/node/journal_view.hpp
@@ -64,6 +64,9 @@
 /// Discards what was read of the journal, but keeps what is known of the open reads and of the store.
 void resetJournalView(JournalView &view);
 
+/// Records that a read of the snapshots' topic has ended. Returns false if it failed.
+bool recordSnapshotReadEnded(JournalView &view, store::ReadOutcome outcome, fleet::BootTime now);
+
 /// Applies a read of the snapshots' topic. Returns true if the read succeeded, and the journal can be read from m_nextOffset.
 bool applySnapshotRead(
     JournalView &view, store::ReadOutcome outcome, const std::vector<store::KeyedRecord> &records, fleet::BootTime sentAt, fleet::BootTime now);
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -180,8 +180,7 @@
     m_workerList.clear();
     m_workerListNextOffset.reset();
     m_nextWorkerListReadAt = now.m_boot;
-    m_snapshotWriter = journal::Writer();
-    m_encodedSnapshot.reset();
+    resetSnapshots();
     m_snapshotWriter.m_producer = snapshotProducer;
     m_snapshotWriter.m_epoch = m_state.m_token.m_value;
     if (isIncomplete(m_journal)) {
@@ -214,8 +213,7 @@
     }
     m_phase = DutyPhase::Following;
     m_writer = journal::Writer();
-    m_snapshotWriter = journal::Writer();
-    m_encodedSnapshot.reset();
+    resetSnapshots();
     m_state = dispatch::State();
     m_unconfirmedEnds.clear();
     m_claimNotBefore = now.m_boot + (hasHeld ? claimBackoff : lostRaceBackoff);
@@ -295,18 +293,47 @@
 /// without one.
 void SchedulingDuty::encodeSnapshotIfDue(fleet::Now now)
 {
-    const bool isDue = m_lastSnapshotAt && now.m_boot - *m_lastSnapshotAt >= snapshotInterval(m_settings, m_journal);
-    if (!isDue || m_encodedSnapshot || m_snapshotWriter.m_sent) {
+    if (!m_lastSnapshotAt) {
+        return;
+    }
+    const fleet::Duration age = now.m_boot - *m_lastSnapshotAt;
+    const fleet::Duration interval = snapshotInterval(m_settings, m_journal);
+    if (m_snapshotSlotState == SnapshotSlot::Unknown && age >= interval / 2) {
+        m_snapshotSlotState = SnapshotSlot::Reading;
+    }
+    if (age < interval || m_snapshotSlotState != SnapshotSlot::Known || m_encodedSnapshot || m_snapshotWriter.m_sent) {
         return;
     }
     m_lastSnapshotAt = now.m_boot;
-    m_snapshotSlot = 1 - m_snapshotSlot;
+    m_snapshotSlot = journal::nextSlot(m_snapshotSlot);
     const std::uint64_t batch = m_state.m_pendingBatches.empty() ? 0 : m_state.m_pendingBatches.back().m_batch;
     const std::uint64_t next = m_journal.m_nextOffset;
     m_encodedSnapshot = EncodedSnapshot {journal::encodeSnapshot(m_journal.m_journalState, next, m_snapshotSlot), next, batch};
     writeEncodedSnapshot();
 }
 
+void SchedulingDuty::resetSnapshots()
+{
+    m_snapshotWriter = journal::Writer();
+    m_snapshotSlotState = SnapshotSlot::Unknown;
+    m_encodedSnapshot.reset();
+}
+
+bool SchedulingDuty::needsSnapshotHead() const
+{
+    return m_phase == DutyPhase::Holding && m_snapshotSlotState == SnapshotSlot::Reading;
+}
+
+void SchedulingDuty::onSnapshotsRead(const std::vector<store::KeyedRecord> &records, fleet::Now now)
+{
+    if (needsSnapshotHead()) {
+        // The former holder may have had the next slot under way, which may still become the newest snapshot.
+        m_snapshotSlot = journal::nextSlot(journal::newestSlot(records).value_or(0));
+        m_snapshotSlotState = SnapshotSlot::Known;
+        encodeSnapshotIfDue(now);
+    }
+}
+
 void SchedulingDuty::writeEncodedSnapshot()
 {
     const bool isStored = m_encodedSnapshot && (m_state.m_pendingBatches.empty() || m_state.m_pendingBatches.front().m_batch > m_encodedSnapshot->m_batch);
--- a/components/node/scheduling_duty.hpp
+++ b/components/node/scheduling_duty.hpp
@@ -15,6 +15,7 @@
 #include "components/node/operator_config_view.hpp"
 #include "components/node/peer_message.hpp"
 #include "components/node/settings.hpp"
+#include "components/node/snapshot_slot.hpp"
 
 #include <cstdint>
 #include <map>
@@ -87,6 +88,9 @@
     /// True if the journal should be read at once: another instance appended to it, a claim has to be confirmed, or the holder
     /// may have failed.
     bool needsJournalRead(fleet::Now now) const;
+    /// True if the head of the snapshots should be read, so that the newest one is not overwritten.
+    bool needsSnapshotHead() const;
+    void onSnapshotsRead(const std::vector<store::KeyedRecord> &records, fleet::Now now);
     /// Jobs with a recorded end that is not stored yet, and the batch that has to be stored before callers may see the end.
     const std::map<jobs::JobId, std::uint64_t> &unconfirmedEnds() const;
     const HolderMonitor &holderMonitor() const;
@@ -108,6 +112,7 @@
     void processOutbox(dispatch::Outbox &&outbox, fleet::Now now);
     void onSnapshotStored(const journal::WriteOutcome &outcome, fleet::Now now);
     void encodeSnapshotIfDue(fleet::Now now);
+    void resetSnapshots();
     void writeEncodedSnapshot();
     void logRefusals(const workers::WorkerListRead &read, fleet::Now now);
 
@@ -120,6 +125,8 @@
     journal::Writer m_snapshotWriter;
     /// When any holder last wrote a snapshot at the earliest, as far as this instance has learned.
     std::optional<fleet::BootTime> m_lastSnapshotAt;
+    SnapshotSlot m_snapshotSlotState = SnapshotSlot::Unknown;
+    /// Slot before that of the next snapshot, once it is known.
     unsigned m_snapshotSlot = 0;
     std::optional<EncodedSnapshot> m_encodedSnapshot;
     dispatch::State m_state;
--- a/components/simulation/expiry_test.cpp
+++ b/components/simulation/expiry_test.cpp
@@ -1,6 +1,7 @@
 #include "components/journal/snapshot.hpp"
 #include "components/simulation/world_fixture_test.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <set>
@@ -133,6 +134,54 @@
     fixture.expectNoViolation();
 }
 
+/// Guards against a new holder that writes its first snapshot over the only whole one (review/6): a large one takes two appends, and all instances may lose
+/// power between them.
+Test(expiry, powerIsLostDuringTheFirstSnapshotOfANewHolder_theJobsAreKnown)
+{
+    constexpr int count = 320;
+    WorldSettings settings;
+    settings.m_journalRetention = 20s;
+    WorldFixture fixture(settings);
+    World &world = fixture.m_world;
+    std::vector<jobs::JobId> accepted;
+    for (int i = 0; i < count; ++i) {
+        jobs::JobSpec spec;
+        spec.m_id.m_value = 0x3000 + static_cast<std::uint64_t>(i);
+        spec.m_queue = fleet::QueueId("q1");
+        spec.m_payload = std::string(4000, 'x');
+        spec.m_steps = {makeTasks(1)};
+        world.submit(fixture.nonHolder(), spec, {30s});
+        accepted.push_back(spec.m_id);
+        world.run(5ms);
+    }
+    cr_assert(world.runUntil(
+        [&] {
+            return snapshotCount(world) == 1;
+        },
+        10s));
+    const std::uint64_t whole = snapshotEnd(world);
+    expire(world.m_store, journalTopic, whole);
+    world.requestStop(world.holder());
+    // The first record of a snapshot that is not its last is stored once the topic has parts, but the head names the one before.
+    const auto partCount = [&] {
+        return std::count_if(
+            world.m_store.m_topics[snapshotTopic].m_keys.begin(), world.m_store.m_topics[snapshotTopic].m_keys.end(), [](const std::string &key) {
+                return key.starts_with("part/");
+            });
+    };
+    const auto before = partCount();
+    while (partCount() == before) {
+        world.run(1ms);
+    }
+    killAll(world);
+    world.run(1s);
+    restartAll(world);
+    cr_assert(fixture.waitForHolder(5s));
+    for (const jobs::JobId job : accepted) {
+        cr_assert(askFor(world, 0, job) == callers::ReplyKind::State, "%s", toString(job).c_str());
+    }
+}
+
 /// The holder knows the job and stores a snapshot of it later.
 Test(expiry, recordsExpiredBeforeASnapshotOfThem_startingInstanceDoesNotDenyTheJob)
 {
