--- a/components/dispatch/candidates.cpp
+++ b/components/dispatch/candidates.cpp
@@ -178,10 +178,11 @@
 void addBegunOccurrences(const Context &context, const ListedJob &job, std::vector<Candidate> &candidates)
 {
     const std::vector<jobs::StepSpec> &steps = job.m_record.m_spec.m_steps;
+    const auto stepCount = static_cast<std::uint16_t>(steps.size());
     const std::size_t limit = std::max<std::size_t>(1, job.m_allowance.m_tasks);
     std::vector<ListedStep> listed(steps.size());
     for (const auto &[number, occurrence] : job.m_record.m_occurrences) {
-        for (std::uint16_t i = 0; i < steps.size(); ++i) {
+        for (std::uint16_t i = 0; i < stepCount; ++i) {
             const journal::StepRecord &record = occurrence.m_steps[i];
             const jobs::StepId id {job.m_record.m_spec.m_id, number, i};
             const bool isReady = record.startableTasks() > 0 && areDependenciesDone(occurrence, steps[i]) && isRestartDue(context, id);
@@ -212,6 +213,7 @@
 {
     const journal::JobRecord &record = job.m_record;
     const std::vector<jobs::StepSpec> &steps = record.m_spec.m_steps;
+    const auto stepCount = static_cast<std::uint16_t>(steps.size());
     const std::size_t limit = std::max<std::size_t>(record.m_spec.m_schedule.isTimed() ? 0 : 1, job.m_allowance.m_tasksOfNewOccurrences);
     const auto begun = static_cast<std::size_t>(std::count_if(record.m_occurrences.begin(), record.m_occurrences.end(), [&](const auto &entry) {
         return !record.m_doneOccurrences.contains(entry.first);
@@ -232,7 +234,7 @@
         ++visited;
         --left;
         added.clear();
-        for (std::uint16_t i = 0; i < steps.size(); ++i) {
+        for (std::uint16_t i = 0; i < stepCount; ++i) {
             const jobs::StepId id {record.m_spec.m_id, number, i};
             const bool isReady = steps[i].m_dependsOn.empty() && isRestartDue(context, id);
             if (isReady && addStep(context, job, id, nullptr, limit - std::min(limit - 1, listed), candidates) > 0) {
--- a/tests/process/soak.py
+++ b/tests/process/soak.py
@@ -9,6 +9,7 @@
 import json
 import pathlib
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -33,6 +34,13 @@
 # Pause of a caller between two jobs. Three callers use about 0.6 of the workers' capacity.
 PACE_S = 0.5
 QUEUES = ["urgent", "patient"]
+# Jobs of one client that ask for far more than can run during a seed: many small tasks, and many times that have passed.
+WIDE_JOBS = {
+    "e" * 16: {"steps": [{"count": 50_000, "cpu": 1, "mem_mb": 1, "estimate_ms": 1000}] * 2},
+    "d" * 16: {"steps": [{"count": 1, "cpu": 1, "mem_mb": 1, "estimate_ms": 1000}], "max_runs": 1_000_000, "initial_delay_ms": 1000, "interval_ms": 60_000},
+}
+# Memory of an instance, in MB: that of the smallest machine.
+MEMORY_MB = 120
 
 
 class Callers:
@@ -81,6 +89,17 @@
             self.check_random_job()
             self.stopping.wait(PACE_S)
 
+    def submit_wide(self):
+        for name, job in WIDE_JOBS.items():
+            self.jobs[name] = {"queue": "patient", "accepted": False, "maybe": True, "cancelled": False, "completed": False}
+            self.jobs[name]["accepted"] = self.site.ask("POST", f"/patient/{name}", {"task_spec": "payload", **job})[0] == 200
+
+    def cancel_wide(self):
+        for name in WIDE_JOBS:
+            self.jobs[name]["maybe_cancelled"] = True
+            wait_for(f"the cancelling of {name}", lambda job=name: self.site.ask("DELETE", f"/patient/{job}")[0] == 200)
+            self.jobs[name]["cancelled"] = True
+
     def check_random_job(self):
         with self.lock:
             accepted = [name for name, job in self.jobs.items() if job["accepted"]]
@@ -369,7 +388,12 @@
     return violations
 
 
-def run_seed(build, folder, seed, seconds):
+def peak_memory_mb(process):
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    return int(re.search(r"VmHWM:\s+(\d+)", status)[1]) / 1024
+
+
+def run_seed(build, folder, seed, seconds, wide):
     proxies = {}
 
     def store_for(name, store):
@@ -387,6 +411,8 @@
         wait_for("the scheduling duty to be held", site.holder)
         callers, watch = Callers(site, seed), Watch(site)
         faults = Faults(site, proxies, watch, seed + 1, lambda what: print(f"{time.monotonic() - began:7.2f} {what}", file=events, flush=True))
+        if wide:
+            callers.submit_wide()
         others = callers.run() + watch.run()
         for thread in faults.run(seconds):
             thread.join()
@@ -394,9 +420,13 @@
         watch.stopping.set()
         for thread in others:
             thread.join()
+        if wide:
+            callers.cancel_wide()
         violations = settle(site, callers)
         for name in site.instances:
             faults.expect_running(name)
+            if peak_memory_mb(site.instances[name]) > MEMORY_MB:
+                violations.append(f"{name} used {peak_memory_mb(site.instances[name]):.0f} MB")
         violations += callers.violations + watch.violations + faults.violations
         accepted = sum(job["accepted"] for job in callers.jobs.values())
         print(f"seed {seed}: {len(callers.jobs)} jobs submitted, {accepted} accepted, {len(site.runs()['runs'])} runs, {len(violations)} guarantees violated")
@@ -414,12 +444,13 @@
     parser.add_argument("--seed", type=int, default=1, help="first seed")
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds, one after the other")
     parser.add_argument("--seconds", type=float, default=20, help="length of the faults of each seed")
+    parser.add_argument("--wide", action="store_true", help="a client also submits jobs that ask for far more than can run")
     parser.add_argument("--keep", type=pathlib.Path, help="folder that keeps the logs of each seed that failed")
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         with tempfile.TemporaryDirectory() as folder:
-            violations = run_seed(options.build.resolve(), pathlib.Path(folder), seed, options.seconds)
+            violations = run_seed(options.build.resolve(), pathlib.Path(folder), seed, options.seconds, options.wide)
             for line in violations:
                 print(f"WRONG: {line}")
             failed += bool(violations)
