--- a/components/dispatch/runs.cpp
+++ b/components/dispatch/runs.cpp
@@ -452,9 +452,7 @@
     if (worker != context.m_state.m_workers.end()) {
         worker->second.m_allocated = worker->second.m_allocated - found->second.m_allocated;
         worker->second.m_runs.erase(run);
-        if (worker->second.m_registration.m_incarnation == incarnation) {
-            removeOrders(worker->second, run, found->second);
-        }
+        removeOrders(worker->second, run, found->second);
         worker->second.m_servingRuns -= found->second.m_isServing ? 1 : 0;
         worker->second.m_bestEffortRuns -= found->second.m_isBestEffort ? 1 : 0;
         updateWorkerHealth(context, worker->second, run.m_task, found->second, end);
--- a/components/dispatch/scheduler_fixture.hpp
+++ b/components/dispatch/scheduler_fixture.hpp
@@ -52,7 +52,7 @@
             registration.m_clockMs = clockMs();
             m_registrations.push_back(std::move(registration));
         }
-        collect(onListRead(m_state, environment(), m_registrations, now()));
+        readList();
     }
 
     static fleet::QueueId queueOf(int priority)
@@ -109,6 +109,11 @@
         return accepted.m_spec.m_id;
     }
 
+    void readList()
+    {
+        collect(onListRead(m_state, environment(), m_registrations, m_now));
+    }
+
     void cancel(jobs::JobId job)
     {
         journal::Changes changes;
--- a/components/dispatch/wide_jobs_test.cpp
+++ b/components/dispatch/wide_jobs_test.cpp
@@ -453,3 +453,24 @@
     fixture.runCycle();
     cr_assert(hasStarted(fixture, small));
 }
+
+/// Guards against a queued order of a run that has ended. After a takeover two open runs may be of different incarnations of one worker.
+Test(wideJobs, cancelledRunIsOfAnEarlierIncarnation_itsOrderEndsWithIt)
+{
+    SchedulerFixture fixture(1);
+    const jobs::JobId job = fixture.accept({SchedulerFixture::smallTasks(2)}, 2);
+    workers::WorkerIncarnation later = fixture.m_registrations.front().m_incarnation;
+    const workers::WorkerIncarnation earlier = later;
+    later.m_startedAtMs = 2;
+    journal::Changes changes;
+    journal::apply(fixture.m_journal, journal::RunsLaunched {{{{{{job, 0, 0}, 0}, 1}, earlier}, {{{{job, 0, 0}, 1}, 1}, later}}}, changes);
+    fixture.takeOver();
+    fixture.cancel(job);
+    workers::StartOrder order;
+    order.m_run = {{{job, 0, 0}, 0}, 1};
+    fixture.endRun(order, jobs::RunEnd::LeaseExpired);
+    fixture.m_registrations.front().m_incarnation = later;
+    fixture.readList();
+    fixture.runCycle();
+    cr_assert_eq(fixture.m_state.m_runs.size(), 1U);
+}
