--- a/components/dispatch/launch_limits.hpp
+++ b/components/dispatch/launch_limits.hpp
@@ -15,8 +15,7 @@
 struct Context;
 
 /// Returns how many further units of a limited resource a job may take that has `own` of the `inUse` units. A job gets at most a seventh of what it
-/// leaves to the others, so that there is always room for the next one, however much a single job asks for. A part of the resource is
-/// kept for jobs of higher priority, and a part for jobs that have nothing yet.
+/// leaves to the others, so that those after it find room, however much a single job asks for. A part of the resource is kept for jobs of higher priority, and a part for jobs that have nothing yet.
 std::size_t allowance(std::size_t limit, std::size_t inUse, std::size_t own, int priority);
 
 /// Numbers of tasks that a job may have launched now.
@@ -26,6 +25,8 @@
     std::size_t m_tasks = 0;
     /// Limited by the journal records of occurrences that have begun as well; counts for new occurrences of timed jobs.
     std::size_t m_tasksOfNewOccurrences = 0;
+
+    bool operator==(const LaunchAllowance &) const = default;
 };
 
 /// Returns the number of step records that the journal keeps for begun occurrences of timed jobs.
