--- a/components/allocations/allocation_counts.cpp
+++ b/components/allocations/allocation_counts.cpp
@@ -26,18 +26,27 @@
 
 }
 
-void *operator new(std::size_t size)
+void *operator new(std::size_t size, const std::nothrow_t &) noexcept
 {
     // The size is stored before the memory: what the C library gives beyond it differs from call to call.
     void *memory = std::malloc(headerBytes + size);
     if (memory == nullptr) {
-        throw std::bad_alloc();
+        return nullptr;
     }
     std::memcpy(memory, &size, sizeof(size));
     allocated += size;
     return static_cast<char *>(memory) + headerBytes;
 }
 
+void *operator new(std::size_t size)
+{
+    void *memory = operator new(size, std::nothrow);
+    if (memory == nullptr) {
+        throw std::bad_alloc();
+    }
+    return memory;
+}
+
 void operator delete(void *memory) noexcept
 {
     if (memory == nullptr) {
