Simulation: the launches of a wide gang exceed a record

launchesOfOneCycleExceedARecord_allTasksRun guards against a record that the store refuses. Since its 7,000 tasks are launched in many cycles, so that it passes with records of any length. It stays, and the same job as a gang, which is launched in one cycle, now guards against the fault: it fails when the launches are not split, and passes.

--- a/components/simulation/record_size_test.cpp
+++ b/components/simulation/record_size_test.cpp
@@ -22,6 +22,21 @@
     fixture.expectNoViolation();
 }
 
+/// Tasks that need no others are launched in several cycles, the members of a gang in one.
+Test(recordSize, launchesOfAWideGangExceedARecord_allTasksRun)
+{
+    WorldSettings settings;
+    settings.m_workerCapacity = {1'000'000, 1'000'000, 8};
+    WorldFixture fixture(settings);
+    jobs::StepSpec gang = makeGang(7000, 0);
+    gang.m_perTask = {500, 256, 0};
+    const jobs::JobId wide = fixture.submit(gang, {900ms});
+    cr_assert(fixture.completes(wide, 10s), "the launches are not stored");
+    cr_assert_eq(fixture.runCount(wide), 7000);
+    cr_assert(fixture.completes(fixture.submit(makeTasks(1), {200ms}), 2s));
+    fixture.expectNoViolation();
+}
+
 Test(recordSize, submissionExceedsARecord_isRefusedAndOthersAreAccepted)
 {
     WorldFixture fixture;
