Launch limits and their tests: one piece of code for each repeated one

launchAllowance() and limitLaunches() computed the shares of starts and of open runs each for themselves; both now call allowedStarts() and allowedRuns(). Three tests of order queues and polls share the preparation of a wide gang, and the two tests of record sizes their run.

--- a/components/dispatch/launch_limits.cpp
+++ b/components/dispatch/launch_limits.cpp
@@ -30,11 +30,21 @@
     return job.m_spec.m_schedule.isTimed() ? job.m_occurrences.size() * job.m_spec.m_steps.size() : 0;
 }
 
+std::size_t allowedStarts(const State &state, const journal::JobRecord &job, int priority)
+{
+    return allowance(AwaitedStarts::limit, state.m_awaitedStarts.counted(), state.m_awaitedStarts.of(job.m_spec.m_id), priority);
+}
+
+std::size_t allowedRuns(const State &state, const journal::JobRecord &job, int priority)
+{
+    return allowance(state.m_settings.m_maxOpenRuns, state.m_runs.size(), job.m_openRuns, priority);
+}
+
 /// A gang is launched as a whole or not at all. One that is wider than the share of its job is launched once the job awaits no other starts, if the
 /// open runs leave room for all members.
-bool mayLaunchGang(std::size_t members, std::size_t allowedStarts, std::size_t ownStarts, std::size_t unusedRuns)
+bool mayLaunchGang(std::size_t members, std::size_t starts, std::size_t ownStarts, std::size_t unusedRuns)
 {
-    const bool mayStart = members <= allowedStarts || (ownStarts == 0 && allowedStarts > 0);
+    const bool mayStart = members <= starts || (ownStarts == 0 && starts > 0);
     return mayStart && members <= unusedRuns;
 }
 
@@ -61,10 +71,8 @@
 LaunchAllowance launchAllowance(const Context &context, const journal::JobRecord &job, int priority, std::size_t occurrenceRecords)
 {
     const State &state = context.m_state;
-    const std::size_t starts = allowance(AwaitedStarts::limit, state.m_awaitedStarts.counted(), state.m_awaitedStarts.of(job.m_spec.m_id), priority);
-    const std::size_t runs = allowance(state.m_settings.m_maxOpenRuns, state.m_runs.size(), job.m_openRuns, priority);
     const std::size_t records = allowance(state.m_settings.m_maxOpenRuns, occurrenceRecords, recordsOf(job), priority);
-    const std::size_t tasks = std::min(starts, runs);
+    const std::size_t tasks = std::min(allowedStarts(state, job, priority), allowedRuns(state, job, priority));
     return {tasks, job.m_spec.m_schedule.isTimed() ? std::min(tasks, records) : tasks};
 }
 
@@ -76,14 +84,12 @@
     const State &state = context.m_state;
     const journal::JobRecord &job = context.m_journalState.m_jobs.at(candidate.m_step.m_job);
     const int priority = candidate.m_queue->m_priority;
-    const std::size_t ownStarts = state.m_awaitedStarts.of(candidate.m_step.m_job);
-    const std::size_t starts = allowance(AwaitedStarts::limit, state.m_awaitedStarts.counted(), ownStarts, priority);
-    const std::size_t runs = allowance(state.m_settings.m_maxOpenRuns, state.m_runs.size(), job.m_openRuns, priority);
+    const std::size_t starts = allowedStarts(state, job, priority);
     const std::size_t tasks = candidate.m_tasks.size();
-    std::size_t allowed = std::min({tasks, starts, runs});
+    std::size_t allowed = std::min({tasks, starts, allowedRuns(state, job, priority)});
     if (candidate.m_spec->m_isGang) {
         const std::size_t unusedRuns = unused(state.m_settings.m_maxOpenRuns, state.m_runs.size(), job.m_openRuns, priority);
-        allowed = mayLaunchGang(tasks, starts, ownStarts, unusedRuns) ? tasks : 0;
+        allowed = mayLaunchGang(tasks, starts, state.m_awaitedStarts.of(candidate.m_step.m_job), unusedRuns) ? tasks : 0;
     }
     candidate.m_isLimited = allowed < tasks;
     candidate.m_unlistedTasks += tasks - allowed;
--- a/components/dispatch/wide_jobs_test.cpp
+++ b/components/dispatch/wide_jobs_test.cpp
@@ -54,6 +54,17 @@
     return fixture;
 }
 
+/// A holder with one worker that has launched a gang on it.
+SchedulerFixture withWideGang(std::uint16_t members)
+{
+    SchedulerFixture fixture(1, {1'000'000, 1'000'000, 8});
+    jobs::StepSpec gang = SchedulerFixture::smallTasks(members);
+    gang.m_isGang = true;
+    fixture.accept({gang}, 2);
+    fixture.runCycle();
+    return fixture;
+}
+
 /// Answers all starts that were sent, ends all runs as done, and plans again.
 void finishRuns(SchedulerFixture &fixture)
 {
@@ -305,11 +316,7 @@
 
 Test(wideJobs, ordersOfAWideGangAreUnderWay_theUrgentOneIsSentAtOnce)
 {
-    SchedulerFixture fixture(1, {1'000'000, 1'000'000, 8});
-    jobs::StepSpec gang = SchedulerFixture::smallTasks(3000);
-    gang.m_isGang = true;
-    fixture.accept({gang}, 2);
-    fixture.runCycle();
+    SchedulerFixture fixture = withWideGang(3000);
     const jobs::JobId urgent = fixture.accept({SchedulerFixture::smallTasks(2)}, 0);
     fixture.runCycle();
     cr_assert(hasStarted(fixture, urgent));
@@ -318,11 +325,7 @@
 /// Guards against orders of one job that always come before those of another.
 Test(wideJobs, ordersOfAWideGangAreUnderWay_thatOfAPeerIsSentInItsTurn)
 {
-    SchedulerFixture fixture(1, {1'000'000, 1'000'000, 8});
-    jobs::StepSpec gang = SchedulerFixture::smallTasks(3000);
-    gang.m_isGang = true;
-    fixture.accept({gang}, 2);
-    fixture.runCycle();
+    SchedulerFixture fixture = withWideGang(3000);
     const jobs::JobId peer = fixture.accept({SchedulerFixture::smallTasks(1)}, 2);
     for (int answers = 0; answers < 1000 && !hasStarted(fixture, peer); ++answers) {
         const workers::StartOrder order = fixture.m_starts.front();
@@ -369,11 +372,7 @@
 Test(wideJobs, workerListsManyRuns_nextPollLeavesTimeForOtherWork)
 {
     const auto pollsAfterAnAnswer = [](std::uint16_t runs, fleet::Duration later) {
-        SchedulerFixture fixture(1, {1'000'000, 1'000'000, 8});
-        jobs::StepSpec gang = SchedulerFixture::smallTasks(runs);
-        gang.m_isGang = true;
-        fixture.accept({gang}, 2);
-        fixture.runCycle();
+        SchedulerFixture fixture = withWideGang(runs);
         fixture.advance(10ms);
         fixture.answerPoll(fixture.m_registrations.front().m_incarnation);
         fixture.advance(later);
--- a/components/simulation/record_size_test.cpp
+++ b/components/simulation/record_size_test.cpp
@@ -8,33 +8,36 @@
 using namespace simulation;
 using namespace simulation::test;
 
-Test(recordSize, launchesOfOneCycleExceedARecord_allTasksRun)
+namespace
+{
+
+constexpr std::uint16_t taskCount = 7000;
+
+/// Submits the step with tasks of which all fit at once. Each must run once, and the next job as well.
+void expectAllTasksRun(jobs::StepSpec step)
 {
     WorldSettings settings;
     settings.m_workerCapacity = {1'000'000, 1'000'000, 8};
     WorldFixture fixture(settings);
-    jobs::StepSpec step = makeTasks(7000, 0);
     step.m_perTask = {500, 256, 0};
     const jobs::JobId large = fixture.submit(step, {900ms});
     cr_assert(fixture.completes(large, 10s), "the launches are not stored");
-    cr_assert_eq(fixture.runCount(large), 7000);
+    cr_assert_eq(fixture.runCount(large), taskCount);
     cr_assert(fixture.completes(fixture.submit(makeTasks(1), {200ms}), 2s));
     fixture.expectNoViolation();
 }
 
+}
+
+Test(recordSize, launchesOfOneCycleExceedARecord_allTasksRun)
+{
+    expectAllTasksRun(makeTasks(taskCount, 0));
+}
+
 /// Tasks that need no others are launched in several cycles, the members of a gang in one.
 Test(recordSize, launchesOfAWideGangExceedARecord_allTasksRun)
 {
-    WorldSettings settings;
-    settings.m_workerCapacity = {1'000'000, 1'000'000, 8};
-    WorldFixture fixture(settings);
-    jobs::StepSpec gang = makeGang(7000, 0);
-    gang.m_perTask = {500, 256, 0};
-    const jobs::JobId wide = fixture.submit(gang, {900ms});
-    cr_assert(fixture.completes(wide, 10s), "the launches are not stored");
-    cr_assert_eq(fixture.runCount(wide), 7000);
-    cr_assert(fixture.completes(fixture.submit(makeTasks(1), {200ms}), 2s));
-    fixture.expectNoViolation();
+    expectAllTasksRun(makeGang(taskCount, 0));
 }
 
 Test(recordSize, submissionExceedsARecord_isRefusedAndOthersAreAccepted)
