--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,6 +1,6 @@
-"""A revoked key is accepted again by an instance that was cut off from the store, while it reads the manifests that it missed in parts.
+"""A revoked key is accepted again by an instance that the store has not served, while it reads the manifests that it missed in parts.
 
-An instance is partitioned from the store for 5.5 s. Meanwhile the operator changes the manifest a few times; the last change takes a key away.
+The store serves all instances but one for 9 s. Meanwhile the operator changes the manifest a few times; the last change takes a key away.
 A client goes on asking that instance for the state of its completed job with this key.
 """
 import asyncio
@@ -13,12 +13,13 @@
 import deployment  # noqa: E402
 import web  # noqa: E402
 
-CUT_S = 5.5
+# platform_down with how = "nodes": a share of 0.35 of the machines, for_s = 9.0. Here one of three.
+CUT_S = 9.0
 REVOKE_S = deployment.BOUNDS["revoke_ms"] / 1000
 # Three times "the manifest grows by many routes", with the 350 of the site file.
 ROUTES = 3 * 350
 CHANGES = 8
-CHANGE_EVERY_S = 0.1
+CHANGE_EVERY_S = 0.4
 CLIENTS = 3
 WATCH_S = 4.0
 
@@ -70,7 +71,7 @@
     await asyncio.sleep(0.5)
     if has_trouble:
         node.link.cut = True
-        site.note("the store is out of reach for", node.name)
+        site.note("the store leaves the calls of", node.name, "without an answer")
     cut_at = time.monotonic()
     for version in range(2, 2 + CHANGES):
         manifest = deployment.catalog(version, dict(deployment.KEYS, agencies="" if version == 1 + CHANGES else key), idle)
@@ -82,7 +83,7 @@
         await asyncio.sleep(CHANGE_EVERY_S)
     await asyncio.sleep(max(0.0, cut_at + CUT_S - time.monotonic()))
     node.link.cut = False
-    site.note("the store can be reached again")
+    site.note("the store serves it again")
     await asyncio.sleep(WATCH_S)
     stopping = True
     await asyncio.gather(*clients)
