--- a/components/catalog/operator_config_read.hpp
+++ b/components/catalog/operator_config_read.hpp
@@ -20,6 +20,9 @@
     std::vector<OperatorConfigChange> m_changes;
     /// Offset for the next read.
     std::uint64_t m_next = 0;
+    /// End of the topic when the read was answered. If it is beyond m_next, records between the two are missing or, in a full read of
+    /// several pages, are in some pages and not in others.
+    std::uint64_t m_end = 0;
     /// Descriptions of the records that could not be decoded, for the log.
     std::vector<std::string> m_unreadable;
     std::string m_reason;
--- a/components/node/call_handler.cpp
+++ b/components/node/call_handler.cpp
@@ -48,6 +48,7 @@
 constexpr std::uint64_t instanceTicket = 0;
 
 constexpr const char *incompleteReason = "records of the journal expired before they were read; try another instance";
+constexpr const char *skippedCatalogsReason = "a catalog that this instance has not read may have allowed the job; submit it again";
 constexpr const char *storeUnreachableReason = "the store is out of reach; try another instance";
 
 fleet::Duration timeToAnswer(fleet::Duration timeout)
@@ -277,10 +278,21 @@
     append(call, openCall, std::move(bytes));
 }
 
-bool CallHandler::mayHaveBeenAllowed(const callers::Submission &submission, const fleet::AccountId &account, fleet::BootTime now) const
+fleet::Duration CallHandler::replacedCatalogDoubtTime() const
 {
     // Another instance may have had the older catalog for one bound longer, and the read here may have waited for a change before it was answered.
-    const fleet::Duration doubtTime = 2 * m_settings.m_catalogInForce + appendDoubtTime;
+    return 2 * m_settings.m_catalogInForce + appendDoubtTime;
+}
+
+bool CallHandler::hasSkippedCatalogs(fleet::BootTime now) const
+{
+    const std::optional<fleet::BootTime> &skippedAt = m_operatorConfig.m_skippedCatalogsAt;
+    return skippedAt && now - *skippedAt < replacedCatalogDoubtTime();
+}
+
+bool CallHandler::mayHaveBeenAllowed(const callers::Submission &submission, const fleet::AccountId &account, fleet::BootTime now) const
+{
+    const fleet::Duration doubtTime = replacedCatalogDoubtTime();
     return std::any_of(m_operatorConfig.m_replacedAccounts.begin(), m_operatorConfig.m_replacedAccounts.end(), [&](const ReplacedAccounts &replaced) {
         const bool isKnown = std::any_of(replaced.m_accounts.begin(), replaced.m_accounts.end(), [&](const catalog::Account &known) {
             return known.m_id == account;
@@ -409,6 +421,8 @@
         m_pendingRecords.at(pending->second).m_calls.push_back(call);
     } else if (isIncomplete(m_journal)) {
         reply(call, openCall, {callers::ReplyKind::Unknown, {}, 0, {}, incompleteReason}, now);
+    } else if (hasSkippedCatalogs(now.m_boot)) {
+        reply(call, openCall, {callers::ReplyKind::Unknown, {}, 0, {}, skippedCatalogsReason}, now);
     } else {
         reply(call, openCall, {callers::ReplyKind::OverMaximum, {}, 0, {}, openCall.m_overMaximum}, now);
     }
@@ -536,7 +550,7 @@
                              .add("outcome", nameOf(reply.m_kind))
                              .add("took_ms", now.m_boot - openCall.m_arrivedAt)
                              .add("catalog", m_operatorConfig.m_catalog.m_version)
-                             .add("catalog_age_ms", m_operatorConfig.m_asOf ? now.m_boot - *m_operatorConfig.m_asOf : fleet::Duration(-1))
+                             .add("catalog_age_ms", asOf(m_operatorConfig) ? viewAge(m_operatorConfig, now.m_boot) : fleet::Duration(-1))
                              .add("journal", m_journal.m_nextOffset)
                              .add("journal_age_ms", m_journal.m_asOf ? now.m_boot - *m_journal.m_asOf : fleet::Duration(-1));
     if (reply.m_kind == callers::ReplyKind::State) {
--- a/components/node/call_handler.hpp
+++ b/components/node/call_handler.hpp
@@ -91,6 +91,10 @@
     submit(std::uint64_t call, OpenCall openCall, const callers::Call &content, const catalog::Queue &queue, const fleet::AccountId &account, fleet::Now now);
     /// True if a catalog that was replaced of late allowed the submission, so that an earlier attempt of it may be on its way to the store.
     bool mayHaveBeenAllowed(const callers::Submission &submission, const fleet::AccountId &account, fleet::BootTime now) const;
+    /// True if catalogs that are not known here were replaced of late, one of which may have allowed a submission in the same way.
+    bool hasSkippedCatalogs(fleet::BootTime now) const;
+    /// How long an append that a replaced catalog allowed may still be stored.
+    fleet::Duration replacedCatalogDoubtTime() const;
     void cancel(std::uint64_t call, OpenCall openCall, fleet::Now now);
     void showJob(std::uint64_t call, OpenCall openCall, fleet::Now now);
     void showQueue(std::uint64_t call, OpenCall openCall, fleet::Now now);
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -36,6 +36,12 @@
 constexpr fleet::Duration stopMargin {700};
 constexpr fleet::Duration finalAnswerTime {250};
 
+/// For logs and metrics; -1 ms if there is no time.
+fleet::Duration ageSince(const std::optional<fleet::BootTime> &time, fleet::BootTime now)
+{
+    return time ? now - *time : fleet::Duration(-1);
+}
+
 }
 
 Control::Control(const Settings &settings, Ports &ports, metrics::Registry &registry)
@@ -238,6 +244,15 @@
 {
     const std::uint64_t version = m_operatorConfig.m_catalog.m_version;
     const bool isChanged = applyOperatorsRead(m_operatorConfig, event.m_read, event.m_sentAt);
+    if (event.m_read.m_next < event.m_read.m_end) {
+        m_ports.log(logging::Line("catalog", "read-in-part")
+                        .add("full", event.m_read.m_isFullRead)
+                        .add("next", event.m_read.m_next)
+                        .add("end", event.m_read.m_end)
+                        .add("version", m_operatorConfig.m_catalog.m_version)
+                        .add("view_age_ms", ageSince(asOf(m_operatorConfig), now.m_boot)),
+                    now);
+    }
     m_operatorConfig.m_nextReadAt = now.m_boot + (event.m_read.m_outcome == store::ReadOutcome::Read ? fleet::Duration(0) : readRetryDelay);
     for (const std::string &key : event.m_read.m_unreadable) {
         m_ports.log(logging::Line("catalog", "unreadable", logging::Level::Warning).add("key", key).add("version", version), now);
@@ -389,12 +404,12 @@
 {
     if (!m_operatorConfig.m_readSentAt && now.m_boot >= m_operatorConfig.m_nextReadAt) {
         m_operatorConfig.m_readSentAt = now.m_boot;
-        const bool shouldWait = m_operatorConfig.m_nextOffset && !m_operatorConfig.m_hasFailedRead;
+        const bool shouldWait = m_operatorConfig.m_position.m_next && !m_operatorConfig.m_hasFailedRead;
         sendOrEnd(
             "read",
             now,
             [&] {
-                m_ports.readOperators(m_operatorConfig.m_nextOffset, shouldWait ? m_timing.m_operatorReadWait : fleet::Duration(0), now.m_boot);
+                m_ports.readOperators(m_operatorConfig.m_position.m_next, shouldWait ? m_timing.m_operatorReadWait : fleet::Duration(0), now.m_boot);
             },
             OperatorsReadEnded {now.m_boot, {}});
     }
@@ -432,7 +447,7 @@
         m_ports.log(logging::Line("node", "ready")
                         .add("ready", isReady)
                         .add("catalog", m_operatorConfig.m_catalog.m_version)
-                        .add("view_age_ms", m_operatorConfig.m_asOf ? now.m_boot - *m_operatorConfig.m_asOf : fleet::Duration(-1)),
+                        .add("view_age_ms", ageSince(asOf(m_operatorConfig), now.m_boot)),
                     now);
         m_ports.setReady(isReady);
     }
@@ -440,17 +455,14 @@
 
 InstanceStats Control::collectStats(fleet::Now now) const
 {
-    const auto ageSince = [&](const std::optional<fleet::BootTime> &asOf) {
-        return asOf ? (now.m_boot - *asOf).count() : -1;
-    };
     InstanceStats stats;
     stats.m_isReady = m_isReady;
     stats.m_holdsDuty = holdsDuty();
     stats.m_holderToken = m_journal.m_journalState.m_holder.m_token.m_value;
     stats.m_catalogVersion = m_operatorConfig.m_catalog.m_version;
     stats.m_zonesOut = m_operatorConfig.m_zonesOut.size();
-    stats.m_catalogAge = ageSince(m_operatorConfig.m_asOf);
-    stats.m_journalAge = ageSince(m_journal.m_asOf);
+    stats.m_catalogAge = ageSince(asOf(m_operatorConfig), now.m_boot).count();
+    stats.m_journalAge = ageSince(m_journal.m_asOf, now.m_boot).count();
     stats.m_journalEnd = m_journal.m_nextOffset;
     stats.m_unreadableRecords = m_journal.m_unreadableRecords;
     stats.m_jobs = m_journal.m_journalState.m_jobs.size();
--- a/components/node/operator_config_view.cpp
+++ b/components/node/operator_config_view.cpp
@@ -64,7 +64,7 @@
     view.m_readSentAt.reset();
     view.m_hasFailedRead = read.m_outcome != store::ReadOutcome::Read;
     if (read.m_outcome == store::ReadOutcome::Expired) {
-        view.m_nextOffset.reset();
+        view.m_position.m_next.reset();
         return false;
     }
     if (read.m_outcome != store::ReadOutcome::Read) {
@@ -83,14 +83,22 @@
             },
             change);
     }
-    view.m_nextOffset = read.m_next;
-    view.m_asOf = std::max(view.m_asOf.value_or(sentAt), sentAt);
+    if (read.m_isFullRead && version > 0 && version != view.m_catalog.m_version) {
+        view.m_skippedCatalogsAt = sentAt;
+    }
+    store::recordKeyedAnswer(view.m_position, read.m_isFullRead, sentAt, read.m_end, read.m_next);
     return version != view.m_catalog.m_version || zonesOut != view.m_zonesOut;
 }
 
+std::optional<fleet::BootTime> asOf(const OperatorConfigView &view)
+{
+    return view.m_position.m_progress.m_asOf;
+}
+
 fleet::Duration viewAge(const OperatorConfigView &view, fleet::BootTime now)
 {
-    return view.m_asOf ? now - *view.m_asOf : fleet::Duration::max();
+    const std::optional<fleet::BootTime> time = asOf(view);
+    return time ? now - *time : fleet::Duration::max();
 }
 
 }
--- a/components/node/operator_config_view.hpp
+++ b/components/node/operator_config_view.hpp
@@ -6,6 +6,7 @@
 #include "components/catalog/upkeep_wave.hpp"
 #include "components/fleet/boot_time.hpp"
 #include "components/fleet/identifiers.hpp"
+#include "components/store/keyed_position.hpp"
 
 #include <cstdint>
 #include <map>
@@ -31,11 +32,9 @@
     std::vector<ReplacedAccounts> m_replacedAccounts;
     std::set<fleet::ZoneId> m_zonesOut;
     std::map<std::string, catalog::UpkeepWave> m_waves;
-    /// Offset of the next read; empty while everything has to be read again.
-    std::optional<std::uint64_t> m_nextOffset;
-    /// Everything that was set before this time is in the view. This is when the read was sent, since its answer may have been
-    /// delayed.
-    std::optional<fleet::BootTime> m_asOf;
+    store::KeyedPosition m_position;
+    /// When the latest full read replaced a catalog; those between the two have not been seen.
+    std::optional<fleet::BootTime> m_skippedCatalogsAt;
     std::optional<fleet::BootTime> m_readSentAt;
     fleet::BootTime m_nextReadAt;
     /// The latest read failed, so the next one should not wait for a change before it confirms the view.
@@ -50,7 +49,10 @@
 /// Applies a read that was sent at `sentAt`. Returns true if the catalog or the zones out of service changed.
 bool applyOperatorsRead(OperatorConfigView &view, const catalog::OperatorConfigRead &read, fleet::BootTime sentAt);
 
-/// Returns the age of the view; the longest possible duration before the first read.
+/// Everything that was set before this time is in the view. It is when a read was sent, since its answer may have been delayed.
+std::optional<fleet::BootTime> asOf(const OperatorConfigView &view);
+
+/// Returns the age of the view; the longest possible duration while it is not known to be complete as of any time.
 fleet::Duration viewAge(const OperatorConfigView &view, fleet::BootTime now);
 
 }
--- a/components/simulation/faults.hpp
+++ b/components/simulation/faults.hpp
@@ -22,6 +22,8 @@
     /// Share (0 to 1) of appends that are carried out but not answered. If delayed, they are carried out seconds later.
     double m_unansweredAppends = 0;
     bool m_unansweredAppendsAreDelayed = false;
+    /// Most records that a read from an offset returns; 0 if there is no limit.
+    std::size_t m_recordsPerRead = 0;
     /// Processing time of the store for one call.
     fleet::Duration m_storeDelay {4};
     /// Workers that no instance can reach.
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -47,6 +47,33 @@
     return a != b && (faults.m_partitionedZones.contains(a) || faults.m_partitionedZones.contains(b));
 }
 
+/// Identifies what an entry of the operators' log sets, as its key does in the store.
+std::string keyOf(const catalog::OperatorConfigChange &change)
+{
+    if (const auto *zone = std::get_if<catalog::ZoneChange>(&change)) {
+        return "zone/" + zone->m_zone.value();
+    }
+    if (const auto *wave = std::get_if<catalog::WaveChange>(&change)) {
+        return wave->m_key;
+    }
+    return "catalog";
+}
+
+/// Returns the newest entry of each key.
+std::vector<catalog::OperatorConfigChange> newestOf(const std::vector<catalog::OperatorConfigChange> &log)
+{
+    std::map<std::string, catalog::OperatorConfigChange> byKey;
+    for (const catalog::OperatorConfigChange &change : log) {
+        byKey.insert_or_assign(keyOf(change), change);
+    }
+    std::vector<catalog::OperatorConfigChange> newest;
+    newest.reserve(byKey.size());
+    for (const auto &[key, change] : byKey) {
+        newest.push_back(change);
+    }
+    return newest;
+}
+
 bool isRefusedByStore(const Faults &faults, int instance)
 {
     return faults.m_store == StoreMode::Busy || faults.m_refusedByStore.contains(instance);
@@ -126,14 +153,10 @@
             });
             return;
         }
+        ++m_world.m_operatorReads;
         readFromStore<catalog::OperatorConfigRead>(
             [from](World &world) {
-                catalog::OperatorConfigRead read;
-                read.m_outcome = store::ReadOutcome::Read;
-                read.m_isFullRead = !from;
-                read.m_changes.assign(world.m_operatorLog.begin() + static_cast<std::ptrdiff_t>(from.value_or(0)), world.m_operatorLog.end());
-                read.m_next = world.m_operatorLog.size();
-                return read;
+                return world.readOperatorLog(from);
             },
             [now](const catalog::OperatorConfigRead &read) {
                 return node::OperatorsReadEnded {now, read};
@@ -735,6 +758,24 @@
     return reply && reply->m_kind == callers::ReplyKind::State ? std::optional(reply->m_state) : std::nullopt;
 }
 
+catalog::OperatorConfigRead World::readOperatorLog(std::optional<std::uint64_t> from)
+{
+    catalog::OperatorConfigRead read;
+    read.m_outcome = store::ReadOutcome::Read;
+    read.m_isFullRead = !from;
+    read.m_end = m_operatorLog.size();
+    if (from) {
+        const std::uint64_t limit = m_faults.m_recordsPerRead > 0 ? *from + m_faults.m_recordsPerRead : read.m_end;
+        read.m_next = std::min(limit, read.m_end);
+        read.m_changes.assign(m_operatorLog.begin() + static_cast<std::ptrdiff_t>(*from), m_operatorLog.begin() + static_cast<std::ptrdiff_t>(read.m_next));
+    } else {
+        read.m_next = read.m_end;
+        read.m_changes = newestOf(m_operatorLog);
+    }
+    m_operatorChangesRead += read.m_changes.size();
+    return read;
+}
+
 void World::publish(const catalog::Catalog &catalog)
 {
     m_catalog = catalog;
@@ -744,14 +785,21 @@
     }
 }
 
-void World::publishAccount(const std::function<void(catalog::Account &)> &change)
+void World::publishCatalog(const std::function<void(catalog::Catalog &)> &change)
 {
     catalog::Catalog next = m_catalog;
     ++next.m_version;
-    change(next.m_accounts.front());
+    change(next);
     publish(next);
 }
 
+void World::publishAccount(const std::function<void(catalog::Account &)> &change)
+{
+    publishCatalog([&](catalog::Catalog &catalog) {
+        change(catalog.m_accounts.front());
+    });
+}
+
 void World::setZoneOut(const fleet::ZoneId &zone, bool isOut)
 {
     m_operatorLog.emplace_back(catalog::ZoneChange {zone, isOut});
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -4,6 +4,7 @@
 #include "components/callers/call.hpp"
 #include "components/catalog/catalog.hpp"
 #include "components/catalog/operator_config_change.hpp"
+#include "components/catalog/operator_config_read.hpp"
 #include "components/fleet/now.hpp"
 #include "components/jobs/job_spec.hpp"
 #include "components/jobs/job_state.hpp"
@@ -58,7 +59,8 @@
 
     // Operators.
     void publish(const catalog::Catalog &catalog);
-    /// Publishes the next version of the catalog after a change of its first account, "account".
+    /// Publishes the next version of the catalog after a change of it, or of its first account, "account".
+    void publishCatalog(const std::function<void(catalog::Catalog &)> &change);
     void publishAccount(const std::function<void(catalog::Account &)> &change);
     void setZoneOut(const fleet::ZoneId &zone, bool isOut);
     void requestUpkeep(const catalog::UpkeepWave &wave);
@@ -111,6 +113,9 @@
     int m_answeredPolls = 0;
     /// Number of journal reads that instances sent.
     int m_journalReads = 0;
+    /// Number of reads of the operators' log that instances sent, and of the changes that their answers held.
+    int m_operatorReads = 0;
+    std::size_t m_operatorChangesRead = 0;
     /// Number of log lines of each event, with "part/event" as key.
     std::map<std::string, int> m_logCounts;
     /// Latest log line of each event, with the same keys.
@@ -138,6 +143,7 @@
     fleet::Now currentTime(int instance) const;
     fleet::Duration oneWayLatency() const;
     int sendCall(int instance, callers::Call content);
+    catalog::OperatorConfigRead readOperatorLog(std::optional<std::uint64_t> from);
     void appendToWorkerList(const fleet::WorkerId &worker);
     void restoreEntry(const fleet::WorkerId &worker, fleet::Duration delay);
     /// Has a worker that has just started write its entry, once it reaches the store.
