Worker list: plan with a list only once it is complete

What callers could see: tasks that start on a worker seconds after it had reported that it drains, by a holder that follows a list which is written faster than it reads.

Cause: a read of the list did not say where the log ended. An answer that stopped before the end was taken for the list, and the next read was sent 500 ms later; a list of several pages was used before the entries written between them had been read; and the answer to a read from an offset that was sent in an earlier term of the same holder could be taken for a whole list.

Change: the list is a view with the position of a keyed topic, as the operators' copy. It is planned with when it is complete as of a later read than before, is read on at once while it is not, and after one part the newest record of each worker is read. Answers to reads of a former view are ignored.

--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -177,9 +177,8 @@
     m_state = dispatch::State();
     m_state.m_settings = m_settings.m_dispatch;
     m_state.m_token = m_journal.m_journalState.m_holder.m_token;
-    m_workerList.clear();
-    m_workerListNextOffset.reset();
-    m_nextWorkerListReadAt = now.m_boot;
+    m_workerList = WorkerListView();
+    m_workerList.m_nextReadAt = now.m_boot;
     resetSnapshots();
     m_snapshotWriter.m_producer = snapshotProducer;
     m_snapshotWriter.m_epoch = m_state.m_token.m_value;
@@ -392,14 +391,15 @@
 /// Logs the entries of other writers that are new since the last read; an entry that is written again at each heartbeat is logged once.
 void SchedulingDuty::logRefusals(const workers::WorkerListRead &read, fleet::Now now)
 {
+    std::map<fleet::WorkerId, std::string> &refusedEntries = m_workerList.m_refusedEntries;
     if (read.m_isFullRead) {
-        m_refusedEntries.clear();
+        refusedEntries.clear();
     }
     int refused = 0;
     for (const workers::WorkerListChange &change : read.m_changes) {
         if (change.m_refusal.empty()) {
-            m_refusedEntries.erase(change.m_worker);
-        } else if (std::exchange(m_refusedEntries[change.m_worker], change.m_refusal) != change.m_refusal && ++refused <= maxRefusalLines) {
+            refusedEntries.erase(change.m_worker);
+        } else if (std::exchange(refusedEntries[change.m_worker], change.m_refusal) != change.m_refusal && ++refused <= maxRefusalLines) {
             m_ports.log(logging::Line("worker-list", "entry-refused", logging::Level::Warning).add("key", change.m_worker.value()).add("why", change.m_refusal),
                         now);
         }
@@ -411,35 +411,35 @@
 
 void SchedulingDuty::onWorkerListRead(const WorkerListReadEnded &event, fleet::Now now)
 {
-    m_isWorkerListReadOpen = false;
     if (m_phase != DutyPhase::Holding) {
         return;
     }
-    if (event.m_read.m_outcome == store::ReadOutcome::Expired) {
-        m_workerListNextOffset.reset();
-        m_nextWorkerListReadAt = now.m_boot;
-        return;
-    }
+    const bool hasAdvanced = applyWorkerListRead(m_workerList, event.m_read, event.m_sentAt, now.m_boot);
     if (event.m_read.m_outcome != store::ReadOutcome::Read) {
         return;
     }
-    if (event.m_read.m_isFullRead) {
-        m_workerList.clear();
+    logRefusals(event.m_read, now);
+    if (store::isBehind(m_workerList.m_position)) {
+        m_ports.log(logging::Line("worker-list", "read-in-part")
+                        .add("full", event.m_read.m_isFullRead)
+                        .add("next", event.m_read.m_next)
+                        .add("end", event.m_read.m_end)
+                        .add("workers", m_workerList.m_registrations.size()),
+                    now);
     }
-    for (const workers::WorkerListChange &change : event.m_read.m_changes) {
-        if (change.m_registration) {
-            m_workerList[change.m_worker] = *change.m_registration;
-        } else {
-            m_workerList.erase(change.m_worker);
-        }
+    if (hasAdvanced) {
+        processOutbox(dispatch::onListRead(m_state, environment(), registrationsOf(m_workerList), now), now);
     }
-    logRefusals(event.m_read, now);
-    m_workerListNextOffset = event.m_read.m_next;
-    std::vector<workers::Registration> registrations;
-    for (const auto &[id, registration] : m_workerList) {
-        registrations.push_back(registration);
+    readWorkerListIfDue(now);
+}
+
+void SchedulingDuty::readWorkerListIfDue(fleet::Now now)
+{
+    if (m_phase == DutyPhase::Holding && !m_workerList.m_readSentAt && now.m_boot >= m_workerList.m_nextReadAt) {
+        m_workerList.m_readSentAt = now.m_boot;
+        m_workerList.m_nextReadAt = now.m_boot + workerListReadInterval;
+        m_ports.readWorkerList(m_workerList.m_position.m_next, now.m_boot);
     }
-    processOutbox(dispatch::onListRead(m_state, environment(), registrations, now), now);
 }
 
 void SchedulingDuty::onStartEnded(const StartEnded &event, fleet::Now now)
@@ -550,11 +550,7 @@
         m_lastAppendAt = now.m_boot;
         journal::enqueue(m_writer, journal::encode(journal::HolderHeartbeat {m_state.m_token}), 0);
     }
-    if (!m_isWorkerListReadOpen && now.m_boot >= m_nextWorkerListReadAt) {
-        m_isWorkerListReadOpen = true;
-        m_nextWorkerListReadAt = now.m_boot + workerListReadInterval;
-        m_ports.readWorkerList(m_workerListNextOffset, now.m_boot);
-    }
+    readWorkerListIfDue(now);
 }
 
 void SchedulingDuty::runSchedulingCycle(fleet::Now now)
--- a/components/node/scheduling_duty.hpp
+++ b/components/node/scheduling_duty.hpp
@@ -16,6 +16,7 @@
 #include "components/node/peer_message.hpp"
 #include "components/node/settings.hpp"
 #include "components/node/snapshot_slot.hpp"
+#include "components/node/worker_list_view.hpp"
 
 #include <cstdint>
 #include <map>
@@ -114,6 +115,7 @@
     void encodeSnapshotIfDue(fleet::Now now);
     void resetSnapshots();
     void writeEncodedSnapshot();
+    void readWorkerListIfDue(fleet::Now now);
     void logRefusals(const workers::WorkerListRead &read, fleet::Now now);
 
     const Settings &m_settings;
@@ -130,12 +132,7 @@
     unsigned m_snapshotSlot = 0;
     std::optional<EncodedSnapshot> m_encodedSnapshot;
     dispatch::State m_state;
-    std::map<fleet::WorkerId, workers::Registration> m_workerList;
-    /// Entries of the worker list that name no usable worker, and why.
-    std::map<fleet::WorkerId, std::string> m_refusedEntries;
-    std::optional<std::uint64_t> m_workerListNextOffset;
-    bool m_isWorkerListReadOpen = false;
-    fleet::BootTime m_nextWorkerListReadAt;
+    WorkerListView m_workerList;
     fleet::BootTime m_heldSince;
     fleet::BootTime m_lastAppendAt;
     /// When the latest call was sent whose answer proved that this instance is the holder.
--- a/components/simulation/missed_changes_test.cpp
+++ b/components/simulation/missed_changes_test.cpp
@@ -213,3 +213,29 @@
     world.run(20s);
     cr_assert(submitWide() == callers::ReplyKind::OverMaximum);
 }
+
+/// A holder read a list that is written faster than its reads part by part, and started tasks on workers that had been draining for seconds.
+Test(missedChanges, workersDrainBehindManyEntries_tasksStartElsewhereAfterOneMoreRead)
+{
+    WorldFixture fixture;
+    World &world = fixture.m_world;
+    world.m_faults.m_recordsPerRead = recordsPerRead;
+    const std::vector<fleet::WorkerId> workers = world.workers();
+    for (int i = 0; i < 100; ++i) {
+        world.relist(workers.back());
+    }
+    for (std::size_t i = 0; i + 1 < workers.size(); ++i) {
+        world.setDraining(workers[i], true);
+    }
+    const int reads = world.m_workerListReads;
+    cr_assert(world.runUntil(
+        [&] {
+            return world.m_workerListReads >= reads + 3;
+        },
+        2s));
+    const jobs::JobId job = fixture.submit(makeTasks(8), {500ms});
+    cr_assert(fixture.completes(job, 5s));
+    for (const RunRecord &run : world.m_fleet.m_history) {
+        cr_assert(run.m_run.m_task.m_step.m_job != job || run.m_incarnation.m_worker == workers.back());
+    }
+}
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <span>
 #include <stdexcept>
 
 namespace simulation
@@ -74,6 +75,14 @@
     return newest;
 }
 
+/// Returns the records that a read from an offset holds; a limit of 0 is none.
+template<class Record>
+std::span<const Record> recordsFrom(const std::vector<Record> &log, std::uint64_t from, std::size_t limit)
+{
+    const std::span<const Record> rest = std::span<const Record>(log).subspan(std::min<std::size_t>(from, log.size()));
+    return limit > 0 && limit < rest.size() ? rest.first(limit) : rest;
+}
+
 bool isRefusedByStore(const Faults &faults, int instance)
 {
     return faults.m_store == StoreMode::Busy || faults.m_refusedByStore.contains(instance);
@@ -165,14 +174,10 @@
 
     void readWorkerList(std::optional<std::uint64_t> from, fleet::BootTime now) override
     {
+        ++m_world.m_workerListReads;
         readFromStore<workers::WorkerListRead>(
             [from](World &world) {
-                workers::WorkerListRead read;
-                read.m_outcome = store::ReadOutcome::Read;
-                read.m_isFullRead = !from;
-                read.m_changes.assign(world.m_workerListLog.begin() + static_cast<std::ptrdiff_t>(from.value_or(0)), world.m_workerListLog.end());
-                read.m_next = world.m_workerListLog.size();
-                return read;
+                return world.readWorkerListLog(from);
             },
             [now](const workers::WorkerListRead &read) {
                 return node::WorkerListReadEnded {now, read};
@@ -765,9 +770,9 @@
     read.m_isFullRead = !from;
     read.m_end = m_operatorLog.size();
     if (from) {
-        const std::uint64_t limit = m_faults.m_recordsPerRead > 0 ? *from + m_faults.m_recordsPerRead : read.m_end;
-        read.m_next = std::min(limit, read.m_end);
-        read.m_changes.assign(m_operatorLog.begin() + static_cast<std::ptrdiff_t>(*from), m_operatorLog.begin() + static_cast<std::ptrdiff_t>(read.m_next));
+        const auto records = recordsFrom(m_operatorLog, *from, m_faults.m_recordsPerRead);
+        read.m_changes.assign(records.begin(), records.end());
+        read.m_next = *from + records.size();
     } else {
         read.m_next = read.m_end;
         read.m_changes = newestOf(m_operatorLog);
@@ -776,6 +781,24 @@
     return read;
 }
 
+workers::WorkerListRead World::readWorkerListLog(std::optional<std::uint64_t> from)
+{
+    workers::WorkerListRead read;
+    read.m_outcome = store::ReadOutcome::Read;
+    read.m_isFullRead = !from;
+    read.m_end = m_workerListLog.size();
+    if (from) {
+        const auto records = recordsFrom(m_workerListLog, *from, m_faults.m_recordsPerRead);
+        read.m_changes.assign(records.begin(), records.end());
+        read.m_next = *from + records.size();
+    } else {
+        // Later entries replace earlier ones.
+        read.m_changes = m_workerListLog;
+        read.m_next = read.m_end;
+    }
+    return read;
+}
+
 void World::publish(const catalog::Catalog &catalog)
 {
     m_catalog = catalog;
--- a/components/simulation/world.hpp
+++ b/components/simulation/world.hpp
@@ -113,6 +113,8 @@
     int m_answeredPolls = 0;
     /// Number of journal reads that instances sent.
     int m_journalReads = 0;
+    /// Number of reads of the worker list that holders sent.
+    int m_workerListReads = 0;
     /// Number of reads of the operators' log that instances sent, and of the changes that their answers held.
     int m_operatorReads = 0;
     std::size_t m_operatorChangesRead = 0;
@@ -144,6 +146,7 @@
     fleet::Duration oneWayLatency() const;
     int sendCall(int instance, callers::Call content);
     catalog::OperatorConfigRead readOperatorLog(std::optional<std::uint64_t> from);
+    workers::WorkerListRead readWorkerListLog(std::optional<std::uint64_t> from);
     void appendToWorkerList(const fleet::WorkerId &worker);
     void restoreEntry(const fleet::WorkerId &worker, fleet::Duration delay);
     /// Has a worker that has just started write its entry, once it reaches the store.
--- a/components/workers/worker_list_read.hpp
+++ b/components/workers/worker_list_read.hpp
@@ -20,6 +20,8 @@
     std::vector<WorkerListChange> m_changes;
     /// Offset for the next read.
     std::uint64_t m_next = 0;
+    /// End of the topic when the read, or its last page, was answered.
+    std::uint64_t m_end = 0;
     std::string m_reason;
 
     bool operator==(const WorkerListRead &) const = default;
