Duty: claim it and start work only by what the operators set of late

Cause: a claim asked whether there is any catalog, whatever its age, and plan, start orders and upkeep orders did not ask.

Change: an instance claims the duty, and a holder plans and sends starts and upkeep orders, only while its copy is younger than m_maxConfirmationAge, as for readiness and submissions. Leases are renewed, runs stopped and ends recorded as before, so that a holder that can't read the log loses no running work. The duty counts as free only from when the copy is current, so that the instances don't all claim at once after an outage.

--- a/components/dispatch/orders.cpp
+++ b/components/dispatch/orders.cpp
@@ -69,8 +69,9 @@
 
 bool isStartDue(const Context &context, const RunState &run, const WorkerState &worker)
 {
-    return context.m_state.m_mayRenewLeases && !worker.m_isIncarnationInDoubt && !run.m_isUnconfirmedAfterRestart && run.m_phase == RunPhase::Starting
-        && !run.m_isStopRequested && !run.m_startInFlight && !run.m_isOverOnWorker && context.m_now.m_boot >= run.m_nextStartAt;
+    return context.m_state.m_mayRenewLeases && context.m_state.m_isConfigCurrent && !worker.m_isIncarnationInDoubt && !run.m_isUnconfirmedAfterRestart
+        && run.m_phase == RunPhase::Starting && !run.m_isStopRequested && !run.m_startInFlight && !run.m_isOverOnWorker
+        && context.m_now.m_boot >= run.m_nextStartAt;
 }
 
 /// A holder that has not been confirmed for too long may have been replaced. It stops nothing, since its successor may keep the run.
--- a/components/dispatch/scheduler_events.cpp
+++ b/components/dispatch/scheduler_events.cpp
@@ -303,7 +303,9 @@
         return finish(context);
     }
     endExpiredRuns(context);
-    advanceWaves(context);
+    if (state.m_isConfigCurrent) {
+        advanceWaves(context);
+    }
     stopRunsOnDepartingWorkers(context);
     stopBestEffortBesideServing(context);
     context.m_changedGangs = std::exchange(state.m_incompleteGangs, {});
@@ -328,7 +330,7 @@
 Outbox runSchedulingCycle(State &state, const Environment &environment, fleet::Now now)
 {
     Context context = makeContext(state, environment, now);
-    if (state.m_mayRenewLeases && state.m_planIsDue && now.m_boot >= state.m_nextPlanAt) {
+    if (state.m_mayRenewLeases && state.m_isConfigCurrent && state.m_planIsDue && now.m_boot >= state.m_nextPlanAt) {
         state.m_planIsDue = false;
         state.m_plannedAt = now.m_boot;
         const bool isAnyLeft = plan(context);
--- a/components/dispatch/state.hpp
+++ b/components/dispatch/state.hpp
@@ -90,6 +90,8 @@
     std::uint64_t m_nextBatch = 1;
     /// The store was reached recently enough to renew leases.
     bool m_mayRenewLeases = true;
+    /// What the operators set was read recently enough to start work by it.
+    bool m_isConfigCurrent = true;
     /// A change may allow a step to start.
     bool m_planIsDue = true;
     fleet::BootTime m_plannedAt;
--- a/components/node/control.cpp
+++ b/components/node/control.cpp
@@ -49,7 +49,7 @@
     , m_timing(deriveTiming(settings))
     , m_ports(ports)
     , m_metrics(registry)
-    , m_duty(m_settings, m_ports, m_operatorConfig, m_journal)
+    , m_duty(m_settings, m_timing, m_ports, m_operatorConfig, m_journal)
     , m_callHandler(m_settings, m_timing, m_ports, m_operatorConfig, m_journal, m_duty.unconfirmedEnds(), m_duty.holderMonitor(), m_metrics)
 {
     m_callHandler.announceInstance(fleet::Now());
--- a/components/node/holder_monitor.cpp
+++ b/components/node/holder_monitor.cpp
@@ -111,11 +111,11 @@
     return !isSuspect(monitor, now);
 }
 
-void updateDutyFree(HolderMonitor &monitor, const JournalView &journal, bool hasCatalog, fleet::Now now)
+void updateDutyFree(HolderMonitor &monitor, const JournalView &journal, bool isConfigCurrent, fleet::Now now)
 {
-    // No instance may claim without a catalog. If the duty counted as free meanwhile, all instances would claim at once when the
-    // first catalog arrives.
-    if (!isDutyFree(journal) || !hasCatalog) {
+    // No instance may claim by an old configuration. If the duty counted as free meanwhile, all instances would claim at once when they
+    // have read the newest one.
+    if (!isDutyFree(journal) || !isConfigCurrent) {
         monitor.m_dutyFreeSince.reset();
     } else if (!monitor.m_dutyFreeSince) {
         monitor.m_dutyFreeSince = now.m_boot;
--- a/components/node/holder_monitor.hpp
+++ b/components/node/holder_monitor.hpp
@@ -54,7 +54,7 @@
 bool isHolderServed(const HolderMonitor &monitor, fleet::Now now);
 
 /// Updates m_dutyFreeSince from the journal.
-void updateDutyFree(HolderMonitor &monitor, const JournalView &journal, bool hasCatalog, fleet::Now now);
+void updateDutyFree(HolderMonitor &monitor, const JournalView &journal, bool isConfigCurrent, fleet::Now now);
 
 /// True if this instance should claim the duty now.
 bool shouldClaim(const HolderMonitor &monitor, const Settings &settings, const JournalView &journal, fleet::Now now);
--- a/components/node/scheduling_duty.cpp
+++ b/components/node/scheduling_duty.cpp
@@ -6,6 +6,7 @@
 #include "components/journal/snapshot.hpp"
 #include "components/node/instance_stats.hpp"
 #include "components/node/ports.hpp"
+#include "components/node/timing.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -67,8 +68,9 @@
 
 }
 
-SchedulingDuty::SchedulingDuty(const Settings &settings, Ports &ports, const OperatorConfigView &operatorConfig, JournalView &journal)
+SchedulingDuty::SchedulingDuty(const Settings &settings, const Timing &timing, Ports &ports, const OperatorConfigView &operatorConfig, JournalView &journal)
     : m_settings(settings)
+    , m_timing(timing)
     , m_ports(ports)
     , m_operatorConfig(operatorConfig)
     , m_journal(journal)
@@ -80,6 +82,11 @@
     return {m_journal.m_journalState, m_operatorConfig.m_catalog, m_operatorConfig.m_zonesOut, m_operatorConfig.m_waves};
 }
 
+bool SchedulingDuty::isConfigCurrent(fleet::Now now) const
+{
+    return m_operatorConfig.hasCatalog() && viewAge(m_operatorConfig, now.m_boot) < m_timing.m_maxConfirmationAge;
+}
+
 bool SchedulingDuty::needsJournalRead(fleet::Now now) const
 {
     if (m_journal.m_readsOpen > 0) {
@@ -498,7 +505,8 @@
 
 void SchedulingDuty::claimIfDue(fleet::Now now)
 {
-    updateDutyFree(m_holderMonitor, m_journal, m_operatorConfig.hasCatalog(), now);
+    const bool isCurrent = isConfigCurrent(now);
+    updateDutyFree(m_holderMonitor, m_journal, isCurrent, now);
     if (isIncomplete(m_journal)) {
         // An instance with the whole journal state claims sooner.
         const fleet::BootTime notBefore = std::max(m_holderHeardAt, m_journal.m_incompleteSince) + m_settings.m_dispatch.m_holderAuthority;
@@ -511,7 +519,7 @@
             return;
         }
     }
-    const bool mayClaim = m_hasReadJournal && !m_isStopping && now.m_boot >= m_claimNotBefore && m_operatorConfig.hasCatalog();
+    const bool mayClaim = m_hasReadJournal && !m_isStopping && now.m_boot >= m_claimNotBefore && isCurrent;
     if (mayClaim && m_knownJournalEnd <= m_journal.m_nextOffset && shouldClaim(m_holderMonitor, m_settings, m_journal, now)) {
         claim(now);
     }
@@ -536,6 +544,7 @@
     // A journal read without a newer claim proves that this instance is the holder, just as an append does.
     m_dutyConfirmedAt = std::max(m_dutyConfirmedAt, m_journal.m_asOf.value_or(m_dutyConfirmedAt));
     m_state.m_mayRenewLeases = now.m_boot - m_dutyConfirmedAt < m_settings.m_dispatch.m_holderAuthority;
+    m_state.m_isConfigCurrent = isConfigCurrent(now);
     processOutbox(dispatch::onTick(m_state, environment(), suspectedZones(now), now), now);
     if (m_phase == DutyPhase::Holding) {
         sendHeartbeats(now);
@@ -556,6 +565,7 @@
 void SchedulingDuty::runSchedulingCycle(fleet::Now now)
 {
     if (m_phase == DutyPhase::Holding) {
+        m_state.m_isConfigCurrent = isConfigCurrent(now);
         processOutbox(dispatch::runSchedulingCycle(m_state, environment(), now), now);
     }
 }
--- a/components/node/scheduling_duty.hpp
+++ b/components/node/scheduling_duty.hpp
@@ -28,6 +28,7 @@
 
 class Ports;
 struct InstanceStats;
+struct Timing;
 
 /// State of the instance with respect to the scheduling duty.
 enum class DutyPhase : std::uint8_t {
@@ -48,7 +49,7 @@
 class SchedulingDuty
 {
 public:
-    SchedulingDuty(const Settings &settings, Ports &ports, const OperatorConfigView &operatorConfig, JournalView &journal);
+    SchedulingDuty(const Settings &settings, const Timing &timing, Ports &ports, const OperatorConfigView &operatorConfig, JournalView &journal);
 
     /// @param readBefore Everything stored before this time was read before; empty if the journal's end was not reached before.
     void onJournalRead(const journal::Changes &changes, std::optional<fleet::BootTime> readBefore, fleet::Now now);
@@ -98,6 +99,8 @@
 
 private:
     dispatch::Environment environment() const;
+    /// True if what the operators set was read as recently as a store that answers allows.
+    bool isConfigCurrent(fleet::Now now) const;
     void giveUp(fleet::Now now);
     void handOverIfDue(fleet::Now now);
     bool isStrongInstanceReady(fleet::Now now) const;
@@ -119,6 +122,7 @@
     void logRefusals(const workers::WorkerListRead &read, fleet::Now now);
 
     const Settings &m_settings;
+    const Timing &m_timing;
     Ports &m_ports;
     const OperatorConfigView &m_operatorConfig;
     JournalView &m_journal;
--- a/components/simulation/faults.hpp
+++ b/components/simulation/faults.hpp
@@ -24,6 +24,8 @@
     bool m_unansweredAppendsAreDelayed = false;
     /// Most records that a read from an offset returns; 0 if there is no limit.
     std::size_t m_recordsPerRead = 0;
+    /// The store leaves reads of what the operators set without an answer.
+    bool m_areOperatorReadsUnanswered = false;
     /// Processing time of the store for one call.
     fleet::Duration m_storeDelay {4};
     /// Workers that no instance can reach.
--- a/components/simulation/missed_changes_test.cpp
+++ b/components/simulation/missed_changes_test.cpp
@@ -239,3 +239,45 @@
         cr_assert(run.m_run.m_task.m_step.m_job != job || run.m_incarnation.m_worker == workers.back());
     }
 }
+
+/// A new holder planned with zones that it had not read since the store served it again.
+Test(missedChanges, journalIsServedBeforeTheOperatorsLog_noInstanceClaimsTheDuty)
+{
+    WorldFixture fixture;
+    World &world = fixture.m_world;
+    for (int i = 0; i < world.instanceCount(); ++i) {
+        world.m_faults.m_cutFromStore.insert(i);
+    }
+    world.setZoneOut(fleet::ZoneId("z0"), true);
+    world.run(cutTime);
+    world.kill(world.holder());
+    world.m_faults.m_areOperatorReadsUnanswered = true;
+    world.m_faults.m_cutFromStore.clear();
+    world.run(cutTime);
+    cr_assert_eq(world.holder(), -1);
+    world.m_faults.m_areOperatorReadsUnanswered = false;
+    cr_assert(fixture.waitForHolder(3s));
+    const jobs::JobId job = fixture.submit(makeTasks(8), {300ms});
+    cr_assert(fixture.completes(job, 5s));
+    fixture.expectNoRunIn(fleet::ZoneId("z0"), job);
+}
+
+/// A holder planned with zones that it had not read for seconds.
+Test(missedChanges, operatorsLogIsNotAnswered_holderStartsNothingUntilItIsReadAgain)
+{
+    WorldFixture fixture;
+    World &world = fixture.m_world;
+    const int holder = world.holder();
+    const jobs::JobId first = fixture.submit(makeTasks(96), {4s});
+    const jobs::JobId second = fixture.submit(makeTasks(8), {300ms});
+    world.run(500ms);
+    world.m_faults.m_areOperatorReadsUnanswered = true;
+    world.setZoneOut(fleet::ZoneId("z0"), true);
+    world.run(cutTime);
+    cr_assert_eq(fixture.endedRunCount(first, "done"), 96);
+    cr_assert_eq(fixture.runCount(second), 0);
+    cr_assert_eq(world.holder(), holder);
+    world.m_faults.m_areOperatorReadsUnanswered = false;
+    cr_assert(fixture.completes(second, 5s));
+    fixture.expectNoRunIn(fleet::ZoneId("z0"), second);
+}
--- a/components/simulation/world.cpp
+++ b/components/simulation/world.cpp
@@ -152,6 +152,10 @@
 
     void waitForOperators(std::optional<std::uint64_t> from, fleet::Duration wait, fleet::BootTime now)
     {
+        if (m_world.m_faults.m_areOperatorReadsUnanswered) {
+            deliverAfter(readTimeout, node::OperatorsReadEnded {now, {}});
+            return;
+        }
         if (from && *from == m_world.m_operatorLog.size() && wait.count() > 0 && reachesStore(m_world.m_faults, m_instance)) {
             // Polls for a change in steps, since the model of the store has no waiting reads.
             const fleet::Duration step = std::min(wait, fleet::Duration(50));
--- a/components/simulation/world_fixture_test.cpp
+++ b/components/simulation/world_fixture_test.cpp
@@ -127,6 +127,15 @@
         limit);
 }
 
+void WorldFixture::expectNoRunIn(const fleet::ZoneId &zone, jobs::JobId job) const
+{
+    for (const RunRecord &run : m_world.m_fleet.m_history) {
+        const bool isOfJob = run.m_run.m_task.m_step.m_job == job;
+        const bool isInZone = m_world.m_fleet.m_workers.at(run.m_incarnation.m_worker).m_registration.m_zone == zone;
+        cr_assert(!isOfJob || !isInZone, "a task of the job ran in %s", zone.value().c_str());
+    }
+}
+
 void WorldFixture::expectNoViolation() const
 {
     cr_assert(m_world.m_fleet.m_violations.empty(), "%s", m_world.m_fleet.m_violations.front().c_str());
--- a/components/simulation/world_fixture_test.hpp
+++ b/components/simulation/world_fixture_test.hpp
@@ -30,6 +30,7 @@
     fleet::ZoneId zoneWithoutHolder() const;
     bool waitForHolder(fleet::Duration limit);
     void expectNoViolation() const;
+    void expectNoRunIn(const fleet::ZoneId &zone, jobs::JobId job) const;
 
     World m_world;
     std::uint64_t m_nextJob = 0x1000;
